Add the whole path in thin form and the design page

Cause: the repository was empty.

What works: a published sheet reaches daemons that run as processes of their own; a call passes from the caller through an entry daemon and an owner daemon to a backend server. Versions are read by chosen readers, announced, fetched as zstd differences and repaired by periodic syncs over authenticated Thrift frames.

Orders, quarantine, graceful stops and the operator commands are not built yet.

--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that runs on each backend server host."""
--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/call.py
@@ -0,0 +1,140 @@
+"""A call on its way through a daemon and its answer."""
+
+import re
+from collections.abc import AsyncIterator, Mapping
+from typing import Final
+
+import attrs
+
+from tanagerbend_model import Ran, Refusal, ResultCode, headers
+
+MAX_HOPS: Final = 8
+DEFAULT_TENANT: Final = 'none'
+TENANT: Final = re.compile('[A-Za-z0-9._-]{1,64}')
+MAX_DEADLINE_MS: Final = 3_600_000
+MILLISECONDS: Final = 1000
+
+HeaderPairs = tuple[tuple[str, str], ...]
+
+
+@attrs.frozen
+class Call:
+    """One request of a caller or of an entry daemon.
+
+    Parameters
+    ==========
+
+    service, method, path : str
+        The path includes the query.
+    header_pairs : tuple of pairs of str
+        Headers to pass on.
+    body : bytes or asynchronous iterator of bytes
+        Bytes if the body is small enough to be sent again.
+    tenant : str
+    rank : int
+        Rank of the call that caused this one; 0 if there is none.
+    deadline : float
+        Monotonic seconds; infinite if the caller set none.
+    hops : int
+        Calls that led to this one.
+    request_id : str
+    order_key : str
+    instance : str
+        Host that the entry daemon chose; empty at the entry daemon.
+    """
+
+    service: str
+    method: str
+    path: str
+    header_pairs: HeaderPairs
+    body: bytes | AsyncIterator[bytes]
+    tenant: str
+    rank: int
+    deadline: float
+    hops: int
+    request_id: str
+    order_key: str = ''
+    instance: str = ''
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the body can be sent more than once."""
+        return isinstance(self.body, bytes)
+
+
+@attrs.frozen
+class Answer:
+    """Answer of a backend server.
+
+    Parameters
+    ==========
+
+    status : int
+    header_pairs : tuple of pairs of str
+    chunks : asynchronous iterator of bytes
+        Raises ``ConnectionError`` if the body ends early.
+    code : ResultCode
+    ran : Ran
+    """
+
+    status: int
+    header_pairs: HeaderPairs
+    chunks: AsyncIterator[bytes]
+    code: ResultCode = ResultCode.OK
+    ran: Ran = Ran.YES
+
+
+@attrs.frozen
+class CallLimits:
+    """What the headers of a call say about it."""
+
+    tenant: str
+    rank: int
+    deadline: float
+    hops: int
+
+
+def read_limits(
+    received: Mapping[str, str],
+    now: float,
+) -> CallLimits | Refusal:
+    """Read tenant, rank, deadline and hops from the headers.
+
+    Parameters
+    ==========
+
+    received : mapping of str to str
+    now : float
+        Monotonic seconds.
+    """
+    tenant = received.get(headers.TENANT, DEFAULT_TENANT)
+    if TENANT.fullmatch(tenant) is None:
+        return _invalid(headers.TENANT, tenant)
+    rank = _number(received, headers.RANK, 9)
+    if rank is None:
+        return _invalid(headers.RANK, received[headers.RANK])
+    hops = _number(received, headers.HOPS, 1000)
+    if hops is None:
+        return _invalid(headers.HOPS, received[headers.HOPS])
+    text = received.get(headers.DEADLINE_MS)
+    if text is None:
+        return CallLimits(tenant, rank, float('inf'), hops)
+    remaining = _number(received, headers.DEADLINE_MS, MAX_DEADLINE_MS)
+    if remaining is None:
+        return _invalid(headers.DEADLINE_MS, text)
+    return CallLimits(tenant, rank, now + remaining / MILLISECONDS, hops)
+
+
+def _number(
+    received: Mapping[str, str],
+    name: str,
+    highest: int,
+) -> int | None:
+    text = received.get(name, '0')
+    if re.fullmatch('[0-9]{1,9}', text) and int(text) <= highest:
+        return int(text)
+    return None
+
+
+def _invalid(name: str, text: str) -> Refusal:
+    return Refusal(ResultCode.HEADER_INVALID, f'{name}: {text!r}')
--- /dev/null
+++ b/packages/distribution/tanagerbend_distribution/store.py
@@ -0,0 +1,175 @@
+"""Store of the version in force."""
+
+from collections import OrderedDict
+from typing import Final
+
+import attrs
+
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import (
+    Accepted,
+    Fault,
+    Rejected,
+    Sheet,
+    Version,
+    accept,
+    digest_of,
+    short_digest,
+)
+
+# Values kept as dictionaries for compressed differences.
+KEPT_VALUES: Final = 3
+KEPT_REJECTIONS: Final = 16
+
+
+@attrs.frozen
+class InForce:
+    """The version in force with its content."""
+
+    version: Version
+    sheet: Sheet
+    content: bytes = attrs.field(repr=False)
+
+
+@attrs.frozen
+class Adopted:
+    """The offered value is now in force."""
+
+    in_force: InForce
+
+
+@attrs.frozen
+class Ignored:
+    """The offered value is not newer than the version in force."""
+
+    version: Version
+
+
+@attrs.frozen
+class Declined:
+    """The offered value is not a valid sheet."""
+
+    revision: int
+    faults: tuple[Fault, ...]
+
+
+@attrs.frozen
+class Conflict:
+    """The offered value has the position in force, with other content."""
+
+    version: Version
+
+
+Verdict = Adopted | Ignored | Declined | Conflict
+
+
+class VersionStore:
+    """Holds the version in force; versions only go up.
+
+    Examples
+    ========
+
+    >>> from tanagerbend_timer import ManualTimer
+    >>> store = VersionStore(Recorder(ManualTimer()))
+    >>> verdict = store.offer(2, b'service,work,rank\\nartwork,plates,3\\n')
+    >>> store.current.version.revision
+    2
+    >>> type(store.offer(1, b'service,work,rank\\nartwork,plates,2\\n'))
+    <class 'tanagerbend_distribution.store.Ignored'>
+
+    Parameters
+    ==========
+
+    recorder : Recorder
+    """
+
+    def __init__(self, recorder: Recorder) -> None:
+        self.recorder = recorder
+        self.current: InForce | None = None
+        self.kept: OrderedDict[bytes, bytes] = OrderedDict()
+        self.rejections: OrderedDict[bytes, Rejected] = OrderedDict()
+        self.reported: OrderedDict[bytes, None] = OrderedDict()
+        self.listeners: list = []
+
+    def offer(self, revision: int, content: bytes) -> Verdict:
+        """Decide about a value that a reader or a peer has brought.
+
+        Parameters
+        ==========
+
+        revision : int
+            Revision given by the configuration service.
+        content : bytes
+        """
+        current = self.current
+        digest = digest_of(content)
+        if current is not None and current.version.digest == digest:
+            return self._raise(current, revision)
+        match self._judge(content, digest):
+            case Rejected(faults=faults):
+                return self._decline(revision, digest, faults)
+            case Accepted(sheet=sheet):
+                version = Version(sheet.edition, revision, digest)
+                return self._consider(InForce(version, sheet, content))
+
+    def _judge(self, content: bytes, digest: bytes) -> Accepted | Rejected:
+        known = self.rejections.get(digest)
+        return known or accept(content)
+
+    def _raise(self, current: InForce, revision: int) -> Verdict:
+        version = attrs.evolve(current.version, revision=revision)
+        if not version.is_newer_than(current.version):
+            return Ignored(version)
+        return self._adopt(attrs.evolve(current, version=version))
+
+    def _decline(
+        self,
+        revision: int,
+        digest: bytes,
+        faults: tuple[Fault, ...],
+    ) -> Declined:
+        if digest not in self.rejections:
+            first = faults[0]
+            self.recorder.note(
+                'version_rejected',
+                f'{revision}/{short_digest(digest)}',
+                f'{len(faults)} faults; first: row {first.row} '
+                f'column {first.column!r} code {int(first.code)}: '
+                f'{first.reason}',
+            )
+            _remember(self.rejections, digest, Rejected(faults, digest))
+        return Declined(revision, faults)
+
+    def _consider(self, offered: InForce) -> Verdict:
+        current = self.current
+        if current is not None:
+            if offered.version.conflicts_with(current.version):
+                return self._report_conflict(offered.version)
+            if not offered.version.is_newer_than(current.version):
+                self.recorder.count('versions_older')
+                return Ignored(offered.version)
+        return self._adopt(offered)
+
+    def _report_conflict(self, version: Version) -> Conflict:
+        self.recorder.count('version_conflicts')
+        if version.digest not in self.reported:
+            _remember(self.reported, version.digest, None)
+            self.recorder.note('version_conflict', str(version))
+        return Conflict(version)
+
+    def _adopt(self, offered: InForce) -> Adopted:
+        self.current = offered
+        self.kept.pop(offered.version.digest, None)
+        self.kept[offered.version.digest] = offered.content
+        while len(self.kept) > KEPT_VALUES:
+            self.kept.popitem(last=False)
+        self.recorder.note('version_adopted', str(offered.version))
+        for listener in self.listeners:
+            listener(offered)
+        return Adopted(offered)
+
+
+def _remember(table: OrderedDict, key: bytes, entry: object) -> None:
+    table[key] = entry
+    while len(table) > KEPT_REJECTIONS:
+        table.popitem(last=False)
--- /dev/null
+++ b/packages/membership/tanagerbend_membership/readers.py
@@ -0,0 +1,52 @@
+"""Choice of the members that read the configuration service."""
+
+import hashlib
+from collections.abc import Iterable
+from typing import Final
+
+from tanagerbend_interfaces import Member
+
+READERS_PER_DOMAIN: Final = 2
+
+
+def weight(host: str, purpose: str) -> bytes:
+    """Return the rendezvous weight of a host, the same at every daemon."""
+    return hashlib.blake2b(f'{purpose}/{host}'.encode(), digest_size=8).digest()
+
+
+def readers(
+    members: Iterable[Member],
+    failure_domain: str,
+    count: int = READERS_PER_DOMAIN,
+) -> tuple[str, ...]:
+    """Return the hosts that read for a failure domain.
+
+    Explanation
+    ===========
+
+    The members with the highest rendezvous weight are chosen.  Every
+    daemon computes this from its own roster, without an election; where
+    rosters differ for a while there are more readers, which the call
+    budget of each daemon allows for.
+
+    Examples
+    ========
+
+    >>> readers((), 'kingston')
+    ()
+
+    Parameters
+    ==========
+
+    members : iterable of Member
+        Suspected and gone members are passed over.
+    failure_domain : str
+    count : int
+    """
+    candidates = [
+        member.host
+        for member in members
+        if member.failure_domain == failure_domain and not member.is_claimed
+    ]
+    candidates.sort(key=lambda host: weight(host, 'reader'), reverse=True)
+    return tuple(candidates[:count])
--- /dev/null
+++ b/packages/metrics/tanagerbend_metrics/recorder.py
@@ -0,0 +1,34 @@
+"""Everything a daemon records, in one object."""
+
+import attrs
+
+from tanagerbend_metrics.counters import Counters
+from tanagerbend_metrics.histograms import Histograms
+from tanagerbend_metrics.journal import Journal
+from tanagerbend_timer import Timer
+
+
+@attrs.define
+class Recorder:
+    """Counters, histograms and journal of one daemon.
+
+    Parameters
+    ==========
+
+    timer : Timer
+        Gives the time of journal entries.
+    """
+
+    timer: Timer
+    counters: Counters = attrs.field(factory=Counters)
+    histograms: Histograms = attrs.field(factory=Histograms)
+    journal: Journal = attrs.field(factory=Journal)
+
+    def count(self, name: str, label: str = '', amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters.add(name, label, amount)
+
+    def note(self, event: str, subject: str, reason: str = '') -> None:
+        """Count a change of state and put it into the journal."""
+        self.counters.add('events', event)
+        self.journal.note(self.timer.wall(), event, subject, reason)
--- /dev/null
+++ b/packages/model/tanagerbend_model/headers.py
@@ -0,0 +1,19 @@
+"""Names of the HTTP headers of the call path."""
+
+from typing import Final
+
+SERVICE: Final = 'Tanagerbend-Service'
+TENANT: Final = 'Tanagerbend-Tenant'
+RANK: Final = 'Tanagerbend-Rank'
+DEADLINE_MS: Final = 'Tanagerbend-Deadline-Ms'
+HOPS: Final = 'Tanagerbend-Hops'
+REQUEST_ID: Final = 'Tanagerbend-Request-Id'
+VERSION: Final = 'Tanagerbend-Version'
+ORDER_KEY: Final = 'Idempotency-Key'
+RESULT: Final = 'Tanagerbend-Result'
+RAN: Final = 'Tanagerbend-Ran'
+LOAD: Final = 'Tanagerbend-Load'
+# Set by an entry daemon for the owner daemon: the instance it chose and
+# its proof that it is a peer of the deployment.
+INSTANCE: Final = 'Tanagerbend-Instance'
+PEER_PROOF: Final = 'Tanagerbend-Peer-Proof'
--- /dev/null
+++ b/packages/operator/tanagerbend_operator/__init__.py
@@ -0,0 +1,1 @@
+"""Operator command."""
--- /dev/null
+++ b/packages/orders/tanagerbend_orders/__init__.py
@@ -0,0 +1,1 @@
+"""Order keys and the order ledger."""
--- /dev/null
+++ b/packages/quarantine/tanagerbend_quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that crash backend servers."""
--- /dev/null
+++ b/packages/standins/tanagerbend_standins/fleet.py
@@ -0,0 +1,234 @@
+"""A small fleet on loopback: stand-ins here, daemons as processes."""
+
+import asyncio
+import itertools
+import pathlib
+import signal
+import socket
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+import attrs
+
+from tanagerbend_standins.backend import StandinBackend
+from tanagerbend_standins.platform import StandinPlatform
+
+PORTS_PER_NODE: Final = 3
+LOOPBACK: Final = '127.0.0.1'
+SHEET_KEY: Final = 'sheet'
+HOST_LIST_KEY: Final = 'hosts'
+# Only the stand-in fleet uses these.
+SHARED_KEY: Final = 'stand-in shared key'
+TOKEN: Final = 'stand-in operator token'
+POLL_SECONDS: Final = 0.02
+STOP_SECONDS: Final = 40.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return port numbers that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for listener in sockets:
+            listener.bind((LOOPBACK, 0))
+        return [listener.getsockname()[1] for listener in sockets]
+    finally:
+        for listener in sockets:
+            listener.close()
+
+
+@attrs.frozen
+class Place:
+    """Where one instance runs: service, failure domain and region."""
+
+    host: str
+    service: str
+    failure_domain: str
+    region: str
+
+
+@attrs.define
+class Node:
+    """One backend server host: stand-in backend server and daemon."""
+
+    place: Place
+    backend: StandinBackend
+    ports: list[int]
+    backend_address: str = ''
+    process: asyncio.subprocess.Process | None = None
+    leaving: bool = False
+
+    @property
+    def call_address(self) -> str:
+        """Address for callers, ``address:port``."""
+        return f'{LOOPBACK}:{self.ports[0]}'
+
+    @property
+    def peer_address(self) -> str:
+        """Address for control messages."""
+        return f'{LOOPBACK}:{self.ports[1]}'
+
+    @property
+    def operator_address(self) -> str:
+        """Address for operators."""
+        return f'{LOOPBACK}:{self.ports[2]}'
+
+
+class Fleet:
+    """Stand-in platform, stand-in backend servers and real daemons.
+
+    Parameters
+    ==========
+
+    directory : pathlib.Path
+        For settings files.
+    places : list of Place
+    deployment : str
+    overrides : dict of str to dict
+        Settings by table, on top of those the fleet needs.
+    """
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        places: list[Place],
+        deployment: str = 'tas-south',
+        overrides: dict[str, dict] | None = None,
+    ) -> None:
+        self.directory = directory
+        self.deployment = deployment
+        self.overrides = overrides or {}
+        self.platform = StandinPlatform()
+        self.url = ''
+        ports = iter(free_ports(PORTS_PER_NODE * len(places)))
+        self.nodes = [
+            Node(
+                place,
+                StandinBackend(place.host),
+                list(itertools.islice(ports, PORTS_PER_NODE)),
+            )
+            for place in places
+        ]
+
+    async def start(self, sheet: bytes = b'') -> None:
+        """Start the stand-ins, publish, and start all daemons."""
+        self.url = await self.platform.start()
+        for node in self.nodes:
+            node.backend_address = await node.backend.start()
+        await self.publish_hosts()
+        if sheet:
+            await self.publish(sheet)
+        await asyncio.gather(*(self.start_daemon(node) for node in self.nodes))
+
+    async def publish(self, sheet: bytes, revision: int | None = None) -> int:
+        """Publish a sheet."""
+        return await self.platform.publish(SHEET_KEY, sheet, revision)
+
+    async def publish_hosts(self) -> None:
+        """Publish the host list."""
+        await self.platform.publish_hosts(
+            HOST_LIST_KEY,
+            [
+                {
+                    **attrs.asdict(node.place),
+                    'call_address': node.call_address,
+                    'peer_address': node.peer_address,
+                    'leaving': node.leaving,
+                }
+                for node in self.nodes
+            ],
+        )
+
+    async def start_daemon(self, node: Node) -> None:
+        """Start the daemon of a node as a process of its own."""
+        path = self.directory / f'{node.place.host}.toml'
+        path.write_text(self.settings(node))
+        node.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'tanagerbend_daemon',
+            str(path),
+        )
+
+    def settings(self, node: Node) -> str:
+        """Return the settings of a node's daemon."""
+        place = node.place
+        tables = {
+            'host': {
+                'deployment': self.deployment,
+                'name': place.host,
+                'service': place.service,
+                'failure_domain': place.failure_domain,
+                'region': place.region,
+            },
+            'addresses': {
+                'calls': node.call_address,
+                'peers': node.peer_address,
+                'operators': node.operator_address,
+                'backend': node.backend_address,
+            },
+            'platform': {
+                'url': self.url,
+                'sheet_key': SHEET_KEY,
+                'host_list_key': HOST_LIST_KEY,
+                'expected_fleet_size': len(self.nodes),
+            },
+            'peers': {
+                'shared_key': SHARED_KEY,
+                'bootstrap_wait_seconds': 0.5,
+            },
+            'operators': {'token': TOKEN},
+        }
+        for table, changes in self.overrides.items():
+            tables.setdefault(table, {}).update(changes)
+        return '\n'.join(
+            _render(name, entries) for name, entries in tables.items()
+        )
+
+    async def stop_daemon(
+        self,
+        node: Node,
+        number: signal.Signals = signal.SIGTERM,
+    ) -> int:
+        """Send a signal to a daemon, wait, and return its exit status."""
+        process = node.process
+        if process is None:
+            return 0
+        if process.returncode is None:
+            process.send_signal(number)
+        async with asyncio.timeout(STOP_SECONDS):
+            status = await process.wait()
+        node.process = None
+        return status
+
+    async def close(self) -> None:
+        """End everything that the fleet started."""
+        await asyncio.gather(
+            *(self.stop_daemon(node, signal.SIGKILL) for node in self.nodes),
+        )
+        for node in self.nodes:
+            await node.backend.close()
+        await self.platform.close()
+
+
+def _render(name: str, entries: dict) -> str:
+    lines = [f'[{name}]']
+    for key, entry in entries.items():
+        shown = f'"{entry}"' if isinstance(entry, str) else entry
+        shown = str(shown).lower() if isinstance(entry, bool) else shown
+        lines.append(f'{key} = {shown}')
+    return '\n'.join(lines)
+
+
+async def eventually(
+    condition: Callable[[], Awaitable[bool]],
+    seconds: float,
+) -> bool:
+    """Poll until a condition holds; return whether it did in time."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if await condition():
+            return True
+        await asyncio.sleep(POLL_SECONDS)
+    return await condition()
--- /dev/null
+++ b/packages/timer/tanagerbend_timer/manual.py
@@ -0,0 +1,86 @@
+"""Timer that moves only when told to."""
+
+import asyncio
+import heapq
+import itertools
+from typing import Final
+
+from tanagerbend_timer.service import PauseListener, PeriodicCallback
+from tanagerbend_timer.subscription import Subscription
+
+# Rounds of the event loop that let woken tasks run to their next wait.
+SETTLE_ROUNDS: Final = 20
+START_OF_EPOCH: Final = 1_800_000_000.0
+
+
+class ManualTimer:
+    """Timer for tests and replay; ``advance`` moves it.
+
+    Examples
+    ========
+
+    >>> timer = ManualTimer()
+    >>> asyncio.run(timer.advance(2.5))
+    >>> timer.now()
+    2.5
+    """
+
+    def __init__(self, wall: float = START_OF_EPOCH) -> None:
+        self.time = 0.0
+        self.started_wall = wall
+        self.order = itertools.count()
+        self.sleepers: list[tuple[float, int, asyncio.Future[None]]] = []
+        self.pause_listeners: list[PauseListener] = []
+
+    def now(self) -> float:
+        """Return seconds since the timer was made."""
+        return self.time
+
+    def wall(self) -> float:
+        """Return seconds since the epoch."""
+        return self.started_wall + self.time
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait until the timer has been advanced by ``seconds``."""
+        woken = asyncio.get_running_loop().create_future()
+        due = self.time + max(seconds, 0.0)
+        heapq.heappush(self.sleepers, (due, next(self.order), woken))
+        await woken
+
+    def every(
+        self,
+        seconds: float,
+        callback: PeriodicCallback,
+        spread: float = 0.0,
+    ) -> Subscription:
+        """Call back periodically in manual time."""
+        subscription = Subscription(seconds, callback, spread)
+        subscription.task = asyncio.create_task(subscription.run(self.sleep))
+        return subscription
+
+    def on_pause(self, listener: PauseListener) -> None:
+        """Register a listener for ``pause``."""
+        self.pause_listeners.append(listener)
+
+    async def settle(self) -> None:
+        """Let all woken tasks run to their next wait."""
+        for _ in range(SETTLE_ROUNDS):
+            await asyncio.sleep(0)
+
+    async def advance(self, seconds: float) -> None:
+        """Move time forward and wake the sleepers in order."""
+        end = self.time + seconds
+        await self.settle()
+        while self.sleepers and self.sleepers[0][0] <= end:
+            due, _order, woken = heapq.heappop(self.sleepers)
+            self.time = max(self.time, due)
+            if not woken.done():
+                woken.set_result(None)
+            await self.settle()
+        self.time = end
+
+    def pause(self, seconds: float) -> None:
+        """Jump ahead without waking anyone, then report the gap."""
+        self.time += seconds
+        for listener in self.pause_listeners:
+            listener(seconds)
--- /dev/null
+++ b/packages/timer/tanagerbend_timer/subscription.py
@@ -0,0 +1,45 @@
+"""Periodic subscriptions to a timer service."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+
+class Subscription:
+    """One periodic call.
+
+    Parameters
+    ==========
+
+    seconds : float
+        Period.
+    callback : callable
+        Awaited once a period; the next period begins when it is done.
+    spread : float
+        Delay of the first call in seconds, on top of the period.
+    """
+
+    def __init__(
+        self,
+        seconds: float,
+        callback: Callable[[], Awaitable[None]],
+        spread: float = 0.0,
+    ) -> None:
+        self.seconds = seconds
+        self.callback = callback
+        self.spread = spread
+        self.task: asyncio.Task[None] | None = None
+        self.is_cancelled = False
+
+    async def run(self, sleep: Callable[[float], Awaitable[None]]) -> None:
+        """Call back until cancelled."""
+        await sleep(self.spread)
+        while not self.is_cancelled:
+            await sleep(self.seconds)
+            await self.callback()
+
+    def cancel(self) -> asyncio.Task[None] | None:
+        """Stop the subscription; return the task to wait for, if any."""
+        self.is_cancelled = True
+        if self.task is not None:
+            self.task.cancel()
+        return self.task
--- /dev/null
+++ b/packages/wire/tanagerbend_wire/handshake.py
@@ -0,0 +1,146 @@
+"""Mutual authentication of two daemons at the start of a connection."""
+
+import asyncio
+import hmac
+import secrets
+from typing import Final
+
+import attrs
+
+from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_wire.codec import deserialize, serialize
+from tanagerbend_wire.frames import (
+    CLIENT,
+    SERVER,
+    TAG_BYTES,
+    Sealer,
+    read_block,
+    tag_of,
+    write_block,
+)
+from tanagerbend_wire.generated.control import ttypes
+
+NONCE_BYTES: Final = 16
+MAX_HELLO_BYTES: Final = 1024
+
+
+@attrs.frozen
+class Identity:
+    """Who a daemon is to its peers.
+
+    Parameters
+    ==========
+
+    deployment, host : str
+    incarnation : int
+    key : bytes
+        Shared by all daemons of the deployment; never logged.
+    """
+
+    deployment: str
+    host: str
+    incarnation: int
+    key: bytes = attrs.field(repr=False)
+
+
+@attrs.frozen
+class Session:
+    """An authenticated connection."""
+
+    peer: str
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    incoming: Sealer
+    outgoing: Sealer
+
+
+async def connect_session(
+    identity: Identity,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> Session | Refusal:
+    """Run the handshake of the side that connected."""
+    nonce = _send_hello(identity, writer, CLIENT, b'')
+    hello = await _read_hello(identity, reader, SERVER, nonce)
+    match hello:
+        case Refusal():
+            return hello
+    key = _session_key(identity, nonce, hello.nonce)
+    return Session(
+        hello.host,
+        reader,
+        writer,
+        Sealer(key, SERVER),
+        Sealer(key, CLIENT),
+    )
+
+
+async def accept_session(
+    identity: Identity,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> Session | Refusal:
+    """Run the handshake of the side that was connected to."""
+    hello = await _read_hello(identity, reader, CLIENT, b'')
+    match hello:
+        case Refusal():
+            return hello
+    nonce = _send_hello(identity, writer, SERVER, hello.nonce)
+    key = _session_key(identity, hello.nonce, nonce)
+    return Session(
+        hello.host,
+        reader,
+        writer,
+        Sealer(key, CLIENT),
+        Sealer(key, SERVER),
+    )
+
+
+def _session_key(identity: Identity, client: bytes, server: bytes) -> bytes:
+    return hmac.digest(identity.key, client + server, 'sha256')
+
+
+def _send_hello(
+    identity: Identity,
+    writer: asyncio.StreamWriter,
+    direction: bytes,
+    challenge: bytes,
+) -> bytes:
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    payload = serialize(
+        ttypes.Hello(
+            deployment=identity.deployment,
+            host=identity.host,
+            incarnation=identity.incarnation,
+            nonce=nonce,
+        )
+    )
+    tag = tag_of(identity.key, direction, challenge, payload)
+    write_block(writer, tag + payload)
+    return nonce
+
+
+async def _read_hello(
+    identity: Identity,
+    reader: asyncio.StreamReader,
+    direction: bytes,
+    challenge: bytes,
+) -> ttypes.Hello | Refusal:
+    block = await read_block(reader, MAX_HELLO_BYTES)
+    match block:
+        case Refusal():
+            return block
+    tag, payload = block[:TAG_BYTES], block[TAG_BYTES:]
+    try:
+        hello = deserialize(ttypes.Hello(), payload)
+    except ValueError as error:
+        return Refusal(ResultCode.FRAME_MALFORMED, str(error))
+    if hello.deployment != identity.deployment:
+        return Refusal(
+            ResultCode.FOREIGN_DEPLOYMENT,
+            f'deployment {hello.deployment!r}',
+        )
+    expected = tag_of(identity.key, direction, challenge, payload)
+    if not hmac.compare_digest(tag, expected) or not hello.nonce:
+        return Refusal(ResultCode.FRAME_UNAUTHENTICATED, 'wrong hello tag')
+    return hello
