Make control work hold under pauses, wrong lists and large differences

Conclusion: records are validated on merge, syncs cover whole buckets from a random start in both directions, budget calls come at fixed slots with a random phase, and a pause guard syncs before new work is taken.

--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -1,8 +1,9 @@
 """Assembly of a daemon from its packages."""
 
+import asyncio
 import random
 import time
-from typing import Any
+from typing import Any, Final
 
 import aiohttp
 import attrs
@@ -19,8 +20,11 @@
 from tanagerbend_distribution import (
     Bootstrap,
     CallBudget,
+    CatchUp,
+    PauseGuard,
     PlatformReader,
     Propagation,
+    ReadTimes,
     VersionStore,
 )
 from tanagerbend_interfaces import Member, MemberState
@@ -32,6 +36,10 @@
 from tanagerbend_wire import Identity, PeerClient, PeerServer
 
 
+# A restart of the fleet changes thousands of records in a few seconds.
+REBUILD_SECONDS: Final = 0.1
+
+
 @attrs.define
 class Parts:
     """The parts of one daemon, wired together."""
@@ -49,9 +57,20 @@
     peer_server: PeerServer
     calls: CallHandler
     sessions: list[aiohttp.ClientSession]
+    guard: PauseGuard
+    catch_up: CatchUp
+    is_rebuild_due: bool = False
+
+    def rebuild_routes_soon(self, _event: Any = None) -> None:
+        """Replace the route table once for changes that come together."""
+        if not self.is_rebuild_due:
+            self.is_rebuild_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(REBUILD_SECONDS, self.rebuild_routes)
 
     def rebuild_routes(self, _event: Any = None) -> None:
         """Replace the route table by one of the current facts."""
+        self.is_rebuild_due = False
         current = self.store.current
         if current is not None:
             self.calls.table = RouteTable.build(
@@ -83,7 +102,7 @@
     recorder = Recorder(timer)
     chance = random.Random()  # noqa: S311
     own = own_member(settings)
-    roster = Roster(own, recorder)
+    roster = Roster(own, recorder, settings.platform.readers_per_domain)
     identity = Identity(
         settings.host.deployment,
         own.host,
@@ -92,10 +111,19 @@
     )
     client = PeerClient(identity, recorder)
     store = VersionStore(recorder)
-    propagation = Propagation(store, roster, client, chance, recorder)
+    propagation = Propagation(
+        store,
+        roster,
+        client,
+        chance,
+        recorder,
+        settings.peers.seeds,
+    )
+    guard = PauseGuard(propagation, recorder)
     detector = Detector(roster, client, chance, recorder)
+    timer.on_pause(detector.paused)
     sessions = [make_session(0), make_session(settings.instance.connections)]
-    reader = _reader(settings, sessions[0], store, roster, chance, recorder)
+    reader = _reader(settings, sessions[0], propagation, guard)
     control = ControlHandler(roster, detector, propagation, recorder)
     calls = _calls(settings, identity, sessions, roster, chance, recorder)
     parts = Parts(
@@ -119,37 +147,40 @@
         PeerServer(identity, control, recorder),
         calls,
         sessions,
+        guard,
+        CatchUp(propagation, recorder),
     )
     store.listeners.append(parts.rebuild_routes)
-    roster.listeners.append(parts.rebuild_routes)
+    roster.listeners.append(parts.rebuild_routes_soon)
     return parts
 
 
 def _reader(
     settings: Settings,
     session: aiohttp.ClientSession,
-    store: VersionStore,
-    roster: Roster,
-    chance: random.Random,
-    recorder: Recorder,
+    propagation: Propagation,
+    guard: PauseGuard,
 ) -> PlatformReader:
     platform = settings.platform
     service = HttpConfigurationService(session, platform.url)
+    recorder = propagation.recorder
+    budget = CallBudget(
+        recorder.timer,
+        propagation.random,
+        platform.calls_per_second,
+        platform.expected_fleet_size,
+    )
     return PlatformReader(
         service,
         HttpHostList(service, platform.host_list_key),
         platform.sheet_key,
-        platform.watch_seconds,
-        CallBudget(
-            recorder.timer,
-            chance,
-            platform.calls_per_second,
-            platform.expected_fleet_size,
-        ),
-        store,
-        roster,
-        chance,
+        ReadTimes(platform.watch_seconds, platform.host_list_poll_seconds),
+        budget,
+        propagation.store,
+        propagation.roster,
+        propagation.random,
         recorder,
+        guard.ready,
     )
 
 
--- a/packages/daemon/tanagerbend_daemon/control.py
+++ b/packages/daemon/tanagerbend_daemon/control.py
@@ -3,7 +3,7 @@
 import attrs
 
 from tanagerbend_distribution import Propagation
-from tanagerbend_interfaces import Message, Ping, Pong
+from tanagerbend_interfaces import Ack, Message, Ping, Update
 from tanagerbend_membership import Detector, Roster
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
@@ -32,19 +32,13 @@
         self.recorder.count('control_messages', type(message).__name__)
         match message:
             case Ping(target=target):
-                return await self._answer_ping(target)
+                return await self.detector.answer_ping(target)
+            case Update(members=members):
+                changes = self.roster.merge(members)
+                self.detector.notifier.forward(changes)
+                return Ack()
         answer = self.propagation.answer(sender, message)
         if answer is None:
             reason = f'{type(message).__name__} is not a request'
             return Refusal(ResultCode.FRAME_MALFORMED, reason)
         return answer
-
-    async def _answer_ping(self, target: str) -> Message | Refusal:
-        own = self.roster.own
-        if target in {'', own.host}:
-            return Pong(own.host, own.incarnation)
-        member = self.roster.members.get(target)
-        if member is None or not await self.detector.ping(member):
-            reason = f'{target} does not answer'
-            return Refusal(ResultCode.PEER_UNREACHABLE, reason)
-        return Pong(member.host, member.incarnation)
--- a/packages/daemon/tanagerbend_daemon/services.py
+++ b/packages/daemon/tanagerbend_daemon/services.py
@@ -1,6 +1,7 @@
 """Services of a daemon, on `mode`."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from mode import Service
 
@@ -9,6 +10,7 @@
 from tanagerbend_interfaces import MemberState
 
 EXPIRY_SECONDS = 5.0
+RESTART_SECONDS = 1.0
 
 
 def split(address: str) -> tuple[str, int]:
@@ -29,18 +31,15 @@
         parts = self.parts
         peers = parts.settings.peers
         await parts.peer_server.start(*split(parts.settings.addresses.peers))
-        timer = parts.timer
-        timer.every(
-            peers.ping_seconds,
-            parts.detector.round,
-            peers.ping_seconds,
+        timer, chance = parts.timer, parts.propagation.random
+        periodic = (
+            (peers.ping_seconds, parts.detector.round),
+            (peers.sync_seconds, parts.propagation.sync_round),
+            (EXPIRY_SECONDS, self.expire),
         )
-        timer.every(
-            peers.sync_seconds,
-            parts.propagation.sync_round,
-            peers.sync_seconds,
-        )
-        timer.every(EXPIRY_SECONDS, self.expire)
+        for seconds, callback in periodic:
+            # Daemons that start together do not send together.
+            timer.every(seconds, callback, chance.uniform(0, seconds))
 
     async def expire(self) -> None:
         """Drop members that are gone."""
@@ -50,20 +49,34 @@
     async def follow(self) -> None:
         """Bring this daemon to a version, then watch if it is a reader."""
         parts = self.parts
-        await parts.bootstrap.run()
-        own = parts.roster.set_own_state(MemberState.LIVE)
-        await parts.detector.notify((own,))
+        await self._keep_on(parts.bootstrap.run)
+        await parts.detector.notifier.announce_state(MemberState.LIVE)
         await asyncio.gather(
-            parts.reader.watch_sheet(),
-            parts.reader.watch_host_list(),
+            self._keep_on(parts.reader.watch_sheet),
+            self._keep_on(parts.reader.watch_host_list),
         )
 
+    async def _keep_on(self, work: Callable[[], Awaitable[None]]) -> None:
+        # Nobody restarts a daemon at night whose control work ended by a
+        # fault, so it begins again.
+        while True:
+            try:
+                return await work()
+            except Exception as error:  # noqa: BLE001
+                reason = repr(error)
+                self.parts.recorder.note('control_fault', str(work), reason)
+                await self.parts.timer.sleep(RESTART_SECONDS)
+
     async def on_stop(self) -> None:
-        """End the control work."""
-        await self.parts.timer.close()
-        await self.parts.propagation.close()
-        await self.parts.peer_server.close()
-        await self.parts.peer_client.close()
+        """Tell the peers, then end the control work."""
+        parts = self.parts
+        await parts.detector.notifier.announce_state(MemberState.GONE)
+        await parts.timer.close()
+        for part in (parts.guard, parts.catch_up, parts.detector.notifier):
+            await part.close()
+        await parts.propagation.close()
+        await parts.peer_server.close()
+        await parts.peer_client.close()
 
 
 class CallService(Service):
--- a/packages/distribution/tanagerbend_distribution/__init__.py
+++ b/packages/distribution/tanagerbend_distribution/__init__.py
@@ -2,8 +2,14 @@
 
 from tanagerbend_distribution.bootstrap import Bootstrap
 from tanagerbend_distribution.budget import Backoff, CallBudget
+from tanagerbend_distribution.catching_up import (
+    CatchUp,
+    PauseGuard,
+    read_position,
+)
+from tanagerbend_distribution.fetching import Fetcher
 from tanagerbend_distribution.propagation import Propagation
-from tanagerbend_distribution.reading import PlatformReader
+from tanagerbend_distribution.reading import PlatformReader, ReadTimes
 from tanagerbend_distribution.store import (
     Adopted,
     Conflict,
@@ -19,12 +25,17 @@
     'Backoff',
     'Bootstrap',
     'CallBudget',
+    'CatchUp',
     'Conflict',
     'Declined',
+    'Fetcher',
     'Ignored',
     'InForce',
+    'PauseGuard',
     'PlatformReader',
     'Propagation',
+    'ReadTimes',
     'Verdict',
     'VersionStore',
+    'read_position',
 )
--- a/packages/distribution/tanagerbend_distribution/bootstrap.py
+++ b/packages/distribution/tanagerbend_distribution/bootstrap.py
@@ -58,7 +58,6 @@
         self.recorder = recorder
         self.timer = recorder.timer
         self.serving: set[str] = set()
-        self.is_provisional = True
 
     async def run(self) -> None:
         """Return when a version is in force."""
@@ -69,9 +68,8 @@
                 await self._round(self.timer.now() - started)
         finally:
             listing.cancel()
-        self.is_provisional = not self.serving
         self.recorder.note(
-            'bootstrapped',
+            'bootstrapped' if self.serving else 'bootstrapped_provisionally',
             str(self.propagation.version),
             f'heard {len(self.serving)} peers that serve',
         )
--- a/packages/distribution/tanagerbend_distribution/budget.py
+++ b/packages/distribution/tanagerbend_distribution/budget.py
@@ -1,5 +1,6 @@
 """Budget of calls to the configuration service."""
 
+import math
 from typing import Final
 
 from tanagerbend_interfaces import Randomness
@@ -7,19 +8,24 @@
 
 # Half of the service's rate is left to readers outside of the system.
 SHARE_OF_SERVICE: Final = 0.5
+# A fleet a little above its expected size stays under the other half.
+GROWTH: Final = 1.1
 
 
 class CallBudget:
-    """Token bucket with a burst of one call.
+    """Token bucket with a burst of one call, at fixed times.
 
     Explanation
     ===========
 
     The rate of one daemon is a share of the service's limit divided by
     the size of the fleet.  So all daemons together stay under the limit
-    even if each of them believes that it is a reader.  The first call
-    comes after a random delay of up to one refill, which spreads the
-    calls of a fleet that restarts at once.
+    even if each of them believes that it is a reader.
+
+    A token can be used only at the daemon's own slots, one in each
+    interval, with a random phase.  Tokens that any time could use would
+    let a whole fleet call at once after an idle interval: one changed
+    value ends all watches, and all daemons begin the next one.
 
     Examples
     ========
@@ -47,18 +53,31 @@
         expected_fleet_size: int,
     ) -> None:
         self.timer = timer
-        self.interval = expected_fleet_size / (
-            service_calls_per_second * SHARE_OF_SERVICE
-        )
-        self.free_at = timer.now() + random.uniform(0, self.interval)
+        self.random = random
+        self.rate = service_calls_per_second * SHARE_OF_SERVICE
+        self.fleet_size = expected_fleet_size
+        self.interval = 0.0
+        self.next_slot = 0.0
+        self._place_slots(timer.now())
+
+    def _place_slots(self, earliest: float) -> None:
+        self.interval = self.fleet_size / self.rate
+        self.next_slot = earliest + self.random.uniform(0, self.interval)
+
+    def observe_fleet_size(self, members: int) -> None:
+        """Lower the rate if the fleet has outgrown the setting."""
+        if members > GROWTH * self.fleet_size:
+            self.fleet_size = members
+            self._place_slots(max(self.timer.now(), self.next_slot))
 
     async def acquire(self) -> None:
         """Wait until one call is allowed."""
         now = self.timer.now()
-        allowed_at = max(now, self.free_at)
-        self.free_at = allowed_at + self.interval
-        if allowed_at > now:
-            await self.timer.sleep(allowed_at - now)
+        missed = math.ceil((now - self.next_slot) / self.interval)
+        slot = self.next_slot + max(missed, 0) * self.interval
+        self.next_slot = slot + self.interval
+        if slot > now:
+            await self.timer.sleep(slot - now)
 
 
 class Backoff:
--- a/packages/distribution/tanagerbend_distribution/propagation.py
+++ b/packages/distribution/tanagerbend_distribution/propagation.py
@@ -4,12 +4,12 @@
 from collections.abc import Coroutine
 from typing import Any, Final
 
-from tanagerbend_distribution.store import Adopted, InForce, VersionStore
-from tanagerbend_distribution.transfer import answer_fetch, unpack
+from tanagerbend_distribution.fetching import Fetcher
+from tanagerbend_distribution.store import InForce, VersionStore
+from tanagerbend_distribution.transfer import answer_fetch
 from tanagerbend_interfaces import (
     Ack,
     Announce,
-    Content,
     Fetch,
     Member,
     Message,
@@ -18,15 +18,18 @@
     Sync,
     Update,
 )
-from tanagerbend_membership import Roster, readers
+from tanagerbend_membership import Comparison, Roster, compare, lacking
+from tanagerbend_membership.records import BUCKETS
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, Version
 
 FANOUT: Final = 4
 ANNOUNCE_TIMEOUT_SECONDS: Final = 2.0
-FETCH_TIMEOUT_SECONDS: Final = 5.0
 SYNC_TIMEOUT_SECONDS: Final = 2.0
 OWN_DOMAIN_SHARE: Final = 0.5
+# Share of syncs with seeds and members held as suspected or gone, which
+# joins the two sides again after a long partition.
+REPAIR_SHARE: Final = 0.05
 
 
 class Propagation:
@@ -49,6 +52,8 @@
     transport : PeerTransport
     random : Randomness
     recorder : Recorder
+    seeds : tuple of str
+        ``address:port`` of daemons that may be up.
 
     References
     ==========
@@ -64,16 +69,30 @@
         transport: PeerTransport,
         random: Randomness,
         recorder: Recorder,
+        seeds: tuple[str, ...] = (),
     ) -> None:
         self.store = store
         self.roster = roster
         self.transport = transport
         self.random = random
         self.recorder = recorder
-        self.fetching: Version | None = None
+        self.seeds = seeds
+        self.fetcher = Fetcher(store, transport, recorder)
+        self.last_heard: float | None = None
         self.tasks: set[asyncio.Task[Any]] = set()
         store.listeners.append(self.adopted)
 
+    @property
+    def version(self) -> Version | None:
+        """Version in force, if any."""
+        current = self.store.current
+        return None if current is None else current.version
+
+    @property
+    def is_provisional(self) -> bool:
+        """Whether no peer that serves has been heard since the start."""
+        return self.last_heard is None
+
     def adopted(self, in_force: InForce) -> None:
         """Announce a version that was adopted from any source."""
         self._spawn(self.announce(in_force.version))
@@ -87,122 +106,109 @@
         """Announce a version to the chosen members."""
         await asyncio.gather(
             *(
-                self.transport.request(
-                    member.peer_address,
-                    Announce(version),
-                    ANNOUNCE_TIMEOUT_SECONDS,
-                )
+                self._announce_to(member.peer_address, version)
                 for member in self.announce_targets()
             ),
         )
 
+    async def _announce_to(self, peer: str, version: Version) -> None:
+        await self.transport.request(
+            peer,
+            Announce(version),
+            ANNOUNCE_TIMEOUT_SECONDS,
+        )
+
     def announce_targets(self) -> list[Member]:
         """Return random members of the own domain and, for a reader,
         one of each other domain.
         """
-        domains: dict[str, list[Member]] = {}
-        for member in self.roster.reachable():
-            domains.setdefault(member.failure_domain, []).append(member)
-        own = self.roster.own
-        near = domains.pop(own.failure_domain, [])
+        if not self.roster.readers_per_domain:
+            return []
+        near = self._near()
         targets = self.random.sample(near, min(FANOUT, len(near)))
-        if own.host in readers(
-            self.roster.members.values(),
-            own.failure_domain,
-        ):
-            targets.extend(
-                self.random.choice(members) for members in domains.values()
-            )
+        if self.roster.is_reader:
+            domains: dict[str, list[Member]] = {}
+            for member in self.roster.reachable():
+                domains.setdefault(member.failure_domain, []).append(member)
+            domains.pop(self.roster.own.failure_domain, None)
+            targets.extend(map(self.random.choice, domains.values()))
         return targets
 
-    def is_newer(self, version: Version | None) -> bool:
-        """Tell whether a version is newer than the one in force."""
-        if version is None:
-            return False
-        current = self.store.current
-        return current is None or version.is_newer_than(current.version)
+    def _near(self) -> tuple[Member, ...]:
+        own_domain = self.roster.own.failure_domain
+        return self.roster.index.view(
+            'near',
+            lambda member: (
+                member.failure_domain == own_domain
+                and not member.is_claimed
+                and member.host != self.roster.own_host
+            ),
+        )
 
     def answer_announce(self, sender: str, announce: Announce) -> Ack:
         """Start to fetch an announced version that is newer."""
+        self.notice_version(announce.version)
         member = self.roster.members.get(sender)
-        wanted = self.is_newer(announce.version) and member is not None
-        if wanted and not self._is_being_fetched(announce.version):
-            self._spawn(self.fetch(member.peer_address, announce.version))
+        if member is None:
+            return Ack()
+        wanted = self.fetcher.offer(member.peer_address, announce.version)
         return Ack(wanted)
 
-    def _is_being_fetched(self, version: Version) -> bool:
-        fetching = self.fetching
-        return fetching is not None and not version.is_newer_than(fetching)
-
-    async def fetch(self, peer: str, version: Version) -> bool:
-        """Fetch a version from a peer; return whether it was adopted."""
-        current = self.store.current
-        held = b'' if current is None else current.version.digest
-        self.fetching = version
-        try:
-            answer = await self.transport.request(
-                peer,
-                Fetch(version, held),
-                FETCH_TIMEOUT_SECONDS,
-            )
-        finally:
-            self.fetching = None
-        match answer:
-            case Content():
-                return self._take(answer)
-        return False
-
-    def _take(self, content: Content) -> bool:
-        plain = unpack(self.store, content)
-        match plain:
-            case Refusal(code=code):
-                self.recorder.count('fetches_refused', code.name)
-                return False
-        verdict = self.store.offer(content.version.revision, plain)
-        return isinstance(verdict, Adopted)
+    def notice_version(self, version: Version | None) -> None:
+        """Report a version that conflicts with the one in force."""
+        own = self.version
+        if own is not None and version is not None:
+            if version.conflicts_with(own):
+                self.store.report_conflict(version)
 
     def answer_sync(self, sync: Sync) -> Sync:
         """Merge a peer's records and return what it lacks."""
         self.roster.merge(sync.members)
-        return Sync(
-            self.version,
-            (),
-            self.roster.differing(sync.buckets),
-        )
-
-    @property
-    def version(self) -> Version | None:
-        """Version in force, if any."""
-        current = self.store.current
-        return None if current is None else current.version
+        self.notice_version(sync.version)
+        start = int(self.random.uniform(0, BUCKETS))
+        found = compare(self.roster.index, sync.buckets, start)
+        return Sync(self.version, found.covered, found.members)
 
     async def sync_round(self) -> None:
         """Sync with one random member."""
+        peers = self._sync_candidates()
+        if peers:
+            await self.sync_with(self.random.choice(peers))
+
+    def _sync_candidates(self) -> list[str]:
         members = self.roster.reachable()
-        own_domain = self.roster.own.failure_domain
-        near = [
-            member for member in members if member.failure_domain == own_domain
-        ]
+        if not members or self.random.random() < REPAIR_SHARE:
+            claimed = [
+                member for member in self.roster.known() if member.is_claimed
+            ]
+            own = self.roster.own.peer_address
+            peers = {member.peer_address for member in claimed}
+            repair = sorted(peers.union(self.seeds) - {own})
+            if repair:
+                return repair
+        near = self._near()
         if near and self.random.random() < OWN_DOMAIN_SHARE:
             members = near
-        if members:
-            await self.sync_with(self.random.choice(members).peer_address)
+        return [member.peer_address for member in members]
 
-    async def sync_with(self, peer: str) -> Version | Refusal | None:
+    async def sync_with(
+        self,
+        peer: str,
+        timeout: float = SYNC_TIMEOUT_SECONDS,
+    ) -> Version | Refusal | None:
         """Exchange records and versions with one peer.
 
-        Returns the peer's version, or None if it has none in force.
+        Returns the peer's version, or None if it has none in force;
+        ``timeout`` in seconds is that of the first exchange.
         """
+        own = self.roster.own
+        recent = dict.fromkeys((own.host, *self.roster.recent.take()))
         request = Sync(
             self.version,
-            tuple(self.roster.hashes),
-            (self.roster.own, *self.roster.take_recent()),
-        )
-        answer = await self.transport.request(
-            peer,
-            request,
-            SYNC_TIMEOUT_SECONDS,
+            tuple(self.roster.index.hashes),
+            tuple(self.roster.members[host] for host in recent),
         )
+        answer = await self.transport.request(peer, request, timeout)
         match answer:
             case Sync():
                 await self._take_sync(peer, answer)
@@ -212,24 +218,26 @@
         return None
 
     async def _take_sync(self, peer: str, answer: Sync) -> None:
+        if answer.version is not None:
+            self.last_heard = self.recorder.timer.now()
+        self.notice_version(answer.version)
         self.roster.merge(answer.members)
-        fresher = self.roster.fresher_than(answer.members)
-        if fresher:
+        records = lacking(
+            self.roster.index,
+            Comparison(answer.buckets, answer.members),
+        )
+        if records:
             await self.transport.request(
                 peer,
-                Update(fresher),
+                Update(records),
                 SYNC_TIMEOUT_SECONDS,
             )
-        if self.is_newer(answer.version):
-            await self.fetch(peer, answer.version)
-        elif self._is_behind(answer.version):
-            await self.transport.request(
-                peer,
-                Announce(self.version),
-                ANNOUNCE_TIMEOUT_SECONDS,
-            )
+        if self.fetcher.is_wanted(answer.version):
+            await self.fetcher.obtain(peer, answer.version)
+        elif self._is_ahead_of(answer.version):
+            await self._announce_to(peer, self.version)
 
-    def _is_behind(self, version: Version | None) -> bool:
+    def _is_ahead_of(self, version: Version | None) -> bool:
         if self.version is None:
             return False
         return version is None or self.version.is_newer_than(version)
@@ -243,9 +251,6 @@
                 return self.answer_announce(sender, message)
             case Fetch():
                 return answer_fetch(self.store, message)
-            case Update(members=members):
-                self.roster.merge(members)
-                return Ack()
         return None
 
     async def close(self) -> None:
@@ -254,3 +259,4 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        await self.fetcher.close()
--- a/packages/distribution/tanagerbend_distribution/store.py
+++ b/packages/distribution/tanagerbend_distribution/store.py
@@ -144,13 +144,14 @@
         current = self.current
         if current is not None:
             if offered.version.conflicts_with(current.version):
-                return self._report_conflict(offered.version)
+                return self.report_conflict(offered.version)
             if not offered.version.is_newer_than(current.version):
                 self.recorder.count('versions_older')
                 return Ignored(offered.version)
         return self._adopt(offered)
 
-    def _report_conflict(self, version: Version) -> Conflict:
+    def report_conflict(self, version: Version) -> Conflict:
+        """Report other content under the position in force."""
         self.recorder.count('version_conflicts')
         if version.digest not in self.reported:
             _remember(self.reported, version.digest, None)
--- a/packages/distribution/tanagerbend_distribution/transfer.py
+++ b/packages/distribution/tanagerbend_distribution/transfer.py
@@ -1,5 +1,6 @@
 """Transfer of values between daemons, compressed against a held value."""
 
+import functools
 from typing import Final
 
 import zstandard
@@ -12,6 +13,10 @@
 MAX_VALUE_BYTES: Final = 1024 * 1024
 # The window has to reach over the dictionary and the value.
 WINDOW_LOG: Final = 22
+MAX_WINDOW_BYTES: Final = 2**WINDOW_LOG
+# The kept values as dictionaries, and no dictionary.  After a change many
+# peers ask for the same difference.
+CACHED_FRAMES: Final = 4
 
 
 def _dictionary(content: bytes) -> zstandard.ZstdCompressionDict:
@@ -21,6 +26,7 @@
     )
 
 
+@functools.lru_cache(maxsize=CACHED_FRAMES)
 def compress(content: bytes, base: bytes) -> bytes:
     """Return a zstd frame of a value, with another value as dictionary.
 
@@ -47,6 +53,7 @@
     """Return the value of a frame, at most 1 MiB."""
     decompressor = zstandard.ZstdDecompressor(
         dict_data=_dictionary(base) if base else None,
+        max_window_size=MAX_WINDOW_BYTES,
     )
     try:
         size = zstandard.frame_content_size(payload)
--- a/packages/interfaces/tanagerbend_interfaces/peers.py
+++ b/packages/interfaces/tanagerbend_interfaces/peers.py
@@ -90,7 +90,8 @@
     version : Version or None
         Version in force at the sender.
     buckets : tuple of int
-        Hash of the member records of each bucket; empty if not compared.
+        In a request, the hash of the member records of each bucket.  In an
+        answer, the differing buckets whose records are all included.
     members : tuple of Member
         Records that the receiver may lack.
     """
--- a/packages/membership/tanagerbend_membership/detector.py
+++ b/packages/membership/tanagerbend_membership/detector.py
@@ -13,19 +13,26 @@
     Randomness,
     Update,
 )
+from tanagerbend_membership.notifier import Notifier
 from tanagerbend_membership.roster import Roster
 from tanagerbend_metrics import Recorder
+from tanagerbend_model import Refusal, ResultCode
 
 PING_TIMEOUT_SECONDS: Final = 0.5
 INDIRECT_TIMEOUT_SECONDS: Final = 1.2
 INDIRECT_PINGS: Final = 3
-CLAIM_FANOUT: Final = 4
 
 
 @attrs.define
 class Detector:
     """Pings one random member a round and claims unreachable ones.
 
+    Explanation
+    ===========
+
+    Gone members are pinged as well: after a long partition each side
+    holds the other one as gone, and nothing else would contact it.
+
     Parameters
     ==========
 
@@ -39,24 +46,36 @@
     transport: PeerTransport
     random: Randomness
     recorder: Recorder
+    pauses: int = 0
+    notifier: Notifier = attrs.field()
+
+    @notifier.default
+    def _make_notifier(self) -> Notifier:
+        return Notifier(self.roster, self.transport, self.random)
+
+    def paused(self, _gap: float) -> None:
+        """Drop the outcome of pings that were under way in a pause."""
+        self.pauses += 1
 
     async def round(self) -> None:
         """Ping one member; suspect it if nobody reaches it."""
-        others = self.roster.others()
-        if not others:
+        known = self.roster.known()
+        if not known:
             return
-        member = self.random.choice(others)
-        if await self.is_reachable(member):
+        member = self.random.choice(known)
+        pauses = self.pauses
+        self.recorder.count('pings')
+        if await self.ping(member) or member.is_claimed:
+            return
+        if await self._is_reachable_through_others(member):
+            return
+        if pauses != self.pauses:
             return
         claim = self.roster.suspect(member.host)
         if claim is not None:
-            await self.notify((claim,))
+            await self.notifier.notify((claim,))
 
-    async def is_reachable(self, member: Member) -> bool:
-        """Ping a member directly, then through others."""
-        self.recorder.count('pings')
-        if await self.ping(member):
-            return True
+    async def _is_reachable_through_others(self, member: Member) -> bool:
         reachable = [
             other
             for other in self.roster.reachable()
@@ -79,11 +98,24 @@
             PING_TIMEOUT_SECONDS,
         )
         match answer:
-            case Pong(host=host):
+            case Pong(host=host) if host == member.host:
                 await self._report_claim(member)
-                return host == member.host
+                return True
+            case Pong():
+                self.recorder.count('pongs_of_other_hosts')
         return False
 
+    async def answer_ping(self, target: str) -> Pong | Refusal:
+        """Answer a ping for this daemon or, on behalf of a peer, another."""
+        own = self.roster.own
+        if target in {'', own.host}:
+            return Pong(own.host, own.incarnation)
+        member = self.roster.members.get(target)
+        if member is None or not await self.ping(member):
+            reason = f'{target} does not answer'
+            return Refusal(ResultCode.PEER_UNREACHABLE, reason)
+        return Pong(member.host, member.incarnation)
+
     async def _ping_through(self, helper: Member, member: Member) -> bool:
         answer = await self.transport.request(
             helper.peer_address,
@@ -105,21 +137,3 @@
                 Update((held,)),
                 PING_TIMEOUT_SECONDS,
             )
-
-    async def notify(self, records: tuple[Member, ...]) -> None:
-        """Send records to a few random members."""
-        reachable = self.roster.reachable()
-        targets = self.random.sample(
-            reachable,
-            min(CLAIM_FANOUT, len(reachable)),
-        )
-        await asyncio.gather(
-            *(
-                self.transport.request(
-                    target.peer_address,
-                    Update(records),
-                    PING_TIMEOUT_SECONDS,
-                )
-                for target in targets
-            ),
-        )
--- a/packages/membership/tanagerbend_membership/readers.py
+++ b/packages/membership/tanagerbend_membership/readers.py
@@ -1,5 +1,6 @@
 """Choice of the members that read the configuration service."""
 
+import functools
 import hashlib
 from collections.abc import Iterable
 from typing import Final
@@ -7,8 +8,10 @@
 from tanagerbend_interfaces import Member
 
 READERS_PER_DOMAIN: Final = 2
+CACHED_WEIGHTS: Final = 16384
 
 
+@functools.lru_cache(maxsize=CACHED_WEIGHTS)
 def weight(host: str, purpose: str) -> bytes:
     """Return the rendezvous weight of a host, the same at every daemon."""
     return hashlib.blake2b(f'{purpose}/{host}'.encode(), digest_size=8).digest()
@@ -42,6 +45,7 @@
         Suspected and gone members are passed over.
     failure_domain : str
     count : int
+        0 makes every member a reader.
     """
     candidates = [
         member.host
@@ -49,4 +53,4 @@
         if member.failure_domain == failure_domain and not member.is_claimed
     ]
     candidates.sort(key=lambda host: weight(host, 'reader'), reverse=True)
-    return tuple(candidates[:count])
+    return tuple(candidates[:count] if count else candidates)
--- a/packages/membership/tanagerbend_membership/roster.py
+++ b/packages/membership/tanagerbend_membership/roster.py
@@ -1,20 +1,17 @@
 """Member records of one daemon, merged from peers and the host list."""
 
-import zlib
 from collections.abc import Iterable
 from typing import Final
 
 import attrs
 
 from tanagerbend_interfaces import Host, HostListing, Member, MemberState
+from tanagerbend_membership.comparison import Recent
+from tanagerbend_membership.index import MemberIndex, is_in_use
+from tanagerbend_membership.readers import READERS_PER_DOMAIN, readers
+from tanagerbend_membership.records import fault_of, placeholder
 from tanagerbend_metrics import Recorder
 
-BUCKETS: Final = 64
-# A record is repeated in this many exchanges, a little over the logarithm
-# of the target fleet size, and then left to the bucket comparison.
-REPEATS: Final = 8
-MAX_RECENT: Final = 64
-MAX_REPLY_MEMBERS: Final = 256
 GONE_SECONDS: Final = 600.0
 
 
@@ -26,17 +23,6 @@
     after: Member
 
 
-def bucket_of(host: str) -> int:
-    """Return the bucket of a host for comparison between daemons."""
-    return zlib.crc32(host.encode()) % BUCKETS
-
-
-def record_hash(member: Member) -> int:
-    """Return a 32-bit hash of what may change in a record."""
-    text = f'{member.host}/{member.freshness}/{int(member.state)}'
-    return zlib.crc32(text.encode())
-
-
 class Roster:
     """All members known to a daemon, including itself.
 
@@ -46,6 +32,8 @@
     own : Member
         Record of this daemon.
     recorder : Recorder
+    readers_per_domain : int
+        0 makes every member a reader.
 
     See Also
     ========
@@ -53,16 +41,23 @@
     tanagerbend_membership.detector.Detector
     """
 
-    def __init__(self, own: Member, recorder: Recorder) -> None:
+    def __init__(
+        self,
+        own: Member,
+        recorder: Recorder,
+        readers_per_domain: int = READERS_PER_DOMAIN,
+    ) -> None:
         self.recorder = recorder
         self.timer = recorder.timer
         self.own_host = own.host
-        self.members: dict[str, Member] = {}
+        self.readers_per_domain = readers_per_domain
+        self.index = MemberIndex()
+        self.members = self.index.members
         self.listed: dict[str, Host] = {}
-        self.has_listing = False
-        self.hashes = [0] * BUCKETS
-        self.recent: dict[str, int] = {}
-        self.suspected_since: dict[str, float] = {}
+        self.is_list_plausible = False
+        self.recent = Recent()
+        self.claimed_at: dict[str, float] = {}
+        self.is_superseded = False
         self.listeners: list = []
         self._store(own)
 
@@ -71,6 +66,16 @@
         """Record of this daemon."""
         return self.members[self.own_host]
 
+    @property
+    def is_reader(self) -> bool:
+        """Whether this daemon reads the service for its failure domain."""
+        domain = self.own.failure_domain
+        view = self.index.view(
+            'domain',
+            lambda member: member.failure_domain == domain,
+        )
+        return self.own_host in readers(view, domain, self.readers_per_domain)
+
     def set_own_state(self, state: MemberState) -> Member:
         """Change the own state under a higher sequence."""
         own = attrs.evolve(
@@ -84,43 +89,83 @@
     def merge(self, records: Iterable[Member]) -> tuple[Change, ...]:
         """Take the records that are fresher than the ones held.
 
-        Returns the changes.  A claim about this daemon is refuted.
+        Returns the changes.  A claim about this daemon is refuted;
+        records that are not valid are counted and passed over.
         """
         changes = []
         for record in records:
-            if record.host == self.own_host:
-                self._refute(record)
-                continue
             held = self.members.get(record.host)
-            if held is None or record.freshness > held.freshness:
-                if self._is_forgotten(record, held):
-                    continue
+            if held is not None and record.freshness <= held.freshness:
+                continue
+            if fault_of(record):
+                self.recorder.count('records_refused', 'invalid')
+            elif record.host == self.own_host:
+                self._refute(record)
+            elif self._is_welcome(record, held):
                 self._replace(record)
                 changes.append(Change(held, record))
         return tuple(changes)
 
-    def _is_forgotten(self, record: Member, held: Member | None) -> bool:
-        return held is None and record.state is MemberState.GONE
+    def _is_welcome(self, record: Member, held: Member | None) -> bool:
+        if held is None and record.state is MemberState.GONE:
+            return False
+        if self.index.has_room(record.host) or self._evict_gone():
+            return True
+        self.recorder.count('records_refused', 'roster_full')
+        return False
 
     def _refute(self, record: Member) -> None:
         own = self.own
-        if record.incarnation > own.incarnation:
-            # Two processes claim one host; the younger one is right.
-            self.recorder.count('own_host_taken_over')
+        is_older = record.incarnation > own.incarnation
+        # No other process can listen on the address that this one holds.
+        has_address = record.peer_address == own.peer_address
+        if is_older and not (has_address or record.is_claimed):
+            self._yield_to(record)
+            return
+        # An incarnation above the own one is left from an earlier process
+        # of this host whose clock was ahead, or is claimed to be dead.
+        incarnation = record.incarnation + is_older
+        sequence = max(own.sequence, record.sequence) + 1
+        state = MemberState.LIVE if self.is_superseded else own.state
+        self.is_superseded = False
+        self._replace(
+            attrs.evolve(
+                own,
+                incarnation=incarnation,
+                sequence=sequence,
+                state=state,
+            ),
+        )
+        self.recorder.note('claim_refuted', own.host, record.state.name)
+
+    def _yield_to(self, record: Member) -> None:
+        if self.is_superseded:
             return
-        if record.freshness > own.freshness:
-            sequence = max(own.sequence, record.sequence) + 1
-            self._replace(attrs.evolve(own, sequence=sequence))
-            self.recorder.note('claim_refuted', own.host, record.state.name)
+        # Two processes claim one host; the younger one is right, and this
+        # one takes no new work.
+        if self.own.state is MemberState.LIVE:
+            self.is_superseded = True
+            self.set_own_state(MemberState.DRAINING)
+        self.recorder.note(
+            'own_host_taken_over',
+            self.own_host,
+            record.peer_address,
+        )
 
     def suspect(self, host: str) -> Member | None:
-        """Claim that a member is unreachable; return the claim if new."""
+        """Claim that a member is unreachable; return the claim if new.
+
+        A draining member that stops to answer has left.
+        """
         held = self.members.get(host)
         if held is None or host == self.own_host or held.is_claimed:
             return None
-        claim = attrs.evolve(held, state=MemberState.SUSPECTED)
+        state = MemberState.SUSPECTED
+        if held.state is MemberState.DRAINING:
+            state = MemberState.GONE
+        claim = attrs.evolve(held, state=state)
         self._replace(claim)
-        self.recorder.note('member_suspected', host)
+        self.recorder.note('member_suspected', host, state.name)
         return claim
 
     def observe_host_list(self, listing: HostListing) -> None:
@@ -130,35 +175,55 @@
         ===========
 
         A host that the list dropped stays a member until it is also
-        suspected, because the list lags and can be wrong.
+        suspected, because the list lags and can be wrong.  A list that
+        lacks most of the members in use takes no member away at all.
         """
-        self.has_listing = True
-        self.listed = {host.host: host for host in listing.hosts}
-        for host in listing.hosts:
-            if host.host not in self.members:
-                self._replace(placeholder(host))
+        hosts = [host for host in listing.hosts if not fault_of(host)]
+        faulty = len(listing.hosts) - len(hosts)
+        if faulty:
+            self.recorder.count('hosts_refused', 'invalid', faulty)
+        self.listed = {host.host: host for host in hosts}
+        for host in hosts:
+            self._observe_host(host)
+        in_use = self.reachable()
+        missing = sum(member.host not in self.listed for member in in_use)
+        self.is_list_plausible = 2 * missing <= len(in_use) and bool(hosts)
+
+    def _observe_host(self, host: Host) -> None:
+        held = self.members.get(host.host)
+        if held is not None and (held.incarnation or held.is_claimed):
+            return
+        listed = placeholder(host)
+        if held != listed and self.index.has_room(host.host):
+            self._replace(listed)
+            # Every daemon reads the list, so placeholders do not spread.
+            self.recent.drop(host.host)
 
     def expire(self) -> None:
         """Turn members suspected for long, and unlisted ones, to gone."""
         now = self.timer.now()
-        for host, since in list(self.suspected_since.items()):
-            unlisted = self.has_listing and host not in self.listed
-            if unlisted or now - since > GONE_SECONDS:
-                self._expire_member(host, now - since)
-
-    def _expire_member(self, host: str, age: float) -> None:
-        member = self.members[host]
-        if member.state is MemberState.SUSPECTED:
-            self._replace(attrs.evolve(member, state=MemberState.GONE))
-            self.recorder.note('member_gone', host)
-        elif age > 2 * GONE_SECONDS:
-            self._forget(member)
-
-    def _forget(self, member: Member) -> None:
-        self.members.pop(member.host)
-        self.hashes[bucket_of(member.host)] ^= record_hash(member)
-        self.suspected_since.pop(member.host, None)
-        self.recent.pop(member.host, None)
+        for host, since in list(self.claimed_at.items()):
+            member = self.members[host]
+            is_unlisted = self.is_list_plausible and host not in self.listed
+            is_due = now - since > GONE_SECONDS
+            if member.state is MemberState.SUSPECTED:
+                if is_unlisted or is_due:
+                    self._replace(attrs.evolve(member, state=MemberState.GONE))
+                    self.recorder.note('member_gone', host)
+            elif is_unlisted and is_due and host != self.own_host:
+                self._forget(host)
+
+    def _evict_gone(self) -> bool:
+        for host in self.claimed_at:
+            if self.members[host].state is MemberState.GONE:
+                self._forget(host)
+                return True
+        return False
+
+    def _forget(self, host: str) -> None:
+        self.index.remove(host)
+        self.claimed_at.pop(host, None)
+        self.recent.drop(host)
 
     def _replace(self, member: Member) -> None:
         self._store(member)
@@ -166,69 +231,36 @@
             listener(member)
 
     def _store(self, member: Member) -> None:
-        bucket = bucket_of(member.host)
         held = self.members.get(member.host)
-        if held is not None:
-            self.hashes[bucket] ^= record_hash(held)
-        self.hashes[bucket] ^= record_hash(member)
-        self.members[member.host] = member
-        self.recent.pop(member.host, None)
-        self.recent[member.host] = REPEATS
-        if member.is_claimed:
-            self.suspected_since.setdefault(member.host, self.timer.now())
-        else:
-            self.suspected_since.pop(member.host, None)
-
-    def take_recent(self) -> tuple[Member, ...]:
-        """Return recently changed records and count their repetition."""
-        hosts = list(self.recent)[-MAX_RECENT:]
-        for host in hosts:
-            self.recent[host] -= 1
-            if not self.recent[host]:
-                self.recent.pop(host)
-        return tuple(self.members[host] for host in hosts)
-
-    def differing(self, buckets: tuple[int, ...]) -> tuple[Member, ...]:
-        """Return own records of buckets whose hashes differ.
-
-        At most ``MAX_REPLY_MEMBERS``; the next exchange continues.
-        """
-        if len(buckets) != BUCKETS:
-            return ()
-        different = {
-            index
-            for index, theirs in enumerate(buckets)
-            if theirs != self.hashes[index]
-        }
-        found = [
-            member
-            for member in self.members.values()
-            if bucket_of(member.host) in different
-        ]
-        return tuple(found[:MAX_REPLY_MEMBERS])
-
-    def fresher_than(self, records: Iterable[Member]) -> tuple[Member, ...]:
-        """Return own records that are fresher than the given ones."""
-        return tuple(
-            self.members[record.host]
-            for record in records
-            if record.host in self.members
-            and self.members[record.host].freshness > record.freshness
+        self.index.store(member)
+        self.recent.add(member.host)
+        if not member.is_claimed:
+            self.claimed_at.pop(member.host, None)
+        elif held is None or held.state is not member.state:
+            self.claimed_at[member.host] = self.timer.now()
+
+    def known(self) -> tuple[Member, ...]:
+        """Return all other members, also those that are gone."""
+        return self.index.view(
+            'known',
+            lambda member: member.host != self.own_host,
         )
 
     def others(self) -> tuple[Member, ...]:
         """Return all other members that are not gone."""
-        return tuple(
-            member
-            for member in self.members.values()
-            if member.host != self.own_host
-            and member.state is not MemberState.GONE
+        return self.index.view(
+            'others',
+            lambda member: (
+                member.state is not MemberState.GONE
+                and member.host != self.own_host
+            ),
         )
 
     def reachable(self) -> tuple[Member, ...]:
         """Return other members worth a message: not suspected, not gone."""
-        return tuple(
-            member for member in self.others() if not member.is_claimed
+        return self.index.view(
+            'reachable',
+            lambda member: is_in_use(member) and member.host != self.own_host,
         )
 
     def instances(self, service: str) -> tuple[Member, ...]:
@@ -240,38 +272,14 @@
         Live members are returned if they are at least half of those
         not leaving.  Otherwise suspicion is more likely a fault of this
         daemon's network than of the members, and the suspected ones are
-        returned as well, so that no partition can empty a route.
+        returned as well, so that no partition can empty a route.  Gone
+        members are the last resort.
         """
-        live, suspected = [], []
-        for member in self.members.values():
-            if member.service != service or self._is_leaving(member):
-                continue
-            if member.state is MemberState.LIVE:
-                live.append(member)
-            elif member.state is MemberState.SUSPECTED:
-                suspected.append(member)
+        by_state: dict[MemberState, list[Member]] = {}
+        for member in self.index.of_service(service):
+            by_state.setdefault(member.state, []).append(member)
+        live = by_state.get(MemberState.LIVE, [])
+        suspected = by_state.get(MemberState.SUSPECTED, [])
         if len(live) < len(suspected) or not live:
-            return tuple(live + suspected)
-        return tuple(live)
-
-    def _is_leaving(self, member: Member) -> bool:
-        listed = self.listed.get(member.host)
-        # A live record of the daemon itself is newer than the lagging list
-        # only if it has restarted since; placeholders follow the list.
-        return member.incarnation == 0 and listed is not None and listed.leaving
-
-
-def placeholder(host: Host) -> Member:
-    """Return the record of a host known from the host list alone."""
-    state = MemberState.DRAINING if host.leaving else MemberState.LIVE
-    return Member(
-        host=host.host,
-        service=host.service,
-        failure_domain=host.failure_domain,
-        region=host.region,
-        incarnation=0,
-        sequence=0,
-        state=state,
-        call_address=host.call_address,
-        peer_address=host.peer_address,
-    )
+            live.extend(suspected)
+        return tuple(live or by_state.get(MemberState.GONE, ()))
--- a/packages/settings/tanagerbend_settings/schema.py
+++ b/packages/settings/tanagerbend_settings/schema.py
@@ -85,6 +85,9 @@
         Number of daemons that share this limit.
     host_list_poll_seconds : float
         Period in which daemons that are not readers read the host list.
+    readers_per_domain : int
+        0 makes every daemon read the service itself, without
+        announcements; only to compare with.
     """
 
     url: str = attrs.field(validator=_http_url)
@@ -94,6 +97,10 @@
     calls_per_second: float = positive(2000.0)
     expected_fleet_size: int = positive(3700)
     host_list_poll_seconds: float = positive(300.0)
+    readers_per_domain: int = attrs.field(
+        default=2,
+        validator=attrs.validators.ge(0),
+    )
 
 
 @attrs.frozen
--- a/packages/timer/tanagerbend_timer/manual.py
+++ b/packages/timer/tanagerbend_timer/manual.py
@@ -79,6 +79,9 @@
             await self.settle()
         self.time = end
 
+    def check_pause(self) -> None:
+        """Do nothing; ``pause`` reports at once."""
+
     def pause(self, seconds: float) -> None:
         """Jump ahead without waking anyone, then report the gap."""
         self.time += seconds
--- a/packages/timer/tanagerbend_timer/service.py
+++ b/packages/timer/tanagerbend_timer/service.py
@@ -3,18 +3,18 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from typing import Final, Protocol
+from typing import Protocol
 
+from tanagerbend_timer.clocks import (
+    WATCHDOG_SECONDS,
+    PauseWatch,
+    boot_time,
+)
 from tanagerbend_timer.subscription import Subscription
 
 PauseListener = Callable[[float], None]
 PeriodicCallback = Callable[[], Awaitable[None]]
 
-WATCHDOG_SECONDS: Final = 0.5
-# A loaded host can delay the event loop by a second; longer gaps mean that
-# the process was stopped or the machine was suspended.
-PAUSE_SECONDS: Final = 2.0
-
 
 class Timer(Protocol):
     """Source of time for all packages.
@@ -46,6 +46,13 @@
     def on_pause(self, listener: PauseListener) -> None:
         """Report gaps, in seconds, after the process was paused."""
 
+    def check_pause(self) -> None:
+        """Report a pause now, before the periodic check finds it.
+
+        Work that was waiting when the process was stopped runs first when
+        it resumes, so those who accept work check before they do.
+        """
+
 
 class SystemTimer:
     """Timer on the clock of the operating system.
@@ -64,7 +71,7 @@
         self.started = time.monotonic()
         self.subscriptions: set[Subscription] = set()
         self.pause_listeners: list[PauseListener] = []
-        self.last_tick = self.started
+        self.watch = PauseWatch((time.monotonic, boot_time, time.time))
 
     def now(self) -> float:
         """Return monotonic seconds."""
@@ -93,15 +100,17 @@
     def on_pause(self, listener: PauseListener) -> None:
         """Report gaps after pauses; the first listener starts the watchdog."""
         if not self.pause_listeners:
-            self.last_tick = self.now()
-            self.every(WATCHDOG_SECONDS, self.check_pause)
+            self.watch.gap()
+            self.every(WATCHDOG_SECONDS, self._check_pause)
         self.pause_listeners.append(listener)
 
-    async def check_pause(self) -> None:
-        """Compare the time since the last check with its period."""
-        gap = self.now() - self.last_tick - WATCHDOG_SECONDS
-        self.last_tick = self.now()
-        if gap > PAUSE_SECONDS:
+    async def _check_pause(self) -> None:
+        self.check_pause()
+
+    def check_pause(self) -> None:
+        """Report a pause if the clocks show a gap."""
+        gap = self.watch.gap()
+        if gap:
             for listener in self.pause_listeners:
                 listener(gap)
 
--- a/packages/timer/tanagerbend_timer/subscription.py
+++ b/packages/timer/tanagerbend_timer/subscription.py
@@ -35,7 +35,12 @@
         await sleep(self.spread)
         while not self.is_cancelled:
             await sleep(self.seconds)
-            await self.callback()
+            try:
+                await self.callback()
+            except Exception as error:  # noqa: BLE001
+                # One fault must not end periodic work for good, with
+                # nobody there to restart it.
+                _report(self.callback, error)
 
     def cancel(self) -> asyncio.Task[None] | None:
         """Stop the subscription; return the task to wait for, if any."""
@@ -43,3 +48,9 @@
         if self.task is not None:
             self.task.cancel()
         return self.task
+
+
+def _report(callback: object, error: Exception) -> None:
+    asyncio.get_running_loop().call_exception_handler(
+        {'message': f'periodic call {callback} failed', 'exception': error},
+    )
