Bound what one peer can make a daemon do, and check decoded records

Cause: a review of the wire package found that decoded numbers, lengths and digests were trusted, a frame could lack its correlation or hold two messages, replayed frames had no code of their own, a ping on behalf of a peer held back the peer's other messages for half a second, connections and messages of one host had no bound, a request that timed out ended all others on its connection, two requests could open two connections of which one was never closed, and a host list of deep nesting or a revision beyond 64 bits raised an exception in the reading task.

Conclusion: the decoder checks every number and length, the server bounds connections, work and message rate of a host, the client retires silent connections and repeats a request once on a kept connection that the peer has closed. Calls wait for the pause guard.

--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -126,6 +126,7 @@
     reader = _reader(settings, sessions[0], propagation, guard)
     control = ControlHandler(roster, detector, propagation, recorder)
     calls = _calls(settings, identity, sessions, roster, chance, recorder)
+    calls.ready = guard.ready
     parts = Parts(
         settings,
         timer,
--- a/packages/daemon/tanagerbend_daemon/entry.py
+++ b/packages/daemon/tanagerbend_daemon/entry.py
@@ -2,7 +2,7 @@
 
 import hashlib
 import hmac
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -40,6 +40,8 @@
     recorder : Recorder
     table : RouteTable or None
         Replaced as a whole when a version is adopted or members change.
+    ready : callable or None
+        Awaited before a call is looked at; waits after a pause.
     """
 
     own_host: str
@@ -49,9 +51,12 @@
     daemon_at: Callable[[str], BackendServer]
     recorder: Recorder
     table: RouteTable | None = None
+    ready: Callable[[], Awaitable[None]] | None = None
 
     async def handle(self, call: Call) -> Answer | Refusal:
         """Answer a call, or refuse it with a reason."""
+        if self.ready is not None:
+            await self.ready()
         table = self.table
         if table is None:
             reason = 'no sheet is in force yet'
--- a/packages/daemon/tanagerbend_daemon/platform_client.py
+++ b/packages/daemon/tanagerbend_daemon/platform_client.py
@@ -1,6 +1,7 @@
 """Configuration service and host list over HTTP."""
 
 import json
+import re
 from collections.abc import Mapping
 from http import HTTPStatus
 from typing import Any, Final
@@ -11,7 +12,18 @@
 from tanagerbend_model import Refusal, ResultCode
 
 REVISION_HEADER: Final = 'Platform-Revision'
+# Fits into 64 bits, with room to spare.
+REVISION: Final = re.compile('[0-9]{1,18}')
 NO_VALUE: Final = frozenset((HTTPStatus.NOT_MODIFIED, HTTPStatus.NOT_FOUND))
+# What parsing raises on a value that is not a host list; deep nesting
+# raises RecursionError.
+MALFORMED: Final = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    RecursionError,
+)
 READ_SECONDS: Final = 5.0
 MAX_VALUE_BYTES: Final = 1024 * 1024
 
@@ -69,7 +81,7 @@
         if response.status in NO_VALUE:
             return Unchanged(key)
         revision = response.headers.get(REVISION_HEADER, '')
-        if response.status != HTTPStatus.OK or not revision.isdecimal():
+        if response.status != HTTPStatus.OK or not REVISION.fullmatch(revision):
             reason = f'status {response.status} for {key!r}'
             return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
         content = await response.content.read(MAX_VALUE_BYTES + 1)
@@ -119,8 +131,8 @@
         try:
             entries = json.loads(answer.content)['hosts']
             hosts = [_host(entry) for entry in entries]
-        except (ValueError, TypeError, KeyError) as error:
-            reason = f'malformed host list: {error!r}'
+        except MALFORMED as error:
+            reason = f'malformed host list: {type(error).__name__}'
             return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
         return HostListing(answer.revision, tuple(hosts))
 
--- a/packages/wire/tanagerbend_wire/client.py
+++ b/packages/wire/tanagerbend_wire/client.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import itertools
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from typing import Final
 
 from tanagerbend_interfaces import Message
@@ -25,6 +25,8 @@
         self.correlations = itertools.count(1)
         self.waiting: dict[int, asyncio.Future[Message | Refusal]] = {}
         self.is_closed = False
+        self.is_retired = False
+        self.is_used = False
         self.task = asyncio.create_task(self.read_answers())
 
     async def read_answers(self) -> None:
@@ -74,9 +76,19 @@
                 type(message).__name__,
                 sent,
             )
-            return await answered
+            answer = await answered
+            self.is_used = True
+            return answer
         finally:
             self.waiting.pop(correlation, None)
+            if self.is_retired and not self.waiting:
+                self.close()
+
+    def retire(self) -> None:
+        """Close as soon as no request waits; others may still succeed."""
+        self.is_retired = True
+        if not self.waiting:
+            self.close()
 
     def close(self) -> None:
         """End the connection and all requests that wait on it."""
@@ -120,6 +132,7 @@
         self.max_connections = max_connections
         self.connections: OrderedDict[str, PeerConnection] = OrderedDict()
         self.locks: dict[str, asyncio.Lock] = {}
+        self.users: Counter[str] = Counter()
 
     async def request(
         self,
@@ -132,10 +145,10 @@
             async with asyncio.timeout(timeout):
                 return await self._request(peer, message)
         except TimeoutError:
-            self._drop(peer)
+            self._retire(peer)
             return Refusal(ResultCode.PEER_TIMEOUT, f'no answer from {peer}')
-        except OSError as error:
-            self._drop(peer)
+        except (OSError, ValueError) as error:
+            self._retire(peer)
             return Refusal(ResultCode.PEER_UNREACHABLE, str(error))
 
     async def _request(self, peer: str, message: Message) -> Message | Refusal:
@@ -143,16 +156,27 @@
         match connection:
             case Refusal():
                 return connection
-        return await connection.request(message)
+        was_used = connection.is_used
+        answer = await connection.request(message)
+        if connection.is_closed and was_used and _is_lost(answer):
+            connection = await self._connection(peer)
+            match connection:
+                case Refusal():
+                    return connection
+            return await connection.request(message)
+        return answer
 
     async def _connection(self, peer: str) -> PeerConnection | Refusal:
         lock = self.locks.setdefault(peer, asyncio.Lock())
+        self.users[peer] += 1
         try:
             async with lock:
                 return await self._cached_connection(peer)
         finally:
-            if not lock.locked():
-                self.locks.pop(peer, None)
+            self.users[peer] -= 1
+            if not self.users[peer]:
+                self.users.pop(peer)
+                self.locks.pop(peer)
 
     async def _cached_connection(self, peer: str) -> PeerConnection | Refusal:
         known = self.connections.get(peer)
@@ -185,15 +209,16 @@
         return PeerConnection(session, self.recorder)
 
     def _remember(self, peer: str, connection: PeerConnection) -> None:
+        self._retire(peer)
         self.connections[peer] = connection
         while len(self.connections) > self.max_connections:
             _peer, oldest = self.connections.popitem(last=False)
-            oldest.close()
+            oldest.retire()
 
-    def _drop(self, peer: str) -> None:
+    def _retire(self, peer: str) -> None:
         connection = self.connections.pop(peer, None)
         if connection is not None:
-            connection.close()
+            connection.retire()
 
     async def close(self) -> None:
         """Close all connections."""
@@ -204,3 +229,10 @@
         for closed in connections:
             with contextlib.suppress(asyncio.CancelledError):
                 await closed.task
+
+
+def _is_lost(answer: Message | Refusal) -> bool:
+    match answer:
+        case Refusal(code=ResultCode.PEER_UNREACHABLE):
+            return True
+    return False
--- a/packages/wire/tanagerbend_wire/codec.py
+++ b/packages/wire/tanagerbend_wire/codec.py
@@ -25,6 +25,16 @@
 
 MAX_STRING_BYTES: Final = 2 * 1024 * 1024
 MAX_CONTAINER_ITEMS: Final = 20_000
+MAX_MEMBERS: Final = 4096
+MAX_BUCKETS: Final = 64
+MAX_HASH: Final = 2**32 - 1  # noqa: WPS432
+MAX_FINGERPRINTS: Final = 1024
+MAX_FINGERPRINT_BYTES: Final = 64
+MAX_EDITION_PARTS: Final = 4
+MAX_TEXT: Final = 256
+DIGEST_BYTES: Final = 32
+# Leaves room to raise a number that is held in 64 bits.
+MAX_NUMBER: Final = 2**62  # noqa: WPS432
 
 
 def serialize(struct: Any) -> bytes:
@@ -80,17 +90,53 @@
     """
     envelope = deserialize(ttypes.Envelope(), payload)
     try:
-        return envelope.correlation, _decode_body(envelope.body)
+        correlation = _number(envelope.correlation)
+        return correlation, _decode_body(envelope.body)
     except (TypeError, AttributeError) as error:
         raise ValueError(f'incomplete message: {error}') from error
 
 
 def _decode_body(body: Any) -> Message | Refusal:
-    for name, convert in _DECODERS.items():
-        struct = getattr(body, name)
-        if struct is not None:
-            return convert(struct)
-    raise ValueError('empty message')
+    found = [
+        (convert, getattr(body, name))
+        for name, convert in _DECODERS.items()
+        if getattr(body, name) is not None
+    ]
+    if len(found) != 1:
+        raise ValueError(f'{len(found)} messages in one frame')
+    convert, struct = found[0]
+    return convert(struct)
+
+
+def _number(number: int, highest: int = MAX_NUMBER) -> int:
+    if not 0 <= number <= highest:
+        raise ValueError(f'number {number} out of range')
+    return number
+
+
+def _text(text: str) -> str:
+    if len(text) > MAX_TEXT:
+        raise ValueError(f'text of {len(text)} characters')
+    return text
+
+
+def _items(field: list[Any], most: int) -> list[Any]:
+    if len(field) > most:
+        raise ValueError(f'{len(field)} items, at most {most}')
+    return field
+
+
+def _digest(digest: bytes) -> bytes:
+    if len(digest) not in {0, DIGEST_BYTES}:
+        raise ValueError(f'digest of {len(digest)} bytes')
+    return digest
+
+
+def _fingerprints(field: list[bytes]) -> tuple[bytes, ...]:
+    for fingerprint in _items(field, MAX_FINGERPRINTS):
+        if not 0 < len(fingerprint) <= MAX_FINGERPRINT_BYTES:
+            raise ValueError(f'fingerprint of {len(fingerprint)} bytes')
+    return tuple(field)
 
 
 def _version_out(version: Version | None) -> Any:
@@ -104,9 +150,12 @@
 
 
 def _version_in(struct: Any) -> Version:
-    if None in {struct.revision, struct.digest}:
-        raise ValueError('incomplete version')
-    return Version(tuple(struct.edition), struct.revision, struct.digest)
+    edition = _items(struct.edition, MAX_EDITION_PARTS)
+    return Version(
+        tuple(_number(part) for part in edition),
+        _number(struct.revision),
+        _digest(struct.digest),
+    )
 
 
 def _optional_version_in(struct: Any) -> Version | None:
@@ -128,30 +177,17 @@
 
 
 def _member_in(struct: Any) -> Member:
-    member = Member(
-        host=struct.host,
-        service=struct.serviceName,
-        failure_domain=struct.failureDomain,
-        region=struct.region,
-        incarnation=struct.incarnation,
-        sequence=struct.sequence,
+    return Member(
+        host=_text(struct.host),
+        service=_text(struct.serviceName),
+        failure_domain=_text(struct.failureDomain),
+        region=_text(struct.region),
+        incarnation=_number(struct.incarnation),
+        sequence=_number(struct.sequence),
         state=MemberState(struct.state),
-        call_address=struct.callAddress,
-        peer_address=struct.peerAddress,
-    )
-    fields = (
-        member.host,
-        member.service,
-        member.failure_domain,
-        member.region,
-        member.incarnation,
-        member.sequence,
-        member.call_address,
-        member.peer_address,
+        call_address=_text(struct.callAddress),
+        peer_address=_text(struct.peerAddress),
     )
-    if None in fields:
-        raise ValueError('incomplete member record')
-    return member
 
 
 def _members_out(members: tuple[Member, ...]) -> list[Any]:
@@ -159,7 +195,7 @@
 
 
 def _members_in(structs: list[Any]) -> tuple[Member, ...]:
-    return tuple(_member_in(struct) for struct in structs)
+    return tuple(_member_in(struct) for struct in _items(structs, MAX_MEMBERS))
 
 
 def _required(field: Any) -> Any:
@@ -232,36 +268,39 @@
 }
 
 _DECODERS: Final[dict[str, Callable[[Any], Message | Refusal]]] = {
-    'ping': lambda struct: Ping(_required(struct.target)),
+    'ping': lambda struct: Ping(_text(struct.target)),
     'pong': lambda struct: Pong(
-        _required(struct.host),
-        _required(struct.incarnation),
+        _text(struct.host),
+        _number(struct.incarnation),
     ),
     'sync': lambda struct: Sync(
         _optional_version_in(struct.version),
-        tuple(struct.buckets),
+        tuple(
+            _number(bucket, MAX_HASH)
+            for bucket in _items(struct.buckets, MAX_BUCKETS)
+        ),
         _members_in(struct.members),
     ),
     'announce': lambda struct: Announce(_version_in(struct.version)),
     'fetch': lambda struct: Fetch(
         _version_in(struct.wanted),
-        _required(struct.held),
+        _digest(struct.held),
     ),
     'content': lambda struct: Content(
         _optional_version_in(struct.version),
-        _required(struct.base),
+        _digest(struct.base),
         _required(struct.payload),
     ),
     'update': lambda struct: Update(_members_in(struct.members)),
     'suspects': lambda struct: Suspects(
-        _required(struct.serviceName),
-        tuple(struct.suspected),
-        tuple(struct.convicted),
-        tuple(struct.cleared),
+        _text(struct.serviceName),
+        _fingerprints(struct.suspected),
+        _fingerprints(struct.convicted),
+        _fingerprints(struct.cleared),
     ),
     'ack': lambda struct: Ack(bool(struct.wanted)),
     'failure': lambda struct: Refusal(
         ResultCode(struct.code),
-        _required(struct.reason),
+        struct.reason[:MAX_TEXT],
     ),
 }
--- a/packages/wire/tanagerbend_wire/frames.py
+++ b/packages/wire/tanagerbend_wire/frames.py
@@ -4,6 +4,7 @@
 import hashlib
 import hmac
 import struct
+from collections import deque
 from typing import Final
 
 from tanagerbend_model import Refusal, ResultCode
@@ -13,6 +14,7 @@
 COUNTER: Final = struct.Struct('>Q')
 # Half of a SHA-256 tag; forging it still takes 2**128 attempts.
 TAG_BYTES: Final = 16
+REMEMBERED_TAGS: Final = 16
 CLIENT: Final = b'c'
 SERVER: Final = b's'
 
@@ -56,7 +58,8 @@
     ===========
 
     Each tag covers the direction and a counter that both sides raise with
-    each frame.  A replayed, reordered or dropped frame fails its check.
+    each frame.  A replayed, reordered or dropped frame fails its check; a
+    frame with one of the last tags is reported as replayed.
 
     Examples
     ========
@@ -66,13 +69,14 @@
     >>> back.open(frame)
     b'payload'
     >>> back.open(frame).code.name
-    'FRAME_UNAUTHENTICATED'
+    'FRAME_REPLAYED'
     """
 
     def __init__(self, key: bytes, direction: bytes) -> None:
         self.key = key
         self.direction = direction
         self.counter = 0
+        self.opened: deque[bytes] = deque(maxlen=REMEMBERED_TAGS)
 
     def seal(self, payload: bytes) -> bytes:
         """Return tag and payload."""
@@ -82,10 +86,13 @@
         """Return the payload if the tag is right."""
         tag, payload = frame[:TAG_BYTES], frame[TAG_BYTES:]
         if hmac.compare_digest(tag, self._next_tag(payload)):
+            self.opened.append(tag)
             return payload
+        if tag in self.opened:
+            return Refusal(ResultCode.FRAME_REPLAYED, 'tag seen before')
         return Refusal(
             ResultCode.FRAME_UNAUTHENTICATED,
-            'wrong tag: other key, altered or replayed frame',
+            'wrong tag: other key, altered or reordered frame',
         )
 
     def _next_tag(self, payload: bytes) -> bytes:
--- a/packages/wire/tanagerbend_wire/handshake.py
+++ b/packages/wire/tanagerbend_wire/handshake.py
@@ -22,6 +22,7 @@
 
 NONCE_BYTES: Final = 16
 MAX_HELLO_BYTES: Final = 1024
+SHOWN_LENGTH: Final = 64
 
 
 @attrs.frozen
@@ -138,9 +139,11 @@
     if hello.deployment != identity.deployment:
         return Refusal(
             ResultCode.FOREIGN_DEPLOYMENT,
-            f'deployment {hello.deployment!r}',
+            f'deployment {str(hello.deployment)[:SHOWN_LENGTH]!r}',
         )
     expected = tag_of(identity.key, direction, challenge, payload)
-    if not hmac.compare_digest(tag, expected) or not hello.nonce:
+    if not hmac.compare_digest(tag, expected):
         return Refusal(ResultCode.FRAME_UNAUTHENTICATED, 'wrong hello tag')
+    if not hello.host or len(hello.nonce or b'') != NONCE_BYTES:
+        return Refusal(ResultCode.FRAME_MALFORMED, 'incomplete hello')
     return hello
--- a/packages/wire/tanagerbend_wire/server.py
+++ b/packages/wire/tanagerbend_wire/server.py
@@ -1,4 +1,4 @@
-"""Peer server: one task for each connection of a peer."""
+"""Peer server: one reading task for each connection of a peer."""
 
 import asyncio
 from typing import Final
@@ -9,14 +9,30 @@
 from tanagerbend_wire.codec import decode, encode
 from tanagerbend_wire.frames import read_block, write_block
 from tanagerbend_wire.handshake import Identity, Session, accept_session
+from tanagerbend_wire.limits import Rates
 
 HANDSHAKE_SECONDS: Final = 5.0
 IDLE_SECONDS: Final = 120.0
+SEND_SECONDS: Final = 10.0
+# Each daemon of the target size keeps up to 64 connections open.
+MAX_CONNECTIONS: Final = 1024
+MAX_CONNECTIONS_PER_HOST: Final = 4
+# A ping on behalf of a peer takes up to half a second, which must not hold
+# back the peer's other messages.
+MAX_WORK_PER_CONNECTION: Final = 4
+MAX_WORK: Final = 64
 
 
 class PeerServer:
     """Answers the control messages of other daemons.
 
+    Explanation
+    ===========
+
+    The number of connections, the answers under way and the messages a
+    second of a host are bounded.  A host with too many connections loses
+    its oldest one, which may have gone silent.
+
     Parameters
     ==========
 
@@ -36,6 +52,9 @@
         self.recorder = recorder
         self.server: asyncio.Server | None = None
         self.tasks: set[asyncio.Task[None]] = set()
+        self.by_host: dict[str, list[asyncio.StreamWriter]] = {}
+        self.rates = Rates(recorder.timer, MAX_CONNECTIONS)
+        self.work = asyncio.Semaphore(MAX_WORK)
 
     async def start(self, address: str, port: int) -> int:
         """Listen; return the port, which the system chooses for 0."""
@@ -53,12 +72,18 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         """Serve one peer until it closes or violates the protocol."""
+        if len(self.tasks) >= MAX_CONNECTIONS:
+            self.recorder.count('peer_connections_refused')
+            writer.close()
+            return
         task = asyncio.current_task()
         self.tasks.add(task)
         try:
-            await self._serve(reader, writer)
+            refusal = await self._serve(reader, writer)
         except (OSError, asyncio.IncompleteReadError, TimeoutError):
             self.recorder.count('peer_connections_ended')
+        else:
+            self.recorder.count('frames_refused', refusal.code.name)
         finally:
             self.tasks.discard(task)
             writer.close()
@@ -67,29 +92,80 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-    ) -> None:
+    ) -> Refusal:
         async with asyncio.timeout(HANDSHAKE_SECONDS):
             session = await accept_session(self.identity, reader, writer)
         match session:
             case Refusal():
-                self.recorder.count('frames_refused', session.code.name)
-                return
-        refusal = None
-        while refusal is None:
+                return session
+        self._register(session)
+        connection = _Connection(self, session)
+        try:
+            return await connection.serve()
+        finally:
+            connection.cancel()
+            self._unregister(session)
+
+    def _register(self, session: Session) -> None:
+        writers = self.by_host.setdefault(session.peer, [])
+        writers.append(session.writer)
+        if len(writers) > MAX_CONNECTIONS_PER_HOST:
+            self.recorder.count('peer_connections_replaced')
+            writers[0].close()
+
+    def _unregister(self, session: Session) -> None:
+        writers = self.by_host[session.peer]
+        writers.remove(session.writer)
+        if not writers:
+            self.by_host.pop(session.peer)
+
+    async def close(self) -> None:
+        """Stop listening and end all connections."""
+        if self.server is not None:
+            self.server.close()
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class _Connection:
+    """Reads the messages of one session and answers them."""
+
+    def __init__(self, server: PeerServer, session: Session) -> None:
+        self.server = server
+        self.session = session
+        self.recorder = server.recorder
+        self.rate = server.rates.of(session.peer)
+        self.slots = asyncio.Semaphore(MAX_WORK_PER_CONNECTION)
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def serve(self) -> Refusal:
+        """Return the refusal of the first frame that is not valid."""
+        while True:
+            await self._slow_down()
             async with asyncio.timeout(IDLE_SECONDS):
-                frame = await read_block(reader)
-            refusal = await self._answer_frame(session, frame)
-        self.recorder.count('frames_refused', refusal.code.name)
+                frame = await read_block(self.session.reader)
+            request = self._open(frame)
+            match request:
+                case Refusal():
+                    return request
+            await self.slots.acquire()
+            task = asyncio.create_task(self._answer(*request))
+            self.tasks.add(task)
+            task.add_done_callback(self._answered)
 
-    async def _answer_frame(
-        self,
-        session: Session,
-        frame: bytes | Refusal,
-    ) -> Refusal | None:
+    async def _slow_down(self) -> None:
+        delay = self.rate.delay()
+        if delay:
+            self.recorder.count('peers_slowed_down')
+            await self.recorder.timer.sleep(delay)
+
+    def _open(self, frame: bytes | Refusal) -> tuple[int, Message] | Refusal:
         match frame:
             case Refusal():
                 return frame
-        payload = session.incoming.open(frame)
+        payload = self.session.incoming.open(frame)
         match payload:
             case Refusal():
                 return payload
@@ -100,26 +176,42 @@
         match message:
             case Refusal():
                 return Refusal(ResultCode.FRAME_MALFORMED, 'not a request')
-        answer = await self.handler.answer(session.peer, message)
-        await self._send(session, answer, correlation)
-        return None
+        return correlation, message
+
+    async def _answer(self, correlation: int, message: Message) -> None:
+        try:
+            async with self.server.work, asyncio.timeout(SEND_SECONDS):
+                answer = await self.server.handler.answer(
+                    self.session.peer,
+                    message,
+                )
+                await self._send(answer, correlation)
+        except (OSError, TimeoutError):
+            self.session.writer.close()
+        except Exception as error:  # noqa: BLE001
+            # A fault in one answer must not end the other connections.
+            self.recorder.note(
+                'control_fault',
+                type(message).__name__,
+                repr(error),
+            )
+            self.session.writer.close()
+
+    def _answered(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        self.slots.release()
 
     async def _send(
         self,
-        session: Session,
         answer: Message | Refusal,
         correlation: int,
     ) -> None:
-        frame = session.outgoing.seal(encode(answer, correlation))
-        sent = write_block(session.writer, frame)
-        await session.writer.drain()
+        frame = self.session.outgoing.seal(encode(answer, correlation))
+        sent = write_block(self.session.writer, frame)
         self.recorder.count('control_bytes_sent', type(answer).__name__, sent)
+        await self.session.writer.drain()
 
-    async def close(self) -> None:
-        """Stop listening and end all connections."""
-        if self.server is not None:
-            self.server.close()
-        tasks = list(self.tasks)
-        for task in tasks:
+    def cancel(self) -> None:
+        """Cancel the answers under way."""
+        for task in list(self.tasks):
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
