Add the operators' endpoints of the daemon

Nobody is on call at night, so the daemon has to say in the morning what it did.

Every path but /health needs the bearer token, compared in constant time.

--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/operators.py
@@ -0,0 +1,259 @@
+"""HTTP endpoints for operators, on an address of their own."""
+
+import math
+import secrets
+from http import HTTPStatus
+from typing import Final
+
+import attrs
+from aiohttp import web
+from aiohttp.typedefs import Handler
+from mode import Service
+from prometheus_client import CONTENT_TYPE_LATEST
+
+from tanagerbend_daemon import views
+from tanagerbend_daemon.assembly import Parts
+from tanagerbend_interfaces import MemberState
+from tanagerbend_metrics import Event, expose
+from tanagerbend_model import Refusal, ResultCode
+
+BEARER: Final = 'Bearer '
+# The only path that needs no token: it says nothing but that the process
+# answers, and load balancers that ask it hold no secrets.
+OPEN_PATH: Final = '/health'
+
+
+class OperatorServer:
+    """Endpoints for operators and for the command ``tanagerbend``.
+
+    Explanation
+    ===========
+
+    Every path but ``/health`` needs ``Authorization: Bearer TOKEN``.
+    Answers are JSON, except ``/metrics`` and ``/sheet``; a refusal has
+    ``code``, ``name``, ``reason`` and ``ran``.
+
+    Parameters
+    ==========
+
+    parts : Parts
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        self.parts = parts
+        self.runner: web.AppRunner | None = None
+
+    def application(self) -> web.Application:
+        """Return the application with all paths."""
+        application = web.Application(middlewares=[self.check_token])
+        application.add_routes(
+            (
+                web.get(OPEN_PATH, self.health),
+                web.get('/ready', self.ready),
+                web.get('/status', self.status),
+                web.get('/roster', self.roster),
+                web.get('/metrics', self.metrics),
+                web.get('/histograms', self.histograms),
+                web.get('/journal', self.journal),
+                web.get('/explain', self.explain),
+                web.get('/sheet', self.sheet),
+                web.post('/drain', self.drain),
+                web.post('/undrain', self.undrain),
+            ),
+        )
+        return application
+
+    async def start(self, address: str, port: int) -> str:
+        """Listen; return ``address:port``."""
+        self.runner = web.AppRunner(
+            self.application(),
+            access_log=None,
+            shutdown_timeout=1.0,
+        )
+        await self.runner.setup()
+        await web.TCPSite(self.runner, address, port).start()
+        bound = self.runner.addresses[0]
+        return f'{bound[0]}:{bound[1]}'
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    @web.middleware
+    async def check_token(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        """Refuse requests without the token of the settings."""
+        given = request.headers.get('Authorization', '')
+        expected = BEARER + self.parts.settings.operators.token
+        if request.path == OPEN_PATH or secrets.compare_digest(
+            given.encode(errors='surrogateescape'),
+            expected.encode(),
+        ):
+            return await handler(request)
+        reason = 'the operator token is missing or wrong'
+        refusal = Refusal(ResultCode.TOKEN_REQUIRED, reason)
+        return self.refuse(refusal, HTTPStatus.UNAUTHORIZED)
+
+    def refuse(self, refusal: Refusal, http_status: int) -> web.Response:
+        """Answer with a refusal and count it."""
+        self.parts.recorder.count('refusals', refusal.code.name)
+        return web.json_response(
+            {
+                'code': int(refusal.code),
+                'name': refusal.code.name,
+                'reason': refusal.reason,
+                'ran': refusal.ran.value,
+            },
+            status=http_status,
+        )
+
+    async def health(self, _request: web.Request) -> web.Response:
+        """Answer that the process runs."""
+        return web.json_response({'up': True})
+
+    async def ready(self, _request: web.Request) -> web.Response:
+        """Answer 200 if calls are taken, else 503 with the reasons."""
+        reasons = views.reasons_not_ready(self.parts)
+        return web.json_response(
+            {'ready': not reasons, 'reasons': reasons},
+            status=HTTPStatus.SERVICE_UNAVAILABLE if reasons else HTTPStatus.OK,
+        )
+
+    async def status(self, _request: web.Request) -> web.Response:
+        """Answer with the state of the daemon."""
+        return web.json_response(views.status(self.parts))
+
+    async def roster(self, _request: web.Request) -> web.Response:
+        """Answer with all member records."""
+        return web.json_response({'members': views.roster(self.parts)})
+
+    async def metrics(self, _request: web.Request) -> web.Response:
+        """Answer with the Prometheus text."""
+        return web.Response(
+            body=expose(self.parts.recorder, views.gauges(self.parts)),
+            headers={'Content-Type': CONTENT_TYPE_LATEST},
+        )
+
+    async def histograms(self, _request: web.Request) -> web.Response:
+        """Answer with all histograms, encoded for merging."""
+        encoded = self.parts.recorder.histograms.encoded()
+        return web.json_response(
+            {'histograms': [attrs.asdict(entry) for entry in encoded]},
+        )
+
+    async def journal(self, request: web.Request) -> web.Response:
+        """Answer with the entries since ``?since=`` epoch seconds."""
+        text = request.query.get('since', '0')
+        since = _finite(text)
+        if since is None:
+            return self._invalid('since', text)
+        return web.json_response(
+            {
+                'host': self.parts.roster.own_host,
+                'entries': [
+                    attrs.asdict(entry)
+                    for entry in self.parts.recorder.journal.entries
+                    if entry.wall >= since
+                ],
+            },
+        )
+
+    async def explain(self, request: web.Request) -> web.Response:
+        """Answer which row and instances a request is routed to."""
+        found = views.explain(
+            self.parts,
+            request.query.get('service', ''),
+            request.query.get('method', 'GET'),
+            request.query.get('path', '/'),
+        )
+        match found:
+            case Refusal():
+                return self.refuse(found, HTTPStatus.NOT_FOUND)
+        return web.json_response(found)
+
+    async def sheet(self, _request: web.Request) -> web.Response:
+        """Answer with the bytes of the sheet in force."""
+        current = self.parts.store.current
+        if current is None:
+            reason = 'no sheet is in force yet'
+            refusal = Refusal(ResultCode.NO_CONFIGURATION, reason)
+            return self.refuse(refusal, HTTPStatus.NOT_FOUND)
+        return web.Response(
+            body=current.content,
+            headers={
+                'Content-Type': 'text/csv; charset=utf-8',
+                'Tanagerbend-Version': str(current.version),
+            },
+        )
+
+    async def drain(self, _request: web.Request) -> web.Response:
+        """Stop to take new work; running calls finish."""
+        return await self._change_state(
+            (MemberState.LIVE, MemberState.STARTING),
+            MemberState.DRAINING,
+            Event.DRAIN_STARTED,
+        )
+
+    async def undrain(self, _request: web.Request) -> web.Response:
+        """Take new work again, once a sheet is in force."""
+        target = MemberState.LIVE
+        if self.parts.store.current is None:
+            target = MemberState.STARTING
+        return await self._change_state(
+            (MemberState.DRAINING,),
+            target,
+            Event.DRAIN_ENDED,
+        )
+
+    async def _change_state(
+        self,
+        before: tuple[MemberState, ...],
+        after: MemberState,
+        event: Event,
+    ) -> web.Response:
+        parts = self.parts
+        if parts.roster.own.state in before:
+            own = parts.roster.set_own_state(after)
+            parts.recorder.note(event, own.host, 'asked by an operator')
+            await parts.detector.notify((own,))
+        return web.json_response(views.status(parts))
+
+    def _invalid(self, name: str, text: str) -> web.Response:
+        refusal = Refusal(ResultCode.QUERY_INVALID, f'{name}: {text!r}')
+        return self.refuse(refusal, HTTPStatus.BAD_REQUEST)
+
+
+def _finite(text: str) -> float | None:
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) else None
+
+
+class OperatorService(Service):
+    """Runs the endpoints for operators as part of a daemon.
+
+    Parameters
+    ==========
+
+    parts : Parts
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        super().__init__()
+        self.address = parts.settings.addresses.operators
+        self.server = OperatorServer(parts)
+
+    async def on_start(self) -> None:
+        """Listen to operators."""
+        host, _, port = self.address.rpartition(':')
+        await self.server.start(host, int(port))
+
+    async def on_stop(self) -> None:
+        """Stop listening."""
+        await self.server.close()
--- a/packages/daemon/tanagerbend_daemon/services.py
+++ b/packages/daemon/tanagerbend_daemon/services.py
@@ -6,6 +6,7 @@
 
 from tanagerbend_daemon.assembly import Parts
 from tanagerbend_daemon.front import CallServer
+from tanagerbend_daemon.operators import OperatorService
 from tanagerbend_interfaces import MemberState
 
 EXPIRY_SECONDS = 5.0
@@ -91,5 +92,6 @@
     def __init__(self, parts: Parts) -> None:
         super().__init__()
         self.parts = parts
+        self.add_dependency(OperatorService(parts))
         self.add_dependency(ControlService(parts))
         self.add_dependency(CallService(parts))
--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/views.py
@@ -0,0 +1,179 @@
+"""What a daemon tells operators about itself, as plain data."""
+
+import csv
+import io
+from collections import Counter
+from typing import Any
+
+import attrs
+
+from tanagerbend_daemon.assembly import Parts
+from tanagerbend_interfaces import Member, MemberState
+from tanagerbend_model import Refusal, ResultCode, WorkClass
+from tanagerbend_routing import Route
+
+STATE_REASONS = {
+    MemberState.STARTING: 'not used: starting, holds no sheet yet',
+    MemberState.LIVE: 'not used: the host list says that it leaves',
+    MemberState.DRAINING: 'not used: draining, takes no new work',
+    MemberState.SUSPECTED: 'not used: unreachable, and others are live',
+    MemberState.GONE: 'not used: gone',
+}
+
+
+def reasons_not_ready(parts: Parts) -> tuple[str, ...]:
+    """Return why the daemon takes no calls; empty if it does."""
+    reasons = []
+    if parts.store.current is None:
+        reasons.append('no configuration')
+    state = parts.roster.own.state
+    if state is not MemberState.LIVE:
+        reasons.append(state.name.lower())
+    return tuple(reasons)
+
+
+def status(parts: Parts) -> dict[str, Any]:
+    """Return the state of the daemon; times in seconds."""
+    own = parts.roster.own
+    current = parts.store.current
+    reader = parts.reader
+    last_read = reader.last_read
+    return {
+        'host': own.host,
+        'service': own.service,
+        'failure_domain': own.failure_domain,
+        'region': own.region,
+        'state': own.state.name.lower(),
+        'not_ready': reasons_not_ready(parts),
+        'incarnation': own.incarnation,
+        'wall': parts.timer.wall(),
+        'version': None if current is None else str(current.version),
+        'provisional': parts.bootstrap.is_provisional,
+        'reader': reader.is_reader,
+        'service_available': reader.is_available,
+        'last_read_age': (
+            None if last_read is None else parts.timer.now() - last_read
+        ),
+        'running': parts.calls.owner.running,
+        'members': members_by_state(parts),
+    }
+
+
+def members_by_state(parts: Parts) -> dict[str, int]:
+    """Return the number of members in each state."""
+    found = Counter(
+        member.state.name.lower() for member in parts.roster.members.values()
+    )
+    return dict(found)
+
+
+def roster(parts: Parts) -> list[dict[str, Any]]:
+    """Return the member records, ordered by failure domain and host."""
+    members = sorted(
+        parts.roster.members.values(),
+        key=lambda member: (member.failure_domain, member.host),
+    )
+    return [
+        {**attrs.asdict(member), 'state': member.state.name.lower()}
+        for member in members
+    ]
+
+
+def gauges(parts: Parts) -> dict[tuple[str, str], dict[str, float]]:
+    """Return the gauges of the Prometheus text, by name and label."""
+    found = status(parts)
+    numbers = {
+        'ready': not found['not_ready'],
+        'provisional': found['provisional'],
+        'reader': found['reader'],
+        'service_available': found['service_available'],
+        'calls_running': found['running'],
+    }
+    if found['last_read_age'] is not None:
+        numbers['last_read_age_seconds'] = found['last_read_age']
+    table = {(name, ''): {'': float(it)} for name, it in numbers.items()}
+    table['members', 'state'] = found['members']
+    adopted = _adopted_at(parts)
+    if adopted:
+        table['version_adopted_timestamp_seconds', 'version'] = adopted
+    return table
+
+
+def _adopted_at(parts: Parts) -> dict[str, float]:
+    current = parts.store.current
+    if current is None:
+        return {}
+    version = str(current.version)
+    return {
+        version: entry.wall
+        for entry in parts.recorder.journal.entries
+        if entry.event == 'version_adopted' and entry.subject == version
+    }
+
+
+def explain(
+    parts: Parts,
+    service: str,
+    method: str,
+    path: str,
+) -> dict[str, Any] | Refusal:
+    """Return which row covers a request and which instances may run it."""
+    table = parts.calls.table
+    current = parts.store.current
+    if table is None or current is None:
+        reason = 'no sheet is in force yet'
+        return Refusal(ResultCode.NO_CONFIGURATION, reason)
+    route = table.match(service, method, path)
+    match route:
+        case Refusal():
+            return route
+    return {
+        'version': str(table.version),
+        'row': sheet_row(current.content, route.work),
+        'work': attrs.asdict(route.work),
+        'instances': [
+            {
+                'host': member.host,
+                'failure_domain': member.failure_domain,
+                'state': member.state.name.lower(),
+                'why': _why(parts, route, member),
+            }
+            for member in parts.roster.members.values()
+            if member.service == service
+        ],
+    }
+
+
+def _why(parts: Parts, route: Route, member: Member) -> str:
+    hosts = {instance.host for instance in route.instances}
+    if member.host not in hosts:
+        return STATE_REASONS[member.state]
+    if member.is_claimed:
+        return 'used: unreachable, but too few others are live'
+    if member.failure_domain == parts.roster.own.failure_domain:
+        return 'used first: live, in the own failure domain'
+    return 'used: live, in another failure domain'
+
+
+def sheet_row(content: bytes, work: WorkClass) -> int:
+    r"""Return the row of a work class, counted as a spreadsheet does.
+
+    Examples
+    ========
+
+    >>> sheet = b'\r\nService,Work,rank\r\nartwork,plates,3\r\n'
+    >>> sheet_row(sheet, WorkClass('artwork', 'plates', rank=3))
+    3
+    """
+    text = content.decode('utf-8-sig')
+    columns: list[str] = []
+    for number, cells in enumerate(csv.reader(io.StringIO(text)), start=1):
+        stripped = [cell.strip() for cell in cells]
+        if not columns:
+            names = [cell.lower() for cell in stripped]
+            columns = names if 'work' in names else []
+            continue
+        row = dict(zip(columns, stripped, strict=False))
+        if (row.get('service'), row.get('work')) == (work.service, work.work):
+            return number
+    return 0
--- a/packages/metrics/tanagerbend_metrics/__init__.py
+++ b/packages/metrics/tanagerbend_metrics/__init__.py
@@ -1,15 +1,29 @@
 """Counters, histograms per tenant and rank, decision journal."""
 
 from tanagerbend_metrics.counters import Counters
-from tanagerbend_metrics.histograms import Histograms, make_histogram
+from tanagerbend_metrics.events import MEANINGS, Event
+from tanagerbend_metrics.exposition import expose
+from tanagerbend_metrics.histograms import (
+    QUANTILES,
+    Encoded,
+    Histograms,
+    make_histogram,
+    seconds_at,
+)
 from tanagerbend_metrics.journal import Entry, Journal
 from tanagerbend_metrics.recorder import Recorder
 
 __all__ = (
+    'MEANINGS',
+    'QUANTILES',
     'Counters',
+    'Encoded',
     'Entry',
+    'Event',
     'Histograms',
     'Journal',
     'Recorder',
+    'expose',
     'make_histogram',
+    'seconds_at',
 )
--- a/packages/metrics/tanagerbend_metrics/histograms.py
+++ b/packages/metrics/tanagerbend_metrics/histograms.py
@@ -1,7 +1,9 @@
 """Histograms per tenant and rank."""
 
+from collections.abc import Iterable
 from typing import Final
 
+import attrs
 from hdrh.histogram import HdrHistogram
 
 LOWEST_MICROSECONDS: Final = 1
@@ -11,6 +13,8 @@
 MAX_TENANTS: Final = 64
 OTHER_TENANTS: Final = 'other'
 MICROSECONDS: Final = 1_000_000
+QUANTILES: Final = (0.5, 0.9, 0.99, 0.999)
+PERCENT: Final = 100
 
 
 def make_histogram() -> HdrHistogram:
@@ -22,6 +26,32 @@
     )
 
 
+def seconds_at(histogram: HdrHistogram, quantile: float) -> float:
+    """Return the time in seconds at a quantile from 0 to 1."""
+    found = histogram.get_value_at_percentile(quantile * PERCENT)
+    return found / MICROSECONDS
+
+
+@attrs.frozen
+class Encoded:
+    """One histogram as hdrhistogram encodes it, ready to be merged.
+
+    Parameters
+    ==========
+
+    name : str
+    tenant : str
+    rank : int
+    text : str
+        Compressed counts in base64.
+    """
+
+    name: str
+    tenant: str
+    rank: int
+    text: str
+
+
 class Histograms:
     """Histograms by name, tenant and rank.
 
@@ -46,8 +76,9 @@
         seconds: float,
     ) -> None:
         """Record a time in seconds."""
+        micros = max(LOWEST_MICROSECONDS, int(seconds * MICROSECONDS))
         self.of(name, tenant, rank).record_value(
-            max(LOWEST_MICROSECONDS, int(seconds * MICROSECONDS)),
+            min(micros, HIGHEST_MICROSECONDS),
         )
 
     def of(self, name: str, tenant: str, rank: int) -> HdrHistogram:
@@ -60,3 +91,30 @@
         if key not in self.table:
             self.table[key] = make_histogram()
         return self.table[key]
+
+    def encoded(self) -> tuple[Encoded, ...]:
+        """Return all histograms encoded, in the order of their keys."""
+        return tuple(
+            Encoded(*key, histogram.encode().decode())
+            for key, histogram in sorted(self.table.items(), key=_key)
+        )
+
+    def merge(self, encoded: Iterable[Encoded]) -> None:
+        """Add the counts of other daemons' histograms.
+
+        Examples
+        ========
+
+        >>> one, total = Histograms(), Histograms()
+        >>> one.record('queue', 'studio', 1, 0.002)
+        >>> total.merge(one.encoded() + one.encoded())
+        >>> total.of('queue', 'studio', 1).get_total_count()
+        2
+        """
+        for entry in encoded:
+            histogram = self.of(entry.name, entry.tenant, entry.rank)
+            histogram.decode_and_add(entry.text.encode())
+
+
+def _key(item: tuple[tuple[str, str, int], HdrHistogram]) -> tuple:
+    return item[0]
--- /dev/null
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -0,0 +1,36 @@
+"""Names of histograms and of counters that several packages use."""
+
+from typing import Final
+
+# Histograms, in seconds, by tenant and effective rank.
+QUEUE_TIME: Final = 'queue_time'
+BACKEND_TIME: Final = 'backend_time'
+# Time of a call in this daemon without queue, backend server and peers.
+ADDED_TIME: Final = 'added_time'
+
+REFUSALS: Final = 'refusals'
+EVENTS: Final = 'events'
+CONTROL_BYTES_SENT: Final = 'control_bytes_sent'
+CONTROL_MESSAGES: Final = 'control_messages'
+FRAMES_REFUSED: Final = 'frames_refused'
+SERVICE_CALLS: Final = 'service_calls'
+# Must stay 0: an order whose key was seen was sent to the backend again.
+ORDERS_STARTED_AGAIN: Final = 'orders_started_again'
+BACKEND_CRASHES: Final = 'backend_crashes'
+
+# Name of the label of each counter that has one.
+LABELS: Final = {
+    REFUSALS: 'code',
+    EVENTS: 'event',
+    CONTROL_BYTES_SENT: 'message',
+    CONTROL_MESSAGES: 'message',
+    FRAMES_REFUSED: 'code',
+    SERVICE_CALLS: 'key',
+}
+# Exposed from the start, so that an alert on them never lacks a series.
+ALWAYS_EXPOSED: Final = (
+    REFUSALS,
+    FRAMES_REFUSED,
+    ORDERS_STARTED_AGAIN,
+    BACKEND_CRASHES,
+)
--- a/packages/model/tanagerbend_model/codes.py
+++ b/packages/model/tanagerbend_model/codes.py
@@ -93,3 +93,4 @@
     SETTINGS_NOT_TOML = 804
 
     TOKEN_REQUIRED = 901
+    QUERY_INVALID = 902
