Check settings in full and log changes of state

A daemon that starts on settings that cannot work fails at night, when nobody sees it. All settings are now checked with bounds, names follow the rule of the sheet, relations are checked (same address twice, fewer connections than slots, one secret for two uses), and an unreadable file is a fault. Values of unknown keys, tables and URLs with '@' are not shown, because they can hold a secret.

Lines of libraries take the same form.

--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/logs.py
@@ -0,0 +1,220 @@
+"""Log lines for changes of state, fed by the journal."""
+
+import json
+import sys
+from collections.abc import Callable
+from datetime import UTC, datetime
+from typing import Any, Final, TextIO
+
+import logbook
+from logbook.compat import RedirectLoggingHandler
+import logging
+
+from tanagerbend_metrics import Entry, Event, Recorder
+from tanagerbend_settings import Settings
+
+LINES_PER_WINDOW: Final = 10
+WINDOW_SECONDS: Final = 60.0
+# Events that operators should look at; the others are notices.
+WARNINGS: Final = frozenset(
+    (
+        Event.VERSION_REJECTED,
+        Event.VERSION_CONFLICT,
+        Event.SERVICE_LOST,
+        Event.MEMBER_SUSPECTED,
+        Event.FLOOD_STARTED,
+    ),
+)
+HIDDEN: Final = '[secret]'
+PLAIN: Final = frozenset('._-/:,+@')
+
+Formatter = Callable[[dict[str, Any]], str]
+
+
+def as_json(fields: dict[str, Any]) -> str:
+    """Return fields as one line of JSON."""
+    return json.dumps(fields, ensure_ascii=True)
+
+
+def as_key_values(fields: dict[str, Any]) -> str:
+    r"""Return fields as ``key=value``, quoted where needed.
+
+    Examples
+    ========
+
+    >>> as_key_values({'event': 'drain_started', 'reason': 'a b\n'})
+    'event=drain_started reason="a b\\n"'
+    """
+    return ' '.join(f'{key}={_quoted(text)}' for key, text in fields.items())
+
+
+def _quoted(text: Any) -> str:
+    shown = str(text)
+    if shown and all(sign.isalnum() or sign in PLAIN for sign in shown):
+        return shown if shown.isascii() else json.dumps(shown)
+    return json.dumps(shown)
+
+
+class RateLimit:
+    """Passes a bounded number of entries of each event in a window.
+
+    Explanation
+    ===========
+
+    When a failure domain is lost, each of its hosts is an event.  The
+    journal keeps them all; the log shows the first ones and how many
+    were left out.  Memory is bounded by the number of events.
+
+    Examples
+    ========
+
+    >>> limit = RateLimit(lines=1, window=60.0)
+    >>> limit.admit(Entry(0.0, 'member_suspected', 'host-1'))
+    0
+    >>> limit.admit(Entry(1.0, 'member_suspected', 'host-2')) is None
+    True
+    >>> limit.admit(Entry(61.0, 'member_suspected', 'host-3'))
+    1
+
+    Parameters
+    ==========
+
+    lines : int
+        Entries of one event that pass in a window.
+    window : float
+        Seconds.
+    """
+
+    def __init__(
+        self,
+        lines: int = LINES_PER_WINDOW,
+        window: float = WINDOW_SECONDS,
+    ) -> None:
+        self.lines = lines
+        self.window = window
+        self.started: dict[str, float] = {}
+        self.seen: dict[str, int] = {}
+
+    def admit(self, entry: Entry) -> int | None:
+        """Return how many were left out before, or None to leave it out."""
+        event = entry.event
+        left_out = 0
+        started = self.started.get(event)
+        if started is None or entry.wall - started >= self.window:
+            left_out = max(0, self.seen.get(event, 0) - self.lines)
+            self.started[event] = entry.wall
+            self.seen[event] = 0
+        self.seen[event] += 1
+        return left_out if self.seen[event] <= self.lines else None
+
+
+class JournalLog:
+    """Listener of the journal that writes log lines.
+
+    Parameters
+    ==========
+
+    host : str
+        Added to each line.
+    """
+
+    def __init__(self, host: str) -> None:
+        self.logger = logbook.Logger('tanagerbendd')
+        self.host = host
+        self.limit = RateLimit()
+
+    def __call__(self, entry: Entry) -> None:
+        """Log one change of state, unless its event repeats too often."""
+        left_out = self.limit.admit(entry)
+        if left_out is None:
+            return
+        is_warning = entry.event in WARNINGS
+        fields = {
+            'host': self.host,
+            'event': str(entry.event),
+            'subject': entry.subject,
+            'reason': entry.reason,
+        }
+        if left_out:
+            fields['left_out'] = left_out
+        self.logger.log(
+            logbook.WARNING if is_warning else logbook.INFO,
+            entry.event,
+            extra={'wall': entry.wall, 'fields': fields},
+        )
+
+
+class LineHandler(logbook.StreamHandler):
+    """Writes each record as one structured line without secrets.
+
+    Parameters
+    ==========
+
+    stream : text stream
+    write : callable
+        Turns fields into a line.
+    secrets : tuple of str
+        Texts that no line may hold.
+    """
+
+    def __init__(
+        self,
+        stream: TextIO,
+        write: Formatter,
+        secrets: tuple[str, ...],
+    ) -> None:
+        super().__init__(stream, level=logbook.INFO)
+        self.write_fields = write
+        self.secrets = secrets
+
+    def format(self, record: logbook.LogRecord) -> str:
+        """Return the line of a record."""
+        wall = record.extra.get('wall')
+        time = datetime.fromtimestamp(wall, UTC) if wall else record.time
+        fields = {
+            'time': _rfc3339(time),
+            'level': record.level_name.lower(),
+        }
+        own = record.extra.get('fields') or {
+            'event': 'library',
+            'subject': record.channel,
+            'reason': record.message,
+        }
+        fields.update(
+            (key, self._without_secrets(text))
+            for key, text in own.items()
+            if text
+        )
+        return self.write_fields(fields)
+
+    def _without_secrets(self, text: Any) -> str:
+        shown = str(text)
+        for secret in self.secrets:
+            shown = shown.replace(secret, HIDDEN)
+        return shown
+
+
+def _rfc3339(time: datetime) -> str:
+    plain = time.replace(tzinfo=None).isoformat(timespec='milliseconds')
+    return f'{plain}Z'
+
+
+def line_handler(settings: Settings, stream: TextIO) -> LineHandler:
+    """Return the handler that the settings ask for."""
+    is_json = settings.operators.log_format == 'json'
+    return LineHandler(
+        stream,
+        as_json if is_json else as_key_values,
+        (settings.operators.token, settings.peers.shared_key),
+    )
+
+
+def log_journal(recorder: Recorder, settings: Settings) -> None:
+    """Log changes of state, and warnings of libraries, to standard error."""
+    line_handler(settings, sys.stderr).push_application()
+    logging.basicConfig(
+        handlers=[RedirectLoggingHandler()],
+        level=logging.WARNING,
+        force=True,
+    )
+    recorder.journal.listeners.append(JournalLog(settings.host.name))
--- a/packages/settings/tanagerbend_settings/__init__.py
+++ b/packages/settings/tanagerbend_settings/__init__.py
@@ -1,7 +1,9 @@
 """Settings in TOML."""
 
-from tanagerbend_settings.loading import SettingFault, load
+from tanagerbend_settings.faults import SettingFault
+from tanagerbend_settings.loading import load, load_access, read_text
 from tanagerbend_settings.schema import (
+    AccessSettings,
     AddressSettings,
     HostSettings,
     InstanceSettings,
@@ -12,6 +14,7 @@
 )
 
 __all__ = (
+    'AccessSettings',
     'AddressSettings',
     'HostSettings',
     'InstanceSettings',
@@ -21,4 +24,6 @@
     'SettingFault',
     'Settings',
     'load',
+    'load_access',
+    'read_text',
 )
--- a/packages/settings/tanagerbend_settings/loading.py
+++ b/packages/settings/tanagerbend_settings/loading.py
@@ -1,38 +1,29 @@
 """Loading of settings from TOML, with all faults in one run."""
 
+import pathlib
 import tomllib
 import typing
-from typing import Any
+from typing import Any, Final
 
 import attrs
 
 from tanagerbend_model import ResultCode
-from tanagerbend_settings.schema import Settings
+from tanagerbend_settings.faults import SettingFault, invalid
+from tanagerbend_settings.relations import check_relations
+from tanagerbend_settings.schema import AccessSettings, Settings
 
+Faults = tuple[SettingFault, ...]
+ACCEPTED_TYPES: Final = {float: (int, float), tuple: (list, tuple)}
+TYPE_NAMES: Final = {
+    str: 'a text in quotes',
+    int: 'a whole number',
+    float: 'a number',
+    tuple: 'a list',
+}
 
-@attrs.frozen
-class SettingFault:
-    """One fault of the settings.
 
-    Parameters
-    ==========
-
-    key : str
-        Dotted name, for example ``platform.url``.
-    text : str
-        The value, empty for secrets and missing keys.
-    code : ResultCode
-    reason : str
-    """
-
-    key: str
-    text: str
-    code: ResultCode
-    reason: str
-
-
-def load(text: str) -> Settings | tuple[SettingFault, ...]:
-    """Return the settings, or all faults.
+def load(text: str) -> Settings | Faults:
+    """Return the settings of a daemon, or all faults.
 
     Examples
     ========
@@ -40,15 +31,41 @@
     >>> [fault.key for fault in load('colour = 1')][:2]
     ['colour', 'host']
     """
+    loaded = load_as(Settings, text)
+    match loaded:
+        case Settings():
+            return check_relations(loaded) or loaded
+    return loaded
+
+
+def load_access(text: str) -> AccessSettings | Faults:
+    """Return the settings of the command ``tanagerbend``, or all faults."""
+    return load_as(AccessSettings, text)
+
+
+def load_as(schema: type, text: str) -> Any:
+    """Return settings of a schema, or all faults of single settings."""
     try:
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         return (SettingFault('', '', ResultCode.SETTINGS_NOT_TOML, str(error)),)
     faults: list[SettingFault] = []
-    settings = _build(Settings, document, '', faults)
+    settings = _build(schema, document, '', faults)
     return tuple(faults) or settings
 
 
+def read_text(path: pathlib.Path) -> str | Faults:
+    """Return the text of a settings file, or the fault of the file."""
+    try:
+        return path.read_text(encoding='utf-8')
+    except OSError as error:
+        reason = error.strerror or type(error).__name__
+    except UnicodeDecodeError:
+        reason = 'not UTF-8 text'
+    code = ResultCode.SETTINGS_UNREADABLE
+    return (SettingFault('', str(path), code, reason),)
+
+
 def _build(
     schema: type,
     table: dict[str, Any],
@@ -57,14 +74,9 @@
 ) -> Any:
     fields = attrs.fields_dict(schema)
     for key in sorted(table.keys() - fields.keys()):
-        faults.append(
-            SettingFault(
-                prefix + key,
-                str(table[key]),
-                ResultCode.SETTING_UNKNOWN,
-                'no such setting',
-            ),
-        )
+        # The value is not shown: it may be a secret under a wrong key.
+        code = ResultCode.SETTING_UNKNOWN
+        faults.append(SettingFault(prefix + key, '', code, 'no such setting'))
     before = len(faults)
     arguments = {
         name: _read(field, table, prefix, faults)
@@ -85,14 +97,9 @@
     if field.name in table:
         return True
     if field.default is attrs.NOTHING:
-        faults.append(
-            SettingFault(
-                prefix + field.name,
-                '',
-                ResultCode.SETTING_MISSING,
-                'required setting is missing',
-            ),
-        )
+        reason = 'required setting is missing'
+        code = ResultCode.SETTING_MISSING
+        faults.append(SettingFault(prefix + field.name, '', code, reason))
     return False
 
 
@@ -107,26 +114,27 @@
     if attrs.has(field.type):
         if isinstance(found, dict):
             return _build(field.type, found, f'{key}.', faults)
-        reason = 'expected a table'
-    else:
-        reason = _check(field, found)
-        if not reason:
-            return found
-    shown = str(found) if field.repr else ''
-    faults.append(
-        SettingFault(key, shown, ResultCode.SETTING_INVALID, reason),
-    )
-    return None
+        # Not shown either: a table holds secrets.
+        faults.append(invalid(key, '', 'expected a table'))
+        return None
+    reason = _check(field, found)
+    if reason:
+        faults.append(invalid(key, _shown(field, found), reason))
+        return None
+    return found
+
+
+def _shown(field: attrs.Attribute, found: Any) -> str:
+    # A URL can carry a password before the '@'.
+    text = str(found)
+    return text if field.repr and '@' not in text else ''
 
 
 def _check(field: attrs.Attribute, found: Any) -> str:
     expected = typing.get_origin(field.type) or field.type
-    accepted = {float: (int, float), tuple: (list, tuple)}.get(
-        expected,
-        expected,
-    )
+    accepted = ACCEPTED_TYPES.get(expected, expected)
     if isinstance(found, bool) or not isinstance(found, accepted):
-        return f'expected {expected.__name__}'
+        return f'expected {TYPE_NAMES[expected]}'
     if field.validator is None:
         return ''
     try:
--- a/packages/settings/tanagerbend_settings/schema.py
+++ b/packages/settings/tanagerbend_settings/schema.py
@@ -1,37 +1,35 @@
 """Settings of the daemon, one class for each table of the TOML file."""
 
-import ipaddress
 from typing import Any
 
 import attrs
 
+from tanagerbend_settings import validators
 
-def _ip_and_port(_instance: Any, _attribute: Any, text: str) -> None:
-    address, _, port = text.rpartition(':')
-    ipaddress.ip_address(address)
-    if not 0 <= int(port) <= 65535:
-        raise ValueError(f'port {port} is out of range')
+LOG_FORMATS = ('keyvalue', 'json')
 
 
-def _http_url(_instance: Any, _attribute: Any, text: str) -> None:
-    if not text.startswith('http://'):
-        raise ValueError(f'{text!r} does not begin with "http://"')
-    _ip_and_port(None, None, text.removeprefix('http://').rstrip('/'))
+def address(validator: Any = validators.reachable) -> Any:
+    """Return a field for ``IPv4:port``."""
+    return attrs.field(validator=validator)
 
 
-def _positive(_instance: Any, _attribute: Any, number: float) -> None:
-    if number <= 0:
-        raise ValueError(f'{number} is not above 0')
+def number(default: Any, lowest: float, highest: float) -> Any:
+    """Return a field for a number between two bounds."""
+    return attrs.field(
+        default=default,
+        validator=validators.Between(lowest, highest),
+    )
 
 
-def address(default: Any = attrs.NOTHING) -> Any:
-    """Return a field for ``address:port`` with an IP number."""
-    return attrs.field(default=default, validator=_ip_and_port)
+def name_field() -> Any:
+    """Return a field for a name as the sheet has them."""
+    return attrs.field(validator=validators.name)
 
 
-def positive(default: Any) -> Any:
-    """Return a field for a number above 0."""
-    return attrs.field(default=default, validator=_positive)
+def secret() -> Any:
+    """Return a field whose value is never shown."""
+    return attrs.field(repr=False, validator=validators.secret)
 
 
 @attrs.frozen
@@ -41,31 +39,45 @@
     Parameters
     ==========
 
-    deployment, name, service, failure_domain, region : str
+    deployment : str
+        Name that all daemons of the deployment share.
+    name : str
+        Name of this host, as in the host list.
+    service : str
+        Service of the instance, as in the sheet.
+    failure_domain : str
+        Failure domain of this host, as in the host list.
+    region : str
+        Region of this host, as in the host list.
     """
 
-    deployment: str
-    name: str
-    service: str
-    failure_domain: str
-    region: str
+    deployment: str = name_field()
+    name: str = name_field()
+    service: str = name_field()
+    failure_domain: str = name_field()
+    region: str = name_field()
 
 
 @attrs.frozen
 class AddressSettings:
-    """Table ``[addresses]``: where this daemon listens, ``IP:port``.
+    """Table ``[addresses]``: where this daemon listens, ``IPv4:port``.
 
     Parameters
     ==========
 
-    calls, peers, operators : str
+    calls : str
+        For callers and for other daemons that forward calls.
+    peers : str
+        For control messages of other daemons.
+    operators : str
+        For operators and for the collection of metrics.
     backend : str
         Address of the backend server beside this daemon.
     """
 
     calls: str = address()
     peers: str = address()
-    operators: str = address()
+    operators: str = address(validators.ip_and_port)
     backend: str = address()
 
 
@@ -77,8 +89,13 @@
     ==========
 
     url : str
-    sheet_key, host_list_key : str
+        ``http://IPv4:port`` of the configuration service.
+    sheet_key : str
+        Key of the sheet.
+    host_list_key : str
+        Key of the host list.
     watch_seconds : float
+        Longest wait of one watch.
     calls_per_second : float
         Limit of the service over all of its readers.
     expected_fleet_size : int
@@ -87,13 +104,13 @@
         Period in which daemons that are not readers read the host list.
     """
 
-    url: str = attrs.field(validator=_http_url)
-    sheet_key: str = 'sheet'
-    host_list_key: str = 'hosts'
-    watch_seconds: float = positive(30.0)
-    calls_per_second: float = positive(2000.0)
-    expected_fleet_size: int = positive(3700)
-    host_list_poll_seconds: float = positive(300.0)
+    url: str = attrs.field(validator=validators.http_url)
+    sheet_key: str = attrs.field(default='sheet', validator=validators.key)
+    host_list_key: str = attrs.field(default='hosts', validator=validators.key)
+    watch_seconds: float = number(30.0, 0.1, 600)
+    calls_per_second: float = number(2000.0, 0.1, 1_000_000)
+    expected_fleet_size: int = number(3700, 1, 1_000_000)
+    host_list_poll_seconds: float = number(300.0, 1, 86400)
 
 
 @attrs.frozen
@@ -106,24 +123,24 @@
     shared_key : str
         Secret of the deployment, at least 16 characters.
     seeds : tuple of str
-        ``IP:port`` of daemons that may be up.
-    ping_seconds, sync_seconds : float
-        Periods of failure detection and of anti-entropy.
+        ``IPv4:port`` of daemons that may be up.
+    ping_seconds : float
+        Period of failure detection.
+    sync_seconds : float
+        Period of anti-entropy.
     bootstrap_wait_seconds : float
+        Longest wait of a daemon with empty memory for peers that serve.
     """
 
-    shared_key: str = attrs.field(
-        repr=False,
-        validator=attrs.validators.min_len(16),
-    )
+    shared_key: str = secret()
     seeds: tuple[str, ...] = attrs.field(
         default=(),
         converter=tuple,
-        validator=attrs.validators.deep_iterable(_ip_and_port),
+        validator=validators.addresses,
     )
-    ping_seconds: float = positive(1.0)
-    sync_seconds: float = positive(2.0)
-    bootstrap_wait_seconds: float = positive(5.0)
+    ping_seconds: float = number(1.0, 0.01, 60)
+    sync_seconds: float = number(2.0, 0.01, 600)
+    bootstrap_wait_seconds: float = number(5.0, 0.01, 600)
 
 
 @attrs.frozen
@@ -136,37 +153,36 @@
     slots : int
         Requests that it runs at the same time.
     connections : int
+        Connections that it accepts; at least the slots.
     queue : int
         Calls that may wait for a slot.
     drain_seconds : float
         Longest time that a planned stop waits for running calls.
     """
 
-    slots: int = positive(6)
-    connections: int = positive(130)
-    queue: int = positive(256)
-    drain_seconds: float = positive(30.0)
+    slots: int = number(6, 1, 10_000)
+    connections: int = number(130, 1, 100_000)
+    queue: int = number(256, 1, 100_000)
+    drain_seconds: float = number(30.0, 0.1, 3600)
 
 
 @attrs.frozen
 class OperatorSettings:
-    """Table ``[operators]``: access to the operators' endpoints.
+    """Table ``[operators]``: access to the operators' endpoints, log.
 
     Parameters
     ==========
 
     token : str
+        Secret of the operators, at least 16 characters.
     log_format : str
         ``keyvalue`` or ``json``.
     """
 
-    token: str = attrs.field(
-        repr=False,
-        validator=attrs.validators.min_len(16),
-    )
+    token: str = secret()
     log_format: str = attrs.field(
         default='keyvalue',
-        validator=attrs.validators.in_(('keyvalue', 'json')),
+        validator=attrs.validators.in_(LOG_FORMATS),
     )
 
 
@@ -180,3 +196,24 @@
     peers: PeerSettings
     operators: OperatorSettings
     instance: InstanceSettings = attrs.field(factory=InstanceSettings)
+
+
+@attrs.frozen
+class AccessSettings:
+    """File of the command ``tanagerbend``: whom it asks, without tables.
+
+    Parameters
+    ==========
+
+    daemons : tuple of str
+        ``IPv4:port`` of operators' addresses.
+    token : str
+        Secret of the operators, at least 16 characters.
+    """
+
+    token: str = secret()
+    daemons: tuple[str, ...] = attrs.field(
+        default=(),
+        converter=tuple,
+        validator=validators.addresses,
+    )
