--- a/packages/daemon/tanagerbend_daemon/operators.py
+++ b/packages/daemon/tanagerbend_daemon/operators.py
@@ -13,6 +13,7 @@
 
 from tanagerbend_daemon import views
 from tanagerbend_daemon.assembly import Parts
+from tanagerbend_daemon.floods import PERIOD_SECONDS, FloodWatch
 from tanagerbend_interfaces import MemberState
 from tanagerbend_metrics import Event, expose
 from tanagerbend_model import Refusal, ResultCode
@@ -41,6 +42,10 @@
 
     def __init__(self, parts: Parts) -> None:
         self.parts = parts
+        self.floods = FloodWatch(
+            parts.recorder,
+            parts.settings.host.service,
+        )
         self.runner: web.AppRunner | None = None
 
     def application(self) -> web.Application:
@@ -54,6 +59,7 @@
                 web.get('/roster', self.roster),
                 web.get('/metrics', self.metrics),
                 web.get('/histograms', self.histograms),
+                web.get('/counters', self.counters),
                 web.get('/journal', self.journal),
                 web.get('/explain', self.explain),
                 web.get('/sheet', self.sheet),
@@ -145,6 +151,12 @@
             {'histograms': [attrs.asdict(entry) for entry in encoded]},
         )
 
+    async def counters(self, _request: web.Request) -> web.Response:
+        """Answer with counters, and with the refusals of each minute."""
+        counts = self.parts.recorder.counters.by_name()
+        minutes = [attrs.asdict(it) for it in self.floods.history.minutes]
+        return web.json_response({'counters': counts, 'refusals': minutes})
+
     async def journal(self, request: web.Request) -> web.Response:
         """Answer with the entries since ``?since=`` epoch seconds."""
         text = request.query.get('since', '0')
@@ -247,12 +259,14 @@
     def __init__(self, parts: Parts) -> None:
         super().__init__()
         self.address = parts.settings.addresses.operators
+        self.timer = parts.timer
         self.server = OperatorServer(parts)
 
     async def on_start(self) -> None:
         """Listen to operators."""
         host, _, port = self.address.rpartition(':')
         await self.server.start(host, int(port))
+        self.timer.every(PERIOD_SECONDS, self.server.floods.round)
 
     async def on_stop(self) -> None:
         """Stop listening."""
--- a/packages/daemon/tanagerbend_daemon/views.py
+++ b/packages/daemon/tanagerbend_daemon/views.py
@@ -9,9 +9,11 @@
 
 from tanagerbend_daemon.assembly import Parts
 from tanagerbend_interfaces import Member, MemberState
+from tanagerbend_metrics import Event
 from tanagerbend_model import Refusal, ResultCode, WorkClass
 from tanagerbend_routing import Route
 
+NANOSECONDS = 1e9
 STATE_REASONS = {
     MemberState.STARTING: 'not used: starting, holds no sheet yet',
     MemberState.LIVE: 'not used: the host list says that it leaves',
@@ -46,8 +48,11 @@
         'state': own.state.name.lower(),
         'not_ready': reasons_not_ready(parts),
         'incarnation': own.incarnation,
+        'started': own.incarnation / NANOSECONDS,
         'wall': parts.timer.wall(),
         'version': None if current is None else str(current.version),
+        'position': None if current is None else current.version.position,
+        'adopted_at': adopted_at(parts),
         'provisional': parts.bootstrap.is_provisional,
         'reader': reader.is_reader,
         'service_available': reader.is_available,
@@ -93,22 +98,34 @@
         numbers['last_read_age_seconds'] = found['last_read_age']
     table = {(name, ''): {'': float(it)} for name, it in numbers.items()}
     table['members', 'state'] = found['members']
-    adopted = _adopted_at(parts)
-    if adopted:
-        table['version_adopted_timestamp_seconds', 'version'] = adopted
+    if found['adopted_at'] is not None:
+        table['version_adopted_timestamp_seconds', 'version'] = {
+            found['version']: found['adopted_at'],
+        }
     return table
 
 
-def _adopted_at(parts: Parts) -> dict[str, float]:
+def adopted_at(parts: Parts) -> float | None:
+    """Return when the version in force was adopted, epoch seconds.
+
+    Explanation
+    ===========
+
+    A reader adopts a version in the moment in which its read returns.
+    The earliest adoption in the fleet is therefore the publication as
+    the readers saw it, and the latest one minus the earliest one is the
+    convergence time, as exact as the clocks of the hosts agree.
+    """
     current = parts.store.current
     if current is None:
-        return {}
-    version = str(current.version)
-    return {
-        version: entry.wall
+        return None
+    times = [
+        entry.wall
         for entry in parts.recorder.journal.entries
-        if entry.event == 'version_adopted' and entry.subject == version
-    }
+        if entry.event == Event.VERSION_ADOPTED
+        and entry.subject == str(current.version)
+    ]
+    return times[-1] if times else None
 
 
 def explain(
--- a/packages/metrics/tanagerbend_metrics/__init__.py
+++ b/packages/metrics/tanagerbend_metrics/__init__.py
@@ -10,6 +10,7 @@
     make_histogram,
     seconds_at,
 )
+from tanagerbend_metrics.history import History, Minute
 from tanagerbend_metrics.journal import Entry, Journal
 from tanagerbend_metrics.recorder import Recorder
 
@@ -21,7 +22,9 @@
     'Entry',
     'Event',
     'Histograms',
+    'History',
     'Journal',
+    'Minute',
     'Recorder',
     'expose',
     'make_histogram',
