Add the sub-commands of tanagerbend

The token is no option, because every user of a host can read the arguments of a process: it comes from the access file or the environment.

--- /dev/null
+++ b/packages/operator/tanagerbend_operator/check.py
@@ -0,0 +1,212 @@
+"""Sub-command ``check``."""
+
+import datetime
+import ipaddress
+import pathlib
+from collections.abc import Sequence
+from typing import Any
+
+import attrs
+
+from tanagerbend_model import (
+    Accepted,
+    Fault,
+    Refusal,
+    Rejected,
+    Sheet,
+    accept,
+)
+from tanagerbend_operator import exits
+from tanagerbend_operator.access import Access, find_access
+from tanagerbend_operator.client import run_with
+from tanagerbend_operator.output import (
+    describe,
+    write_error,
+    write_json,
+    write_line,
+)
+from tanagerbend_operator.sheets import (
+    SheetChange,
+    compare,
+    edition_text,
+    warn,
+)
+from tanagerbend_settings import Settings, load, read_text
+
+
+def check(
+    file: pathlib.Path,
+    *,
+    against: str = '',
+    access: pathlib.Path | None = None,
+    json: bool = False,
+) -> int:
+    """Check a sheet, or the settings of a daemon (``*.toml``).
+
+    All faults are listed with row, column or key, code and reason. With
+    ``--against`` the changes to another sheet are listed as well.
+
+    Exit codes: 0 valid; 1 faults; 2 the file cannot be read or the
+    arguments are wrong; 3 the daemon does not answer; 4 valid with
+    warnings on the edition.
+
+    Examples::
+
+        tanagerbend check friday.csv
+        tanagerbend check friday.csv --against thursday.csv
+        tanagerbend check friday.csv --against 10.3.0.1:9003
+        tanagerbend check host-1.toml --json
+
+    :param file: sheet as CSV, or settings as TOML.
+    :param against: other sheet, or the operators' address of a daemon,
+        whose sheet in force is compared.
+    :param access: TOML file with the token, for a daemon.
+    :param json: write JSON.
+    """
+    if file.suffix == '.toml':
+        return _check_settings(file, json)
+    content = _read(file)
+    if isinstance(content, str):
+        write_error(content)
+        return exits.USAGE
+    match accept(content):
+        case Rejected(faults=faults):
+            return _show_faults(faults, json)
+        case Accepted(sheet=sheet):
+            return _compare(sheet, against, access, json)
+
+
+def _read(path: pathlib.Path) -> bytes | str:
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        return f'{path}: {error.strerror}'
+
+
+def _check_settings(path: pathlib.Path, as_json: bool) -> int:
+    loaded = read_text(path)
+    if isinstance(loaded, str):
+        loaded = load(loaded)
+    match loaded:
+        case Settings():
+            faults: tuple = ()
+        case _:
+            faults = loaded
+    if as_json:
+        rows = [
+            {**attrs.asdict(fault), 'name': fault.code.name} for fault in faults
+        ]
+        write_json({'valid': not faults, 'faults': rows})
+    else:
+        for fault in faults:
+            write_line(str(fault))
+        if not faults:
+            write_line('settings are valid')
+    return exits.PROBLEM if faults else exits.FINE
+
+
+def _show_faults(faults: Sequence[Fault], as_json: bool) -> int:
+    if as_json:
+        rows = [
+            {**attrs.asdict(fault), 'name': fault.code.name} for fault in faults
+        ]
+        write_json({'valid': False, 'faults': rows})
+        return exits.PROBLEM
+    for fault in faults:
+        place = f'row {fault.row}' if fault.row else 'sheet'
+        column = f' column {fault.column}' if fault.column else ''
+        code = f'code {int(fault.code)} {fault.code.name}'
+        write_line(f'{place}{column}: {fault.reason} ({code})')
+    write_line(f'{len(faults)} faults; the sheet would be rejected as a whole')
+    return exits.PROBLEM
+
+
+def _compare(
+    sheet: Sheet,
+    against: str,
+    access: pathlib.Path | None,
+    as_json: bool,
+) -> int:
+    other = _other_sheet(against, access) if against else None
+    if isinstance(other, int):
+        return other
+    warnings = warn(sheet.edition, datetime.date.today(), other)
+    changes = None if other is None else compare(other, sheet)
+    if as_json:
+        write_json(_as_json(sheet, changes, warnings))
+    else:
+        _show(sheet, changes, warnings)
+    return exits.WARNED if warnings else exits.FINE
+
+
+def _other_sheet(against: str, access: pathlib.Path | None) -> Sheet | int:
+    if _is_address(against):
+        found = find_access((against,), access)
+        match found:
+            case Access():
+                answer = run_with(
+                    found,
+                    lambda client: client.ask(against, '/sheet'),
+                )
+            case _:
+                for fault in found:
+                    write_error(str(fault))
+                return exits.USAGE
+    else:
+        answer = _read(pathlib.Path(against))
+    match answer:
+        case Refusal():
+            write_error(describe(answer))
+            return exits.NO_ANSWER
+        case str():
+            write_error(answer)
+            return exits.USAGE
+    match accept(answer):
+        case Accepted(sheet=sheet):
+            return sheet
+    write_error(f'{against}: the sheet to compare with has faults itself')
+    return exits.USAGE
+
+
+def _is_address(text: str) -> bool:
+    address, _, port = text.rpartition(':')
+    try:
+        ipaddress.IPv4Address(address)
+    except ValueError:
+        return False
+    return port.isdecimal()
+
+
+def _as_json(
+    sheet: Sheet,
+    changes: tuple[SheetChange, ...] | None,
+    warnings: tuple[str, ...],
+) -> dict[str, Any]:
+    found: dict[str, Any] = {
+        'valid': True,
+        'edition': edition_text(sheet.edition),
+        'work_classes': len(sheet.work),
+        'warnings': warnings,
+    }
+    if changes is not None:
+        found['changes'] = [attrs.asdict(change) for change in changes]
+    return found
+
+
+def _show(
+    sheet: Sheet,
+    changes: tuple[SheetChange, ...] | None,
+    warnings: tuple[str, ...],
+) -> None:
+    write_line(
+        f'valid: {len(sheet.work)} work classes of '
+        f'{len(sheet.services)} services, '
+        f'edition {edition_text(sheet.edition)}',
+    )
+    for change in changes or ():
+        what = f': {change.what}' if change.what else ''
+        write_line(f'{change.kind} {change.service}/{change.work}{what}')
+    if changes is not None and not changes:
+        write_line('no work class changes')
+    for warning in warnings:
+        write_line(f'warning: {warning}')
--- a/packages/operator/tanagerbend_operator/command.py
+++ b/packages/operator/tanagerbend_operator/command.py
@@ -1,31 +1,31 @@
 """The binary ``tanagerbend``."""
 
-import pathlib
 import sys
+from collections.abc import Callable
+from typing import Final
 
 import defopt
 
-from tanagerbend_model import Accepted, Rejected, accept
-
-
-def check(sheet: pathlib.Path) -> int:
-    """Check a sheet and list all of its faults.
-
-    :param sheet: CSV file as exported from the spreadsheet.
-    """
-    match accept(sheet.read_bytes()):
-        case Rejected(faults=faults):
-            for fault in faults:
-                sys.stdout.write(
-                    f'row {fault.row} column {fault.column!r} '
-                    f'code {fault.code:d}: {fault.reason}\n',
-                )
-            return 1
-        case Accepted(sheet=accepted):
-            sys.stdout.write(f'{len(accepted.work)} work classes\n')
-    return 0
+from tanagerbend_operator.check import check
+from tanagerbend_operator.drains import drain, undrain
+from tanagerbend_operator.explain import explain
+from tanagerbend_operator.histograms import histograms
+from tanagerbend_operator.report import report
+from tanagerbend_operator.status import status
+
+# Each sub-command is registered here, and nowhere else.  The function
+# returns an exit code of `tanagerbend_operator.exits`.
+COMMANDS: Final[dict[str, Callable[..., int]]] = {
+    'check': check,
+    'status': status,
+    'explain': explain,
+    'histograms': histograms,
+    'drain': drain,
+    'undrain': undrain,
+    'report': report,
+}
 
 
 def main() -> None:
     """Entry point."""
-    sys.exit(defopt.run({'check': check}))
+    sys.exit(defopt.run(COMMANDS, no_negated_flags=True))
--- /dev/null
+++ b/packages/operator/tanagerbend_operator/explain.py
@@ -0,0 +1,197 @@
+"""Sub-command ``explain``."""
+
+import pathlib
+from collections.abc import Sequence
+from typing import Any
+
+from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_model.advice import ADVICE
+from tanagerbend_operator import exits
+from tanagerbend_operator.access import Access, find_access
+from tanagerbend_operator.client import DaemonClient, run_with
+from tanagerbend_operator.output import (
+    console,
+    describe,
+    table,
+    write_error,
+    write_json,
+    write_line,
+)
+from tanagerbend_operator.times import clock
+
+
+def explain(
+    subject: str,
+    path: str = '',
+    *,
+    method: str = 'GET',
+    daemon: Sequence[str] = (),
+    access: pathlib.Path | None = None,
+    json: bool = False,
+) -> int:
+    """Explain a route, a result code, or what the journals say.
+
+    With a path, the subject is a service: the row of the sheet that
+    covers the request is shown, and each instance with the reason why it
+    is used or not. A number or name of a result code is explained
+    without asking a daemon. Anything else (a host, a version, a request
+    id, an order key) is looked up in the journals of the given daemons.
+
+    Exit codes: 0 explained; 1 nothing covers or mentions the subject;
+    2 access is not valid; 3 no daemon answered.
+
+    Examples::
+
+        tanagerbend explain 402
+        tanagerbend explain artwork /plates/7 --method POST
+        tanagerbend explain host-3 --daemon 10.3.0.1:9003
+
+    :param subject: service, result code, or text to look up.
+    :param path: path of a request.
+    :param method: HTTP method of the request.
+    :param daemon: operators' addresses.
+    :param access: TOML file with daemons and token.
+    :param json: write JSON.
+    """
+    code = None if path else find_code(subject)
+    if code is not None:
+        return _explain_code(code, json)
+    found = find_access(daemon, access)
+    match found:
+        case Access(daemons=daemons):
+            if path:
+                query = {'service': subject, 'method': method, 'path': path}
+                return _explain_route(found, query, json)
+            answers = run_with(
+                found,
+                lambda client: client.ask_all(daemons, '/journal'),
+            )
+            return _explain_entries(answers, subject, json)
+    for fault in found:
+        write_error(str(fault))
+    return exits.USAGE
+
+
+def find_code(text: str) -> ResultCode | None:
+    """Return the result code of a number or name, if it is one.
+
+    Examples
+    ========
+
+    >>> find_code('queue_full') is find_code('402') is ResultCode.QUEUE_FULL
+    True
+    >>> find_code('host-3') is None
+    True
+    """
+    for code in ResultCode:
+        if text.upper() == code.name or text == str(int(code)):
+            return code
+    return None
+
+
+def _explain_code(code: ResultCode, as_json: bool) -> int:
+    advice = ADVICE[code]
+    if as_json:
+        write_json(
+            {
+                'code': int(code),
+                'name': code.name,
+                'meaning': advice.meaning,
+                'ran': advice.ran,
+                'to_do': advice.to_do,
+            },
+        )
+        return exits.FINE
+    write_line(f'{int(code)} {code.name}: {advice.meaning}')
+    write_line(f'request ran: {advice.ran}')
+    write_line(f'what to do: {advice.to_do}')
+    return exits.FINE
+
+
+async def _first_answer(
+    client: DaemonClient,
+    daemons: tuple[str, ...],
+    query: dict[str, str],
+) -> Any:
+    answer: Any = Refusal(ResultCode.PEER_UNREACHABLE, 'no daemon is given')
+    for address in daemons:
+        answer = await client.ask(address, '/explain', query)
+        match answer:
+            case Refusal(code=ResultCode.PEER_UNREACHABLE):
+                continue
+        break
+    return answer
+
+
+def _explain_route(
+    access: Access,
+    query: dict[str, str],
+    as_json: bool,
+) -> int:
+    answer = run_with(
+        access,
+        lambda client: _first_answer(client, access.daemons, query),
+    )
+    match answer:
+        case Refusal(code=code):
+            write_error(describe(answer))
+            is_route = code is ResultCode.ROUTE_UNKNOWN
+            return exits.PROBLEM if is_route else exits.NO_ANSWER
+    if as_json:
+        write_json(answer)
+        return exits.FINE
+    work = answer['work']
+    write_line(f'version {answer["version"]}, row {answer["row"]}')
+    write_line(', '.join(f'{key} {cell}' for key, cell in work.items()))
+    columns = 'host', 'failure_domain', 'state', 'why'
+    rows = [
+        [instance[name] for name in columns] for instance in answer['instances']
+    ]
+    console().print(table(columns, rows))
+    return exits.FINE
+
+
+def _explain_entries(
+    answers: dict[str, Any],
+    subject: str,
+    as_json: bool,
+) -> int:
+    entries = []
+    answered = 0
+    for answer in answers.values():
+        match answer:
+            case Refusal():
+                write_error(describe(answer))
+                continue
+        answered += 1
+        entries += [
+            {'host': answer['host'], **entry}
+            for entry in answer['entries']
+            if subject in entry['subject'] or subject in entry['reason']
+        ]
+    entries.sort(key=lambda entry: entry['wall'])
+    if not answered:
+        return exits.NO_ANSWER
+    if as_json:
+        write_json({'entries': entries})
+    else:
+        _print_entries(entries)
+    return exits.FINE if entries else exits.PROBLEM
+
+
+def _print_entries(entries: list[dict[str, Any]]) -> None:
+    if not entries:
+        write_line('no journal mentions it')
+        return
+    rows = [
+        (
+            clock(entry['wall']),
+            entry['host'],
+            entry['event'],
+            entry['subject'],
+            entry['reason'],
+        )
+        for entry in entries
+    ]
+    columns = 'time', 'daemon', 'event', 'subject', 'reason'
+    console().print(table(columns, rows))
--- /dev/null
+++ b/packages/operator/tanagerbend_operator/tests/test_check.py
@@ -0,0 +1,122 @@
+"""Check of sheets and settings before they are published."""
+
+import datetime
+
+import pytest
+
+from tanagerbend_model import Accepted, accept
+from tanagerbend_operator.sheets import compare, warn
+
+HEAD = b'service,work,rank,target_ms\n'
+SHEET = HEAD + b'artwork,plates,3,\npattern,swatches,5,\n'
+TODAY = datetime.date(2026, 12, 4)
+
+
+def sheet(content):
+    """Return the sheet of valid content."""
+    accepted = accept(content)
+    assert isinstance(accepted, Accepted)
+    return accepted.sheet
+
+
+def edition(text):
+    return sheet(b'edition,%s\n%s' % (text.encode(), SHEET))
+
+
+def test_all_faults_are_named(run, tmp_path):
+    """Guards against planners who learn of one fault at a time."""
+    (tmp_path / 'a.csv').write_bytes(HEAD + b'artwork,plates,x,\n,b,1,0\n')
+    status, found, _ = run('check', 'a.csv', '--json')
+    assert status == 1
+    assert [
+        (it['row'], it['column'], it['code']) for it in found['faults']
+    ] == [
+        (2, 'rank', 107),
+        (3, 'service', 106),
+        (3, 'target_ms', 107),
+    ]
+    status, text, _ = run('check', 'a.csv')
+    assert 'row 2 column rank: ' in text
+    assert '(code 107 SHEET_VALUE_INVALID)' in text
+
+
+def test_changes_are_shown_against_a_file(run, tmp_path):
+    """Guards against a publication whose effect nobody saw before."""
+    (tmp_path / 'a.csv').write_bytes(SHEET)
+    (tmp_path / 'b.csv').write_bytes(
+        HEAD + b'artwork,plates,2,90\nartwork,proofs,4,\n',
+    )
+    status, text, _ = run('check', 'b.csv', '--against', 'a.csv')
+    assert status == 0
+    assert 'changed artwork/plates: rank 3 -> 2, target_ms 500 -> 90' in text
+    assert 'added artwork/proofs' in text
+    assert 'removed pattern/swatches' in text
+
+
+def test_older_edition_than_a_daemon_has_is_a_warning(run, daemons, tmp_path):
+    """Guards against a morning sheet that no daemon takes."""
+    day = datetime.date.today()
+    held = b'edition,%s.2\n%s' % (str(day).encode(), SHEET)
+    daemons.answers[0, '/sheet'] = held
+    (tmp_path / 'a.csv').write_bytes(held.replace(b'.2', b'.1'))
+    address = daemons.addresses[0]
+    status, found, _ = run('check', 'a.csv', '--against', address, '--json')
+    assert status == 4
+    assert found['changes'] == []
+    assert 'daemons will not take this sheet' in found['warnings'][0]
+
+
+def test_daemon_without_sheet_or_answer_is_status_3(run, daemons, tmp_path):
+    """Guards against a comparison with nothing that looks like no change."""
+    (tmp_path / 'a.csv').write_bytes(SHEET)
+    address = daemons.addresses[0]
+    assert run('check', 'a.csv', '--against', address)[0] == 3
+    daemons.stop(0)
+    assert run('check', 'a.csv', '--against', address)[0] == 3
+
+
+@pytest.mark.parametrize(
+    ('text', 'in_force', 'expected'),
+    [
+        ('2026-12-04', '2026-12-03', ()),
+        ('2026-12-11', '2026-12-03', ()),
+        ('2026-12-12', '2026-12-03', ('8 days after',)),
+        ('2025-12-04', '2025-12-03', ('365 days before',)),
+        ('2026-12-03', '2026-12-04', ('older than 2026-12-04',)),
+        ('2026-12-04', '2026-12-04', ('not newer',)),
+        ('2026-12-04.1', '2026-12-04', ()),
+    ],
+)
+def test_warnings_on_the_edition(text, in_force, expected):
+    """Guards against a typing error that blocks all later sheets."""
+    warnings = warn(edition(text).edition, TODAY, edition(in_force))
+    assert len(warnings) == len(expected)
+    assert all(part in warnings[0] for part in expected)
+
+
+def test_sheet_without_edition_is_older_than_one_with():
+    """Guards against silence on a sheet that the fleet would ignore."""
+    (warning,) = warn((), TODAY, edition('2026-12-04'))
+    assert 'edition none is older' in warning
+
+
+def test_equal_sheets_have_no_changes():
+    """Guards against differences invented by defaults."""
+    spelled_out = SHEET.replace(b'3,\n', b'3,500\n')
+    assert compare(sheet(SHEET), sheet(spelled_out)) == ()
+
+
+def test_settings_files_are_checked_too(run, tmp_path):
+    """Guards against a daemon that is first checked by its start."""
+    (tmp_path / 'host.toml').write_text('[host]\nname = "a b"')
+    status, found, _ = run('check', 'host.toml', '--json')
+    assert status == 1
+    assert 'host.name' in [fault['key'] for fault in found['faults']]
+
+
+@pytest.mark.parametrize('name', ['absent.csv', '.'])
+def test_unreadable_file_is_reported(run, name):
+    """Guards against a traceback in place of a reason."""
+    status, _, errors = run('check', name)
+    assert status == 2
+    assert errors.startswith(f'{name}: ')
--- /dev/null
+++ b/packages/operator/tanagerbend_operator/times.py
@@ -0,0 +1,44 @@
+"""Times as operators give and read them."""
+
+import datetime
+import re
+from typing import Final
+
+UNITS: Final = {'m': 60, 'h': 3600, 'd': 86400}
+AGE: Final = re.compile('([0-9]{1,6})([mhd])')
+
+
+def clock(wall: float) -> str:
+    """Return epoch seconds as local date and time."""
+    return datetime.datetime.fromtimestamp(wall).strftime('%m-%d %H:%M:%S')
+
+
+def parse_since(text: str, now: float) -> float | None:
+    """Return the beginning of a report in epoch seconds.
+
+    Examples
+    ========
+
+    >>> parse_since('2h', now=10_000.0)
+    2800.0
+    >>> parse_since('1970-01-01T01:00+00:00', now=10_000.0)
+    3600.0
+    >>> parse_since('yesterday', now=10_000.0) is None
+    True
+
+    Parameters
+    ==========
+
+    text : str
+        An age such as ``90m``, ``12h`` or ``2d``, or a time as
+        ``YYYY-MM-DDTHH:MM``, local unless it has an offset.
+    now : float
+        Seconds since the epoch.
+    """
+    match = AGE.fullmatch(text)
+    if match is not None:
+        return now - int(match[1]) * UNITS[match[2]]
+    try:
+        return datetime.datetime.fromisoformat(text).timestamp()
+    except ValueError:
+        return None
