--- a/packages/model/tanagerbend_model/__init__.py
+++ b/packages/model/tanagerbend_model/__init__.py
@@ -1,7 +1,9 @@
 """Versions, sheets, work classes, result codes and headers."""
 
-from tanagerbend_model.acceptance import Accepted, Fault, Rejected, accept
+from tanagerbend_model.acceptance import Accepted, Rejected, accept
 from tanagerbend_model.codes import Ran, ResultCode
+from tanagerbend_model.difference import Difference, difference
+from tanagerbend_model.faults import Fault
 from tanagerbend_model.refusal import Refusal
 from tanagerbend_model.version import Version, digest_of, short_digest
 from tanagerbend_model.work import LOWEST_RANK, URGENT_RANK, Sheet, WorkClass
@@ -10,6 +12,7 @@
     'LOWEST_RANK',
     'URGENT_RANK',
     'Accepted',
+    'Difference',
     'Fault',
     'Ran',
     'Refusal',
@@ -19,6 +22,7 @@
     'Version',
     'WorkClass',
     'accept',
+    'difference',
     'digest_of',
     'short_digest',
 )
--- a/packages/model/tanagerbend_model/work.py
+++ b/packages/model/tanagerbend_model/work.py
@@ -81,6 +81,14 @@
         """Names of all services of the sheet."""
         return frozenset(entry.service for entry in self.work)
 
+    @cached_property
+    def by_service(self) -> dict[str, tuple[WorkClass, ...]]:
+        """Work classes of each service, in the order of the rows."""
+        found: dict[str, list[WorkClass]] = {}
+        for entry in self.work:
+            found.setdefault(entry.service, []).append(entry)
+        return {service: tuple(rows) for service, rows in found.items()}
+
     def of_service(self, service: str) -> tuple[WorkClass, ...]:
         """Return the work classes of one service."""
-        return tuple(row for row in self.work if row.service == service)
+        return self.by_service.get(service, ())
