Give the stand-ins faults that can be switched at run time

The platform gets lost and crossed answers, restored and contradicting revisions, frozen keys, hosts that are cut off, and the limit of 2,000 calls a second with its peak. The fleet can pause daemons and publish host lists that lie; Caller sends calls and orders through random daemons.

A partition between daemons is not offered: a daemon binds the address that it announces, so no relay can stand between peers.

--- a/packages/standins/tanagerbend_standins/__init__.py
+++ b/packages/standins/tanagerbend_standins/__init__.py
@@ -1,15 +1,23 @@
 """Stand-ins for the platform and for backend servers."""
 
-from tanagerbend_standins.backend import Behaviour, StandinBackend
+from tanagerbend_standins.backend import StandinBackend
+from tanagerbend_standins.behaviour import Behaviour, Excess
+from tanagerbend_standins.caller import Caller, Reply
+from tanagerbend_standins.deployments import DEPLOYMENTS, Deployment
 from tanagerbend_standins.fleet import Fleet, Node, Place, eventually
 from tanagerbend_standins.platform import Faults, StandinPlatform
 
 __all__ = (
+    'DEPLOYMENTS',
     'Behaviour',
+    'Caller',
+    'Deployment',
+    'Excess',
     'Faults',
     'Fleet',
     'Node',
     'Place',
+    'Reply',
     'StandinBackend',
     'StandinPlatform',
     'eventually',
--- /dev/null
+++ b/packages/standins/tanagerbend_standins/caller.py
@@ -0,0 +1,182 @@
+"""Callers that send calls and orders through random daemons."""
+
+import asyncio
+import random
+import time
+from http import HTTPStatus
+from typing import Any, Final
+
+import aiohttp
+import attrs
+
+from tanagerbend_model import Ran, ResultCode, headers
+from tanagerbend_standins.fleet import TOKEN, Fleet, Node
+
+CALL_SECONDS: Final = 30.0
+RESEND_SECONDS: Final = 0.1
+
+
+@attrs.frozen
+class Reply:
+    """What a caller got.
+
+    Parameters
+    ==========
+
+    status : int
+        HTTP status; 0 if no whole answer arrived.
+    code : int
+        Number of the result code; -1 if there was none.
+    ran : Ran
+    body : bytes
+    seconds : float
+    via : str
+        Host of the entry daemon.
+    order_key : str
+        Key that the answer carried, else an empty string.
+    """
+
+    status: int
+    code: int
+    ran: Ran
+    body: bytes
+    seconds: float
+    via: str
+    order_key: str = ''
+
+    @property
+    def is_answer(self) -> bool:
+        """Whether a backend server's whole answer arrived."""
+        return self.status == HTTPStatus.OK and self.code <= 0
+
+
+class Caller:
+    """Sends calls and orders to the daemons of a fleet.
+
+    Parameters
+    ==========
+
+    fleet : Fleet
+    seed : int
+        For the choice of daemons.
+    """
+
+    def __init__(self, fleet: Fleet, seed: int = 1) -> None:
+        self.fleet = fleet
+        self.random = random.Random(seed)  # noqa: S311
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+        )
+
+    def pick(self) -> Node:
+        """Return a random node whose daemon runs."""
+        running = [
+            node for node in self.fleet.nodes if node.process is not None
+        ]
+        return self.random.choice(running)
+
+    async def call(
+        self,
+        service: str,
+        path: str,
+        body: bytes = b'',
+        node: Node | None = None,
+        method: str = '',
+        order_key: str = '',
+        tenant: str = 'caller',
+    ) -> Reply:
+        """Send one call; never raises for a failure of the network.
+
+        Parameters
+        ==========
+
+        service, path : str
+        body : bytes
+            With a body, the method is POST unless it is given.
+        node : Node or None
+            A random one if None.
+        method, order_key, tenant : str
+        """
+        entry = node or self.pick()
+        usual = 'POST' if body else 'GET'
+        own = {headers.SERVICE: service, headers.TENANT: tenant}
+        if order_key:
+            own[headers.ORDER_KEY] = order_key
+        begun = time.monotonic()
+        try:
+            async with self.session.request(
+                method or usual,
+                f'http://{entry.call_address}{path}',
+                headers=own,
+                data=body or None,
+                timeout=aiohttp.ClientTimeout(total=CALL_SECONDS),
+            ) as response:
+                text = await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            unsent = isinstance(error, aiohttp.ClientConnectorError)
+            ran = Ran.NO if unsent else Ran.UNKNOWN
+            seconds = time.monotonic() - begun
+            return Reply(0, -1, ran, b'', seconds, entry.place.host)
+        return _read(response, text, time.monotonic() - begun, entry)
+
+    async def order(self, service: str, path: str, body: bytes) -> Reply:
+        """Send an order until its outcome is known or known as unknown.
+
+        Explanation
+        ===========
+
+        Each attempt goes through a random daemon.  The key is the one that
+        a daemon hands out; without a key an order is sent once only.
+        """
+        reply = await self.call(service, path, body)
+        key = reply.order_key
+        begun = time.monotonic()
+        while key and not _is_final(reply):
+            if time.monotonic() - begun > CALL_SECONDS:
+                break
+            reply = await self.call(service, path, body, order_key=key)
+            if not reply.is_answer:
+                key = reply.order_key or key
+                await asyncio.sleep(RESEND_SECONDS)
+        return reply
+
+    async def status(self, node: Node, path: str = '/status') -> Any:
+        """Return the JSON that an operator endpoint answers, or None."""
+        try:
+            async with self.session.get(
+                f'http://{node.operator_address}{path}',
+                headers={'Authorization': f'Bearer {TOKEN}'},
+            ) as response:
+                if response.status != HTTPStatus.OK:
+                    return None
+                return await response.json(content_type=None)
+        except (aiohttp.ClientError, OSError, ValueError):
+            return None
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.session.close()
+
+
+def _read(
+    response: aiohttp.ClientResponse,
+    body: bytes,
+    seconds: float,
+    entry: Node,
+) -> Reply:
+    received = response.headers
+    return Reply(
+        response.status,
+        int(received.get(headers.RESULT, '-1')),
+        Ran(received.get(headers.RAN, 'unknown')),
+        body,
+        seconds,
+        entry.place.host,
+        received.get(headers.ORDER_KEY, ''),
+    )
+
+
+def _is_final(reply: Reply) -> bool:
+    """Tell whether sending the same key again can change nothing."""
+    gone = {ResultCode.ORDER_OWNER_GONE, ResultCode.ORDER_ANSWER_DROPPED}
+    return reply.is_answer or reply.code in gone
--- a/packages/standins/tanagerbend_standins/fleet.py
+++ b/packages/standins/tanagerbend_standins/fleet.py
@@ -1,6 +1,7 @@
 """A small fleet on loopback: stand-ins here, daemons as processes."""
 
 import asyncio
+import contextlib
 import itertools
 import pathlib
 import signal
@@ -56,6 +57,7 @@
     backend: StandinBackend
     ports: list[int]
     backend_address: str = ''
+    platform_url: str = ''
     process: asyncio.subprocess.Process | None = None
     leaving: bool = False
 
@@ -87,6 +89,9 @@
     deployment : str
     overrides : dict of str to dict
         Settings by table, on top of those the fleet needs.
+    has_log_files : bool
+        Each daemon writes to ``HOST.log`` in the directory instead of the
+        standard error of this process.
     """
 
     def __init__(
@@ -95,10 +100,12 @@
         places: list[Place],
         deployment: str = 'tas-south',
         overrides: dict[str, dict] | None = None,
+        has_log_files: bool = False,
     ) -> None:
         self.directory = directory
         self.deployment = deployment
         self.overrides = overrides or {}
+        self.has_log_files = has_log_files
         self.platform = StandinPlatform()
         self.url = ''
         ports = iter(free_ports(PORTS_PER_NODE * len(places)))
@@ -116,6 +123,7 @@
         self.url = await self.platform.start()
         for node in self.nodes:
             node.backend_address = await node.backend.start()
+            node.platform_url = await self.platform.start_for(node.place.host)
         await self.publish_hosts()
         if sheet:
             await self.publish(sheet)
@@ -125,8 +133,23 @@
         """Publish a sheet."""
         return await self.platform.publish(SHEET_KEY, sheet, revision)
 
-    async def publish_hosts(self) -> None:
-        """Publish the host list."""
+    async def publish_hosts(
+        self,
+        omitted: frozenset[str] = frozenset(),
+        invented: tuple[dict, ...] = (),
+    ) -> None:
+        """Publish the host list, which lies if the parameters say so.
+
+        To let it lag, freeze its key of the platform.
+
+        Parameters
+        ==========
+
+        omitted : frozenset of str
+            Hosts that the list lacks although they are up.
+        invented : tuple of dict
+            Entries of hosts that do not exist.
+        """
         await self.platform.publish_hosts(
             HOST_LIST_KEY,
             [
@@ -137,19 +160,27 @@
                     'leaving': node.leaving,
                 }
                 for node in self.nodes
-            ],
+                if node.place.host not in omitted
+            ]
+            + list(invented),
         )
 
     async def start_daemon(self, node: Node) -> None:
         """Start the daemon of a node as a process of its own."""
         path = self.directory / f'{node.place.host}.toml'
         path.write_text(self.settings(node))
-        node.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'tanagerbend_daemon',
-            str(path),
-        )
+        with contextlib.ExitStack() as stack:
+            log = None
+            if self.has_log_files:
+                log = stack.enter_context(path.with_suffix('.log').open('ab'))
+            node.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'tanagerbend_daemon',
+                str(path),
+                stderr=log,
+                stdout=log,
+            )
 
     def settings(self, node: Node) -> str:
         """Return the settings of a node's daemon."""
@@ -169,7 +200,7 @@
                 'backend': node.backend_address,
             },
             'platform': {
-                'url': self.url,
+                'url': node.platform_url,
                 'sheet_key': SHEET_KEY,
                 'host_list_key': HOST_LIST_KEY,
                 'expected_fleet_size': len(self.nodes),
@@ -186,6 +217,18 @@
             _render(name, entries) for name, entries in tables.items()
         )
 
+    def pause(self, node: Node) -> None:
+        """Stop the process of a daemon in place, as a suspended host."""
+        self._signal(node, signal.SIGSTOP)
+
+    def resume(self, node: Node) -> None:
+        """Let a paused daemon go on."""
+        self._signal(node, signal.SIGCONT)
+
+    def _signal(self, node: Node, number: signal.Signals) -> None:
+        if node.process is not None and node.process.returncode is None:
+            node.process.send_signal(number)
+
     async def stop_daemon(
         self,
         node: Node,
--- a/packages/standins/tanagerbend_standins/platform.py
+++ b/packages/standins/tanagerbend_standins/platform.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import random
+from collections import Counter, deque
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -9,6 +11,7 @@
 from aiohttp import web
 
 REVISION_HEADER: Final = 'Platform-Revision'
+CALLS_PER_SECOND: Final = 2000
 
 
 @attrs.define
@@ -26,12 +29,44 @@
         Reads return the value held when the fault was switched on.
     delay_seconds : float
         Added to every answer.
+    lost, crossed : float
+        Share of the answers that are never sent, or that carry the value
+        of another key.
+    cut_off : frozenset of str
+        Hosts whose calls do not reach the service.
     """
 
     outage: bool = False
     silent: bool = False
     stale: bool = False
     delay_seconds: float = 0.0
+    lost: float = 0.0
+    crossed: float = 0.0
+    cut_off: frozenset[str] = frozenset()
+
+
+@attrs.define
+class RateMeter:
+    """Counts calls in the last second and the highest such count."""
+
+    times: deque[float] = attrs.field(factory=deque)
+    peak: int = 0
+
+    def count(self, now: float) -> int:
+        """Count a call; return the calls of the last second.
+
+        Examples
+        ========
+
+        >>> meter = RateMeter()
+        >>> [meter.count(now) for now in (0.0, 0.5, 1.2)], meter.peak
+        ([1, 2, 2], 2)
+        """
+        self.times.append(now)
+        while self.times[0] <= now - 1:
+            self.times.popleft()
+        self.peak = max(self.peak, len(self.times))
+        return len(self.times)
 
 
 class StandinPlatform:
@@ -44,16 +79,35 @@
     ``?after=N&wait=S`` waits up to S seconds for a revision other than N
     and answers 304 if there is none.  The host list is the value of its
     own key.  Only the test or demo that runs the stand-in writes values.
+    Calls over the limit of a second get status 429.  A port of its own
+    for each host tells their calls apart.
+
+    Attributes
+    ==========
+
+    calls, over_limit : int
+        All calls, and those refused because of the limit.
+    calls_of : Counter of str
+        Calls by host.
+    meter : RateMeter
+        ``meter.peak`` is the highest number of calls in one second.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, seed: int = 1) -> None:
         self.keys: dict[str, tuple[int, bytes]] = {}
-        self.stale_keys: dict[str, tuple[int, bytes]] = {}
+        self.history: dict[str, dict[int, bytes]] = {}
+        self.frozen: dict[str, tuple[int, bytes]] = {}
         self.revision = 0
         self.changed = asyncio.Condition()
         self.faults = Faults()
+        self.random = random.Random(seed)  # noqa: S311
         self.calls = 0
+        self.over_limit = 0
+        self.hosts: dict[int, str] = {}
+        self.calls_of: Counter[str] = Counter()
         self.call_times: list[float] = []
+        self.meter = RateMeter()
+        self.limit = CALLS_PER_SECOND
         self.runner: web.AppRunner | None = None
 
     async def publish(
@@ -62,21 +116,42 @@
         content: bytes,
         revision: int | None = None,
     ) -> int:
-        """Publish a value; ``revision`` restores an older one."""
+        """Publish a value; ``revision`` sets the service's counter.
+
+        With the revision that is held now and another value, the service
+        shows two contents under one revision.
+        """
         self.revision = self.revision + 1 if revision is None else revision
         self.keys[key] = (self.revision, content)
+        self.history.setdefault(key, {})[self.revision] = content
         async with self.changed:
             self.changed.notify_all()
         return self.revision
 
+    async def restore(self, key: str, revision: int) -> None:
+        """Go back to an older revision, as a restored backup does."""
+        await self.publish(key, self.history[key][revision], revision)
+
     async def publish_hosts(self, key: str, hosts: list[dict]) -> int:
         """Publish the host list."""
         return await self.publish(key, json.dumps({'hosts': hosts}).encode())
 
     def switch(self, **changes: Any) -> None:
         """Switch faults on or off."""
+        was_stale = self.faults.stale
         self.faults = attrs.evolve(self.faults, **changes)
-        self.stale_keys = dict(self.keys) if self.faults.stale else {}
+        if self.faults.stale != was_stale:
+            self.frozen = dict(self.keys) if self.faults.stale else {}
+
+    def freeze(self, key: str) -> None:
+        """Show the present value of one key until it is thawed."""
+        self.frozen[key] = self.keys.get(key, (0, b''))
+
+    async def thaw(self, key: str) -> None:
+        """Show the newest value of a key again."""
+        self.frozen.pop(key, None)
+        async with self.changed:
+            self.changed.notify_all()
 
     async def start(self, address: str = '127.0.0.1', port: int = 0) -> str:
         """Listen; return the URL."""
@@ -88,15 +163,33 @@
             shutdown_timeout=0.1,
         )
         await self.runner.setup()
+        return await self._listen(address, port)
+
+    async def start_for(self, host: str) -> str:
+        """Listen for one host that can be cut off; return the URL."""
+        url = await self._listen('127.0.0.1', 0)
+        self.hosts[int(url.rpartition(':')[2])] = host
+        return url
+
+    async def _listen(self, address: str, port: int) -> str:
         site = web.TCPSite(self.runner, address, port, backlog=1024)
         await site.start()
-        bound = self.runner.addresses[0]
+        bound = self.runner.addresses[-1]
         return f'http://{bound[0]}:{bound[1]}'
 
+    def _host_of(self, request: web.Request) -> str:
+        if request.transport is None:
+            return ''
+        _address, port = request.transport.get_extra_info('sockname')
+        return self.hosts.get(port, '')
+
     async def answer(self, request: web.Request) -> web.Response:
         """Answer a read or a watch."""
-        self.calls += 1
-        self.call_times.append(asyncio.get_running_loop().time())
+        host = self._host_of(request)
+        if host in self.faults.cut_off:
+            return _cut(request)
+        if not self._count(host):
+            return web.Response(status=HTTPStatus.TOO_MANY_REQUESTS)
         if self.faults.silent:
             await asyncio.Event().wait()
         await asyncio.sleep(self.faults.delay_seconds)
@@ -106,11 +199,26 @@
         after = request.query.get('after')
         if after is not None:
             await self._wait(key, int(after), float(request.query['wait']))
+        if self._happens(self.faults.lost) or host in self.faults.cut_off:
+            return _cut(request)
         return self._respond(key, after)
 
+    def _count(self, host: str) -> bool:
+        now = asyncio.get_running_loop().time()
+        self.calls += 1
+        self.calls_of[host] += 1
+        self.call_times.append(now)
+        within = self.meter.count(now) <= self.limit
+        self.over_limit += not within
+        return within
+
+    def _happens(self, share: float) -> bool:
+        return share > 0 and self.random.random() < share
+
     def _held(self, key: str) -> tuple[int, bytes]:
-        keys = self.stale_keys or self.keys
-        return keys.get(key, (0, b''))
+        if self._happens(self.faults.crossed):
+            key = next((other for other in self.keys if other != key), key)
+        return self.frozen.get(key) or self.keys.get(key, (0, b''))
 
     async def _wait(self, key: str, after: int, seconds: float) -> None:
         try:
@@ -136,3 +244,9 @@
         """Stop listening."""
         if self.runner is not None:
             await self.runner.cleanup()
+
+
+def _cut(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
--- /dev/null
+++ b/packages/standins/tanagerbend_standins/tests/test_platform.py
@@ -0,0 +1,86 @@
+"""Each fault of the stand-in platform can be brought about."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tanagerbend_standins.platform import REVISION_HEADER
+
+
+@pytest.fixture
+async def read(platform, session):
+    """Reads a key: status, revision and value, or None."""
+    await platform.publish('sheet', b'first')
+    await platform.publish('hosts', b'list')
+
+    async def read(path='/keys/sheet', url=platform.url):
+        try:
+            async with session.get(url + path) as response:
+                revision = int(response.headers.get(REVISION_HEADER, 0))
+                return response.status, revision, await response.read()
+        except aiohttp.ClientError:
+            return None
+
+    return read
+
+
+async def test_outage_lost_and_crossed_answers(platform, read):
+    """Guards against faults that a reader never meets."""
+    platform.switch(outage=True)
+    assert (await read())[0] == 503
+    platform.switch(outage=False, lost=1.0)
+    assert await read() is None
+    platform.switch(lost=0.0, crossed=1.0)
+    assert await read() == (200, 2, b'list')
+    platform.switch(crossed=0.0)
+    assert await read() == (200, 1, b'first')
+
+
+async def test_silent_service_does_not_answer(platform, read):
+    """Guards against a silent service that answers after all."""
+    platform.switch(silent=True)
+    with pytest.raises(TimeoutError):
+        async with asyncio.timeout(0.2):
+            await read()
+
+
+async def test_stale_service_and_frozen_key(platform, read):
+    """Guards against stale reads that show the newest value."""
+    platform.switch(stale=True)
+    await platform.publish('sheet', b'second')
+    assert await read() == (200, 1, b'first')
+    platform.switch(stale=False)
+    platform.freeze('hosts')
+    await platform.publish('hosts', b'newer')
+    assert await read('/keys/hosts') == (200, 2, b'list')
+    assert await read() == (200, 3, b'second')
+    await platform.thaw('hosts')
+    assert await read('/keys/hosts') == (200, 4, b'newer')
+
+
+async def test_restored_and_contradicting_revisions(platform, read):
+    """Guards against a restore that keeps the newer revision."""
+    await platform.publish('sheet', b'second')
+    await platform.restore('sheet', 1)
+    assert await read() == (200, 1, b'first')
+    await platform.publish('sheet', b'other', revision=1)
+    assert await read() == (200, 1, b'other')
+
+
+async def test_calls_over_the_limit_of_a_second(platform, read):
+    """Guards against a storm of readers that goes unnoticed."""
+    platform.limit = 3
+    outcomes = await asyncio.gather(*(read() for _ in range(5)))
+    assert sorted(outcome[0] for outcome in outcomes)[:3] == [200] * 3
+    assert platform.meter.peak + platform.over_limit >= 5
+
+
+async def test_host_that_is_cut_off(platform, read):
+    """Guards against a partition that lets calls through."""
+    first = await platform.start_for('artwork-1')
+    second = await platform.start_for('artwork-2')
+    platform.switch(cut_off=frozenset(('artwork-1',)))
+    assert await read(url=first) is None
+    assert (await read(url=second))[0] == 200
+    assert platform.calls_of == {'artwork-2': 1}
