Run each order at most once at the incarnation that its key names

Order keys are signed permits for one incarnation of an owner daemon. The ledger of that incarnation decides whether an order may be sent, and every other daemon only forwards to it, so different host lists cannot give an order two owners. An entry daemon that does not reach the owner says "outcome unknown". The last check of deadline and start count happens directly before the request goes to the backend server.

Tests with real daemons: re-send through three daemons runs once; a killed owner gives "outcome unknown"; a missing key gives status 428 and a key.

--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -10,6 +10,9 @@
 from tanagerbend_admission import FifoAdmission
 from tanagerbend_daemon.control import ControlHandler
 from tanagerbend_daemon.entry import CallHandler
+from tanagerbend_daemon.order_hop import HttpOrderHop
+from tanagerbend_daemon.order_owner import OrderGate, OrderOwner
+from tanagerbend_daemon.order_path import OrderPath
 from tanagerbend_daemon.outbound import HttpServer, make_session
 from tanagerbend_daemon.owner import Owner
 from tanagerbend_daemon.platform_client import (
@@ -26,6 +29,7 @@
 from tanagerbend_interfaces import Member, MemberState
 from tanagerbend_membership import Detector, Roster
 from tanagerbend_metrics import Recorder
+from tanagerbend_orders import Ledger, PermitIssuer
 from tanagerbend_routing import Balancer, RouteTable
 from tanagerbend_settings import Settings
 from tanagerbend_timer import SystemTimer
@@ -48,6 +52,7 @@
     peer_client: PeerClient
     peer_server: PeerServer
     calls: CallHandler
+    orders: OrderPath
     sessions: list[aiohttp.ClientSession]
 
     def rebuild_routes(self, _event: Any = None) -> None:
@@ -97,7 +102,8 @@
     sessions = [make_session(0), make_session(settings.instance.connections)]
     reader = _reader(settings, sessions[0], store, roster, chance, recorder)
     control = ControlHandler(roster, detector, propagation, recorder)
-    calls = _calls(settings, identity, sessions, roster, chance, recorder)
+    gate = _gate(settings, identity, sessions[1], recorder)
+    calls = _calls(settings, identity, sessions, gate, roster, chance, recorder)
     parts = Parts(
         settings,
         timer,
@@ -118,6 +124,7 @@
         client,
         PeerServer(identity, control, recorder),
         calls,
+        _orders(own, calls, gate, roster, recorder),
         sessions,
     )
     store.listeners.append(parts.rebuild_routes)
@@ -157,14 +164,15 @@
     settings: Settings,
     identity: Identity,
     sessions: list[aiohttp.ClientSession],
+    gate: OrderGate,
     roster: Roster,
     chance: random.Random,
     recorder: Recorder,
 ) -> CallHandler:
-    peers, local = sessions
+    peers = sessions[0]
     instance = settings.instance
     owner = Owner(
-        HttpServer(local, settings.addresses.backend, recorder.timer),
+        gate,
         FifoAdmission(recorder.timer, instance.slots, instance.queue),
         roster,
         recorder,
@@ -177,3 +185,33 @@
         lambda address: HttpServer(peers, address, recorder.timer),
         recorder,
     )
+
+
+def _gate(
+    settings: Settings,
+    identity: Identity,
+    session: aiohttp.ClientSession,
+    recorder: Recorder,
+) -> OrderGate:
+    return OrderGate(
+        HttpServer(session, settings.addresses.backend, recorder.timer),
+        Ledger(recorder),
+        PermitIssuer(identity.key, recorder.timer),
+    )
+
+
+def _orders(
+    own: Member,
+    calls: CallHandler,
+    gate: OrderGate,
+    roster: Roster,
+    recorder: Recorder,
+) -> OrderPath:
+    return OrderPath(
+        calls,
+        OrderOwner(own, gate.ledger, calls.handle, recorder),
+        gate.issuer,
+        HttpOrderHop(calls),
+        roster,
+        recorder,
+    )
--- a/packages/daemon/tanagerbend_daemon/entry.py
+++ b/packages/daemon/tanagerbend_daemon/entry.py
@@ -126,7 +126,7 @@
         request = BackendRequest(
             call.method,
             call.path,
-            call.header_pairs + self._peer_headers(call, member.host),
+            call.header_pairs + self.peer_headers(call, member.host),
             call.body,
             call.request_id,
         )
@@ -137,11 +137,12 @@
                 return response
         return _read_answer(call, response)
 
-    def _peer_headers(
+    def peer_headers(
         self,
         call: Call,
         host: str,
     ) -> tuple[tuple[str, str], ...]:
+        """Return the headers of a call forwarded to ``host``."""
         remaining = call.deadline - self.recorder.timer.now()
         return (
             (headers.SERVICE, call.service),
@@ -151,6 +152,7 @@
             (headers.HOPS, str(call.hops)),
             (headers.REQUEST_ID, call.request_id),
             (headers.INSTANCE, host),
+            (headers.SENDER, self.own_host),
             (headers.PEER_PROOF, peer_proof(self.key, call.request_id, host)),
         )
 
--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -8,6 +8,8 @@
 
 from tanagerbend_daemon.call import Answer, Call, CallLimits, read_limits
 from tanagerbend_daemon.entry import CallHandler, peer_proof
+from tanagerbend_daemon.order_answers import ORDER_STATUS, order_headers
+from tanagerbend_daemon.order_path import OrderPath
 from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_model import Ran, Refusal, ResultCode, headers
 
@@ -27,6 +29,9 @@
         headers.PEER_PROOF,
         headers.RESULT,
         headers.RAN,
+        headers.FRESH_ORDER_KEY,
+        headers.ORDER_OWNER,
+        headers.SENDER,
     )
 )
 NOT_PASSED_ON: Final = HOP_BY_HOP | OWN_HEADERS
@@ -34,7 +39,7 @@
     ResultCode.HEADER_INVALID: 400,
     ResultCode.ROUTE_UNKNOWN: 404,
     ResultCode.TOO_MANY_HOPS: 508,
-    ResultCode.ORDER_KEY_REQUIRED: 428,
+    **ORDER_STATUS,
     ResultCode.QUEUE_FULL: 429,
     ResultCode.DEADLINE_PASSED: 504,
     ResultCode.DEADLINE_UNREACHABLE: 504,
@@ -51,10 +56,17 @@
     ==========
 
     handler : CallHandler
+    orders : OrderPath or None
     """
 
-    def __init__(self, handler: CallHandler) -> None:
+    def __init__(
+        self,
+        handler: CallHandler,
+        orders: OrderPath | None = None,
+    ) -> None:
         self.handler = handler
+        # Handles orders and passes all other calls to the call handler.
+        self.orders = orders or handler
         self.recorder = handler.recorder
         self.runner: web.ServerRunner | None = None
 
@@ -79,7 +91,7 @@
         match call:
             case Refusal():
                 return self._refuse(call, '')
-        outcome = await self.handler.handle(call)
+        outcome = await self.orders.handle(call)
         match outcome:
             case Refusal():
                 return self._refuse(outcome, call.request_id)
@@ -140,7 +152,10 @@
                 'ran': refusal.ran.value,
             },
             status=STATUS.get(refusal.code, DEFAULT_STATUS),
-            headers=self._own_headers(refusal.code, refusal.ran, request_id),
+            headers={
+                **self._own_headers(refusal.code, refusal.ran, request_id),
+                **order_headers(refusal),
+            },
         )
 
     def _own_headers(
--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/order_path.py
@@ -0,0 +1,253 @@
+"""Path of an order: keys, the owner of a key, re-sends, status queries."""
+
+from http import HTTPStatus
+from typing import Final
+
+import attrs
+
+from tanagerbend_daemon.call import Answer, Call
+from tanagerbend_daemon.entry import CallHandler
+from tanagerbend_daemon.order_answers import (
+    hold_answer,
+    hold_request,
+    json_answer,
+    replay,
+)
+from tanagerbend_daemon.order_hop import Lost, OrderHop
+from tanagerbend_daemon.order_owner import Outcome, OrderOwner
+from tanagerbend_interfaces import Member, MemberState
+from tanagerbend_membership import Roster
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_orders import OrderKey, OrderRefusal, PermitIssuer
+from tanagerbend_routing import Route
+
+ORDERS_PATH: Final = '/.tanagerbend/orders'
+DEFAULT_DEADLINE_SECONDS: Final = 5.0
+MILLISECONDS: Final = 1000
+FIRST_PAUSE_SECONDS: Final = 0.02
+LONGEST_PAUSE_SECONDS: Final = 0.5
+
+
+@attrs.define
+class OrderPath:
+    """Handles orders; passes every other call to the call handler.
+
+    Explanation
+    ===========
+
+    A call is an order if the sheet says so or if it carries a valid order
+    key.  The key counts also where this daemon's sheet differs, since a
+    daemon that sent it to any instance would run the order again.
+
+    Parameters
+    ==========
+
+    calls : CallHandler
+    owner : OrderOwner
+    issuer : PermitIssuer
+    hop : OrderHop
+    roster : Roster
+    recorder : Recorder
+    """
+
+    calls: CallHandler
+    owner: OrderOwner
+    issuer: PermitIssuer
+    hop: OrderHop
+    roster: Roster
+    recorder: Recorder
+
+    async def handle(self, call: Call) -> Outcome:
+        """Answer a call or a request to the orders resource."""
+        if call.path.partition('?')[0].startswith(ORDERS_PATH):
+            outcome = await self._serve_resource(call)
+        else:
+            outcome = await self._handle_call(call)
+        match outcome:
+            case Refusal() if not call.instance:
+                return self._with_fresh_key(call, outcome)
+        return outcome
+
+    async def _handle_call(self, call: Call) -> Outcome:
+        key = self.issuer.read(call.order_key) if call.order_key else None
+        match key:
+            case OrderKey():
+                self.recorder.count('order_requests')
+                return await self._send(key, self._limit(call))
+            case Refusal(ran=Ran.UNKNOWN):
+                return key
+        route = self._route(call)
+        if route is None or not route.work.order:
+            return await self.calls.handle(call)
+        if key is not None:
+            return OrderRefusal(key.code, key.reason)
+        reason = 'send the order again with the key of this answer'
+        return OrderRefusal(ResultCode.ORDER_KEY_REQUIRED, reason)
+
+    def _route(self, call: Call) -> Route | None:
+        table = self.calls.table
+        if table is None:
+            return None
+        route = table.match(call.service, call.method, call.path)
+        match route:
+            case Route():
+                return route
+        return None
+
+    def _limit(self, call: Call) -> Call:
+        route = self._route(call)
+        longest = DEFAULT_DEADLINE_SECONDS
+        if route is not None:
+            longest = route.work.deadline_ms / MILLISECONDS
+        latest = self.recorder.timer.now() + longest
+        return attrs.evolve(call, deadline=min(call.deadline, latest))
+
+    async def _send(self, key: OrderKey, call: Call) -> Outcome:
+        if call.instance or key.host == self.roster.own_host:
+            return await self.owner.run(key, call)
+        body = await hold_request(call)
+        match body:
+            case Refusal():
+                return await self._refuse_oversized(key, call, body)
+        return await self._send_until_deadline(
+            key,
+            attrs.evolve(call, body=body),
+        )
+
+    async def _refuse_oversized(
+        self,
+        key: OrderKey,
+        call: Call,
+        refusal: Refusal,
+    ) -> Outcome:
+        outcome = await self._ask(key, call, 'DELETE')
+        match outcome:
+            case Refusal(ran=ran):
+                return attrs.evolve(refusal, ran=ran)
+        return refusal
+
+    async def _send_until_deadline(self, key: OrderKey, call: Call) -> Outcome:
+        """Send to the owner; again if the answer is lost, which is safe."""
+        timer = self.recorder.timer
+        pause = FIRST_PAUSE_SECONDS
+        while True:
+            member = self._locate(key)
+            match member:
+                case Refusal():
+                    return member
+            outcome = await self._attempt(key, call, member)
+            match outcome:
+                case Answer() | Refusal():
+                    return outcome
+            if timer.now() + pause >= call.deadline:
+                return _unknown(outcome.reason)
+            self.recorder.count('order_resends')
+            await timer.sleep(pause)
+            pause = min(2 * pause, LONGEST_PAUSE_SECONDS)
+
+    async def _attempt(
+        self,
+        key: OrderKey,
+        call: Call,
+        member: Member,
+    ) -> Outcome | Lost:
+        outcome = await self.hop.send(call, member, key)
+        match outcome:
+            case Refusal() | Lost():
+                return outcome
+        try:
+            return replay(await hold_answer(outcome))
+        except ConnectionError as error:
+            return Lost(str(error))
+
+    def _locate(self, key: OrderKey) -> Member | Refusal:
+        member = self.roster.members.get(key.host)
+        if member is None:
+            return _unknown(f'host {key.host!r} is not a known member')
+        is_replaced = member.incarnation > key.incarnation
+        is_gone = member.state is MemberState.GONE
+        if is_replaced or (is_gone and member.incarnation == key.incarnation):
+            reason = f'{key.host}/{key.incarnation} no longer runs'
+            return Refusal(ResultCode.ORDER_OWNER_GONE, reason, Ran.UNKNOWN)
+        return member
+
+    async def _serve_resource(self, call: Call) -> Outcome:
+        token = call.path.partition('?')[0][len(ORDERS_PATH) :].strip('/')
+        if not token and call.method == 'POST':
+            return self._issue(call)
+        key = self.issuer.read(token)
+        match key:
+            case Refusal():
+                return key
+        if call.method not in {'GET', 'DELETE'}:
+            reason = f'{call.method} is not defined for an order'
+            return Refusal(ResultCode.HEADER_INVALID, reason, Ran.UNKNOWN)
+        return await self._ask(key, self._limit(call), call.method)
+
+    async def _ask(self, key: OrderKey, call: Call, method: str) -> Outcome:
+        if call.instance or key.host == self.roster.own_host:
+            return self.owner.ask(method, key)
+        question = attrs.evolve(
+            call,
+            method=method,
+            path=f'{ORDERS_PATH}/{key.token}',
+            header_pairs=(),
+            body=b'',
+        )
+        return await self._send_until_deadline(key, question)
+
+    def _issue(self, call: Call) -> Outcome:
+        key = self.fresh_key(call.service)
+        match key:
+            case Refusal():
+                return key
+        self.recorder.count('order_keys_issued')
+        content = {'key': key.token, 'expiry': key.expiry, 'host': key.host}
+        return json_answer(HTTPStatus.CREATED, content)
+
+    def fresh_key(
+        self,
+        service: str,
+        exclude: frozenset[str] = frozenset(),
+    ) -> OrderKey | Refusal:
+        """Issue a key for an instance of a service."""
+        table = self.calls.table
+        if table is None:
+            return Refusal(ResultCode.NO_CONFIGURATION, 'no sheet is in force')
+        routes = table.services.get(service, ())
+        if not routes:
+            reason = f'service {service!r} is not in the sheet'
+            return Refusal(ResultCode.ROUTE_UNKNOWN, reason)
+        # A host known from the host list alone has no known incarnation.
+        known = tuple(
+            member for member in routes[0].instances if member.incarnation
+        )
+        member = self.calls.balancer.choose(
+            attrs.evolve(routes[0], instances=known),
+            exclude,
+        )
+        match member:
+            case Refusal():
+                return member
+        return self.issuer.issue(service, member.host, member.incarnation)
+
+    def _with_fresh_key(self, call: Call, refusal: Refusal) -> Refusal:
+        """Add a key to a refusal of an order that was not run."""
+        match refusal:
+            case OrderRefusal(ran=Ran.NO, owner=owner):
+                key = self.fresh_key(call.service, _excluded(owner))
+            case _:
+                return refusal
+        match key:
+            case OrderKey(token=token):
+                return attrs.evolve(refusal, fresh_key=token)
+        return refusal
+
+
+def _excluded(owner: str) -> frozenset[str]:
+    return frozenset((owner.rpartition('/')[0],))
+
+
+def _unknown(reason: str) -> Refusal:
+    return OrderRefusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
--- a/packages/daemon/tanagerbend_daemon/services.py
+++ b/packages/daemon/tanagerbend_daemon/services.py
@@ -72,7 +72,7 @@
     def __init__(self, parts: Parts) -> None:
         super().__init__()
         self.parts = parts
-        self.server = CallServer(parts.calls)
+        self.server = CallServer(parts.calls, parts.orders)
 
     async def on_start(self) -> None:
         """Listen to callers."""
--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/tests/test_orders_real.py
@@ -0,0 +1,123 @@
+"""Orders through real daemon processes."""
+
+import asyncio
+import json
+import signal
+
+import aiohttp
+import pytest
+
+from tanagerbend_model import headers
+from tanagerbend_standins import Fleet, Place, eventually
+
+SHEET = b'service,work,rank,method,path,order\nprint,run,1,POST,/print,yes\n'
+PLACES = [
+    Place(f'host-{number}', 'print', 'hobart-a', 'tas-south')
+    for number in (1, 2, 3)
+]
+KEYS = '/.tanagerbend/orders'
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    fleet = Fleet(tmp_path, PLACES)
+    await fleet.start(SHEET)
+    yield fleet
+    await fleet.close()
+
+
+@pytest.fixture
+async def caller():
+    async with aiohttp.ClientSession() as session:
+        yield session
+
+
+async def send(caller, node, method, path, key='', body=b''):
+    """Send a request; return status, headers and body, or None."""
+    extra = {headers.ORDER_KEY: key} if key else {}
+    try:
+        async with caller.request(
+            method,
+            f'http://{node.call_address}{path}',
+            headers={headers.SERVICE: 'print', **extra},
+            data=body,
+        ) as response:
+            return response.status, response.headers, await response.read()
+    except aiohttp.ClientError:
+        return None
+
+
+async def key_for(caller, node, host):
+    """Return a key for the instance of one host."""
+    keys = []
+
+    async def issued():
+        got = await send(caller, node, 'POST', KEYS)
+        if got is None or got[0] != 201:
+            return False
+        content = json.loads(got[2])
+        if content['host'] == host:
+            keys.append(content['key'])
+        return bool(keys)
+
+    assert await eventually(issued, 30)
+    return keys[0]
+
+
+def runs(fleet, key):
+    """Return how often an order ran at the stand-in backend servers."""
+    return sum(node.backend.runs[key] for node in fleet.nodes)
+
+
+async def test_order_sent_to_two_daemons_runs_once(fleet, caller):
+    """Guards against a second run through another entry daemon."""
+    key = await key_for(caller, fleet.nodes[0], 'host-3')
+    fleet.nodes[2].backend.behave(work_seconds=0.2)
+    answers = await asyncio.gather(
+        *(
+            send(caller, node, 'POST', '/print', key, b'20 rolls')
+            for node in fleet.nodes
+        ),
+    )
+    assert [(status, body) for status, _, body in answers] == [
+        (200, b'host-3 ran 20 rolls'),
+    ] * 3
+    assert runs(fleet, key) == 1
+    again = await send(caller, fleet.nodes[0], 'GET', f'{KEYS}/{key}')
+    assert again[2] == b'host-3 ran 20 rolls'
+
+
+async def test_refusal_without_key_carries_a_key(fleet, caller):
+    """Guards against an order that runs without a key."""
+    node = fleet.nodes[0]
+    await key_for(caller, node, 'host-2')
+    status, got, _ = await send(caller, node, 'POST', '/print')
+    assert (status, got[headers.RAN]) == (428, 'no')
+    key = got[headers.FRESH_ORDER_KEY]
+    assert (await send(caller, node, 'POST', '/print', key))[0] == 200
+    assert runs(fleet, key) == 1
+
+
+async def test_killed_owner_makes_the_outcome_unknown(fleet, caller):
+    """Guards against a false "not run" after the owner was killed."""
+    node, _, owner = fleet.nodes
+    key = await key_for(caller, node, 'host-3')
+    owner.backend.behave(work_seconds=0.5)
+    sent = asyncio.create_task(send(caller, node, 'POST', '/print', key))
+
+    async def begun():
+        return runs(fleet, key) == 1
+
+    assert await eventually(begun, 30)
+    await fleet.stop_daemon(owner, signal.SIGKILL)
+    await fleet.start_daemon(owner)
+    _, got, _ = await sent
+    assert got[headers.RAN] == 'unknown'
+
+    async def known_to_be_gone():
+        again = await send(caller, node, 'POST', '/print', key)
+        assert again[1][headers.RAN] == 'unknown'
+        return again[1][headers.RESULT] == '505'
+
+    assert await eventually(known_to_be_gone, 30)
+    assert runs(fleet, key) == 1
--- a/packages/model/tanagerbend_model/headers.py
+++ b/packages/model/tanagerbend_model/headers.py
@@ -17,3 +17,9 @@
 # its proof that it is a peer of the deployment.
 INSTANCE: Final = 'Tanagerbend-Instance'
 PEER_PROOF: Final = 'Tanagerbend-Peer-Proof'
+# Carries a fresh order key on refusals of orders.
+FRESH_ORDER_KEY: Final = 'Tanagerbend-Order-Key'
+# Names the incarnation that decided on an order, as `host/incarnation`.
+ORDER_OWNER: Final = 'Tanagerbend-Order-Owner'
+# Host of the daemon that forwarded a call.
+SENDER: Final = 'Tanagerbend-Sender'
--- /dev/null
+++ b/packages/orders/tanagerbend_orders/record.py
@@ -0,0 +1,128 @@
+"""What a ledger holds of one order."""
+
+import asyncio
+import enum
+import hashlib
+
+import attrs
+
+from tanagerbend_model import Ran, Refusal, ResultCode, headers
+from tanagerbend_orders.keys import OrderKey
+
+
+class State(enum.Enum):
+    """State of an order at its owner."""
+
+    IN_PROGRESS = 'in progress'
+    DONE = 'done'
+    DONE_BODY_DROPPED = 'done, answer not kept'
+    OUTCOME_UNKNOWN = 'outcome unknown'
+    VOID = 'void'
+
+
+@attrs.frozen
+class Recorded:
+    """Answer of a backend server to an order.
+
+    Parameters
+    ==========
+
+    status : int
+    header_pairs : tuple of pairs of str
+    body : bytes
+    """
+
+    status: int
+    header_pairs: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def size(self) -> int:
+        """Bytes of the body and the headers."""
+        pairs = self.header_pairs
+        return len(self.body) + sum(len(''.join(pair)) for pair in pairs)
+
+
+@attrs.frozen
+class OrderRefusal(Refusal):
+    """Refusal of an order, with what a caller or an entry daemon needs.
+
+    Parameters
+    ==========
+
+    fresh_key : str
+        Token for another attempt; empty if no instance is known.
+    owner : str
+        ``host/incarnation`` if the owner of the key decided.
+    """
+
+    fresh_key: str = ''
+    owner: str = ''
+
+    @property
+    def header_pairs(self) -> tuple[tuple[str, str], ...]:
+        """Headers of the HTTP answer."""
+        pairs = (
+            (headers.FRESH_ORDER_KEY, self.fresh_key),
+            (headers.ORDER_OWNER, self.owner),
+        )
+        return tuple(pair for pair in pairs if pair[1])
+
+
+@attrs.define(eq=False)
+class Record:
+    """One order that its owner has begun.
+
+    Parameters
+    ==========
+
+    key : OrderKey
+    request : bytes
+        Digest of method, path and body.
+    state : State
+    answer : Recorded or None
+    refusal : Refusal or None
+        Why the outcome is unknown, or why the order was not run.
+    starts : int
+        How often the order was sent to the backend server.
+    ended : asyncio.Event
+        Set once the order is no longer in progress.
+    """
+
+    key: OrderKey
+    request: bytes
+    state: State = State.IN_PROGRESS
+    answer: Recorded | None = None
+    refusal: Refusal | None = None
+    starts: int = 0
+    ended: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def outcome(self) -> Recorded | Refusal:
+        """Return the recorded answer, or a refusal that says why not."""
+        if self.answer is not None and self.state is State.DONE:
+            return self.answer
+        if self.state is State.IN_PROGRESS:
+            reason = 'the order is running; ask again later'
+            return Refusal(ResultCode.ORDER_IN_PROGRESS, reason, Ran.UNKNOWN)
+        if self.state is State.DONE_BODY_DROPPED:
+            reason = 'the order ran; its answer is no longer kept'
+            return Refusal(ResultCode.ORDER_ANSWER_DROPPED, reason, Ran.YES)
+        if self.refusal is not None:
+            return self.refusal
+        return Refusal(ResultCode.OUTCOME_UNKNOWN, '', Ran.UNKNOWN)
+
+
+def request_digest(method: str, path: str, body: bytes) -> bytes:
+    """Return the digest that ties an order key to one request.
+
+    Examples
+    ========
+
+    >>> request_digest('POST', '/a', b'b') == request_digest('POST', '/ab', b'')
+    False
+    """
+    digest = hashlib.sha256()
+    for part in (method.encode(), path.encode(), body):
+        digest.update(b'%d:' % len(part))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/packages/orders/tanagerbend_orders/tests/test_ledger.py
@@ -0,0 +1,199 @@
+"""Ledger: bounds, eviction and the answers to repeated requests."""
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_orders import (
+    Begin,
+    Ledger,
+    LedgerLimits,
+    PermitIssuer,
+    Recorded,
+    Repeat,
+    State,
+)
+from tanagerbend_timer import ManualTimer
+
+UNREACHABLE = Refusal(ResultCode.INSTANCE_UNREACHABLE, '')
+ANSWER = Recorded(200, (), b'printed')
+
+
+def begin(ledger, key, request=b'request'):
+    """Begin an order that must be new and return its record."""
+    begun = ledger.begin(key, request)
+    assert isinstance(begun, Begin)
+    return begun.record
+
+
+def test_repeat_gets_the_recorded_answer(ledger, key):
+    """Guards against a second run after the answer was lost."""
+    record = begin(ledger, key)
+    assert ledger.start(record)
+    assert ledger.status(key).code is ResultCode.ORDER_IN_PROGRESS
+    ledger.finish(record, ANSWER)
+    repeat = ledger.begin(key, b'request')
+    assert isinstance(repeat, Repeat)
+    assert repeat.record.outcome() == ANSWER
+    assert not ledger.start(record)
+
+
+def test_other_request_changes_nothing(ledger, key):
+    """Guards against a key that is used for two requests."""
+    record = begin(ledger, key)
+    refusal = ledger.begin(key, b'another request')
+    assert refusal.code is ResultCode.ORDER_REQUEST_DIFFERS
+    assert record.state is State.IN_PROGRESS
+
+
+def test_full_ledger_refuses_and_keeps_its_records(issuer, ledger):
+    """Guards against the eviction of an unexpired record."""
+    keys = [issuer.issue('print', 'host-1', 7) for _ in range(5)]
+    for key in keys[:2]:
+        ledger.finish(begin(ledger, key), ANSWER)
+    refusals = [ledger.begin(key, b'request') for key in keys[2:]]
+    assert {refusal.code for refusal in refusals} == {
+        ResultCode.ORDER_LEDGER_FULL,
+    }
+    # The third key could not be voided, so it may still run later.
+    assert [refusal.ran for refusal in refusals] == [
+        Ran.NO,
+        Ran.NO,
+        Ran.UNKNOWN,
+    ]
+    assert all(
+        isinstance(ledger.begin(key, b'request'), Repeat) for key in keys[:2]
+    )
+
+
+def test_voided_key_never_begins(ledger, key):
+    """Guards against a late duplicate after the answer "not run"."""
+    assert ledger.void(key).ran is Ran.NO
+    assert ledger.begin(key, b'request').code is ResultCode.ORDER_KEY_VOID
+
+
+def test_begun_order_cannot_be_voided(ledger, key):
+    """Guards against "not run" for an order that is running."""
+    begin(ledger, key)
+    assert ledger.void(key).ran is Ran.UNKNOWN
+
+
+async def test_expired_key_may_have_run(timer, ledger, key):
+    """Guards against a second run after the record was evicted."""
+    ledger.finish(begin(ledger, key), ANSWER)
+    await timer.advance(61.0)
+    ledger.evict()
+    assert not ledger.records
+    refusal = ledger.begin(key, b'request')
+    assert refusal.code is ResultCode.ORDER_KEY_EXPIRED
+    assert refusal.ran is Ran.UNKNOWN
+
+
+async def test_running_order_outlives_its_key(timer, ledger, key):
+    """Guards against the loss of the answer of a slow order."""
+    record = begin(ledger, key)
+    await timer.advance(61.0)
+    ledger.evict()
+    ledger.finish(record, ANSWER)
+    assert ledger.status(key) == ANSWER
+
+
+def test_answers_beyond_the_bound_are_dropped(issuer, ledger):
+    """Guards against answers that fill the memory."""
+    keys = [issuer.issue('print', 'host-1', 7) for _ in range(2)]
+    for key in keys:
+        ledger.finish(begin(ledger, key), Recorded(200, (), b'x' * 15))
+    dropped = ledger.status(keys[0])
+    assert dropped.code is ResultCode.ORDER_ANSWER_DROPPED
+    assert dropped.ran is Ran.YES
+    assert ledger.status(keys[1]).body == b'x' * 15
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Any order of operations on a small ledger."""
+
+    def __init__(self):
+        super().__init__()
+        self.timer = ManualTimer()
+        self.issuer = PermitIssuer(b'a shared key', self.timer, lifetime=30.0)
+        limits = LedgerLimits(2, 2, 20, 15)
+        self.ledger = Ledger(Recorder(self.timer), limits)
+        self.keys = [self.issuer.issue('print', 'host-1', 7)]
+        self.running = []
+        self.starts = {}
+        self.not_run = set()
+
+    def pick(self, index):
+        return self.keys[index % len(self.keys)]
+
+    def note(self, key, outcome):
+        match outcome:
+            case Refusal(ran=Ran.NO):
+                self.not_run.add(key.nonce)
+
+    @rule()
+    def issue(self):
+        self.keys.append(self.issuer.issue('print', 'host-1', 7))
+
+    @rule(index=strategies.integers(0, 5))
+    def begin(self, index):
+        key = self.pick(index)
+        begun = self.ledger.begin(key, b'request')
+        self.note(key, begun)
+        match begun:
+            case Begin(record=record):
+                self.running.append(record)
+
+    @rule(index=strategies.integers(0, 5))
+    def void(self, index):
+        key = self.pick(index)
+        self.note(key, self.ledger.void(key))
+
+    @rule(index=strategies.integers(0, 5))
+    def start(self, index):
+        if self.running:
+            record = self.running[index % len(self.running)]
+            if self.ledger.start(record):
+                nonce = record.key.nonce
+                self.starts[nonce] = self.starts.get(nonce, 0) + 1
+
+    @rule(how=strategies.sampled_from(['finish', 'fail', 'refuse']))
+    def end(self, how):
+        if not self.running:
+            return
+        record = self.running.pop()
+        if how == 'refuse' and not record.starts:
+            self.ledger.refuse(record, UNREACHABLE)
+            self.not_run.add(record.key.nonce)
+        elif how == 'finish':
+            self.ledger.finish(record, Recorded(200, (), b'0123456789'))
+        else:
+            self.ledger.fail(record, UNREACHABLE)
+
+    @rule(seconds=strategies.floats(0.0, 40.0))
+    def wait(self, seconds):
+        self.timer.time += seconds
+
+    @invariant()
+    def nothing_runs_twice(self):
+        assert all(count == 1 for count in self.starts.values())
+
+    @invariant()
+    def not_run_is_true(self):
+        assert not self.not_run & self.starts.keys()
+
+    @invariant()
+    def memory_is_bounded(self):
+        assert len(self.ledger.records) <= 4
+        assert self.ledger.answer_bytes <= 20
+
+
+LedgerMachine.TestCase.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=40,
+    database=None,
+)
+test_any_order_of_operations = LedgerMachine.TestCase
