Contain requests that crash the backend server

A broken connection to the backend server marks everything in flight as suspect and tells the daemons of the service before the caller is answered. The gate that lets a suspect run alone stands between admission and the order gate, so that the last deadline check of an order comes after all waiting.

--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -8,17 +8,16 @@
 import attrs
 
 from tanagerbend_admission import FifoAdmission
+from tanagerbend_daemon.containment import ContainedOwner
 from tanagerbend_daemon.control import ControlHandler
 from tanagerbend_daemon.entry import CallHandler
-from tanagerbend_daemon.order_hop import HttpOrderHop
-from tanagerbend_daemon.order_owner import OrderGate, OrderOwner
 from tanagerbend_daemon.order_path import OrderPath
 from tanagerbend_daemon.outbound import HttpServer, make_session
-from tanagerbend_daemon.owner import Owner
 from tanagerbend_daemon.platform_client import (
     HttpConfigurationService,
     HttpHostList,
 )
+from tanagerbend_daemon.safety import Safety, make_orders, make_safety
 from tanagerbend_distribution import (
     Bootstrap,
     CallBudget,
@@ -29,7 +28,6 @@
 from tanagerbend_interfaces import Member, MemberState
 from tanagerbend_membership import Detector, Roster
 from tanagerbend_metrics import Recorder
-from tanagerbend_orders import Ledger, PermitIssuer
 from tanagerbend_routing import Balancer, RouteTable
 from tanagerbend_settings import Settings
 from tanagerbend_timer import SystemTimer
@@ -101,9 +99,15 @@
     detector = Detector(roster, client, chance, recorder)
     sessions = [make_session(0), make_session(settings.instance.connections)]
     reader = _reader(settings, sessions[0], store, roster, chance, recorder)
-    control = ControlHandler(roster, detector, propagation, recorder)
-    gate = _gate(settings, identity, sessions[1], recorder)
-    calls = _calls(settings, identity, sessions, gate, roster, chance, recorder)
+    safety = make_safety(settings, sessions[1], roster, client)
+    control = ControlHandler(
+        roster,
+        detector,
+        propagation,
+        safety.notices,
+        recorder,
+    )
+    calls = _calls(settings, sessions[0], safety, roster, chance)
     parts = Parts(
         settings,
         timer,
@@ -124,7 +128,7 @@
         client,
         PeerServer(identity, control, recorder),
         calls,
-        _orders(own, calls, gate, roster, recorder),
+        make_orders(calls, safety, roster),
         sessions,
     )
     store.listeners.append(parts.rebuild_routes)
@@ -162,56 +166,25 @@
 
 def _calls(
     settings: Settings,
-    identity: Identity,
-    sessions: list[aiohttp.ClientSession],
-    gate: OrderGate,
+    peers: aiohttp.ClientSession,
+    safety: Safety,
     roster: Roster,
     chance: random.Random,
-    recorder: Recorder,
 ) -> CallHandler:
-    peers = sessions[0]
     instance = settings.instance
-    owner = Owner(
-        gate,
+    recorder = roster.recorder
+    owner = ContainedOwner(
+        safety.backend,
         FifoAdmission(recorder.timer, instance.slots, instance.queue),
         roster,
         recorder,
+        quarantine=safety.quarantine,
     )
     return CallHandler(
         settings.host.name,
-        identity.key,
+        settings.peers.shared_key.encode(),
         owner,
         Balancer(settings.host.failure_domain, chance),
         lambda address: HttpServer(peers, address, recorder.timer),
         recorder,
     )
-
-
-def _gate(
-    settings: Settings,
-    identity: Identity,
-    session: aiohttp.ClientSession,
-    recorder: Recorder,
-) -> OrderGate:
-    return OrderGate(
-        HttpServer(session, settings.addresses.backend, recorder.timer),
-        Ledger(recorder),
-        PermitIssuer(identity.key, recorder.timer),
-    )
-
-
-def _orders(
-    own: Member,
-    calls: CallHandler,
-    gate: OrderGate,
-    roster: Roster,
-    recorder: Recorder,
-) -> OrderPath:
-    return OrderPath(
-        calls,
-        OrderOwner(own, gate.ledger, calls.handle, recorder),
-        gate.issuer,
-        HttpOrderHop(calls),
-        roster,
-        recorder,
-    )
--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/containment.py
@@ -0,0 +1,216 @@
+"""Containment of requests that crash the backend server."""
+
+import enum
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Final
+
+import attrs
+
+from tanagerbend_daemon.call import Answer, Call
+from tanagerbend_daemon.owner import Owner
+from tanagerbend_daemon.suspect_notices import SuspectNotices
+from tanagerbend_interfaces import (
+    BackendRequest,
+    BackendResponse,
+    BackendServer,
+    Member,
+)
+from tanagerbend_membership.readers import weight
+from tanagerbend_model import Ran, Refusal, ResultCode, WorkClass
+from tanagerbend_quarantine import Quarantine, SoloGate, Verdict, fingerprint
+
+# Instances that a suspect is offered to, if backend servers are down.
+MAX_INSTANCES: Final = 3
+
+
+class End(enum.Enum):
+    """How a request left the backend server."""
+
+    COMPLETE = 'complete'
+    BROKEN = 'broken'
+    CUT = 'cut by this side, or never sent'
+
+
+@attrs.define(eq=False)
+class Flight:
+    """A request that the backend server may be running."""
+
+    request: BackendRequest
+    is_alone: bool
+
+
+@attrs.define
+class GuardedBackend:
+    """Backend server that runs suspects alone and notices crashes.
+
+    Explanation
+    ===========
+
+    A connection that breaks during a request counts as a crash; a request
+    that times out does not.
+
+    Parameters
+    ==========
+
+    backend : BackendServer
+    service : str
+        Service of the instance.
+    quarantine : Quarantine
+    notices : SuspectNotices
+    """
+
+    backend: BackendServer
+    service: str
+    quarantine: Quarantine
+    notices: SuspectNotices
+    gate: SoloGate = attrs.field(factory=SoloGate)
+    flights: set[Flight] = attrs.field(factory=set)
+
+    async def exchange(
+        self,
+        request: BackendRequest,
+        deadline: float,
+    ) -> BackendResponse | Refusal:
+        """Send a request, after all others if it is a suspect."""
+        await self.gate.enter(is_solo=self._verdict(request) is Verdict.SUSPECT)
+        verdict = self._verdict(request)
+        if verdict is Verdict.CONVICTED:
+            self.gate.leave()
+            return convicted()
+        flight = Flight(request, self.gate.has_solo)
+        self.flights.add(flight)
+        response: BackendResponse | Refusal | None = None
+        try:
+            response = await self.backend.exchange(request, deadline)
+        finally:
+            if response is None:
+                self._ended(flight, End.CUT)
+        match response:
+            case BackendResponse(chunks=chunks):
+                watched = self._watch(flight, chunks)
+                return attrs.evolve(response, chunks=watched)
+            case Refusal(code=ResultCode.CONNECTION_LOST):
+                await self._finish(flight, End.BROKEN)
+            case _:
+                self._ended(flight, End.CUT)
+        return response
+
+    def _verdict(self, request: BackendRequest) -> Verdict:
+        if self.quarantine.is_empty:
+            return Verdict.CLEAR
+        return self.quarantine.check(self._fingerprint(request))
+
+    def _fingerprint(self, request: BackendRequest) -> bytes:
+        return fingerprint(
+            self.service,
+            request.method,
+            request.path,
+            request.body,
+        )
+
+    async def _watch(
+        self,
+        flight: Flight,
+        chunks: AsyncIterator[bytes],
+    ) -> AsyncIterator[bytes]:
+        end = End.CUT
+        try:
+            async for chunk in chunks:
+                yield chunk
+            end = End.COMPLETE
+        except ConnectionError as error:
+            if not isinstance(error.__cause__, TimeoutError):
+                end = End.BROKEN
+            raise
+        finally:
+            await chunks.aclose()
+            await self._finish(flight, end)
+
+    async def _finish(self, flight: Flight, end: End) -> None:
+        self._ended(flight, end)
+        if end is End.BROKEN:
+            await self.notices.delivered()
+
+    def _ended(self, flight: Flight, end: End) -> None:
+        if end is End.BROKEN:
+            self.quarantine.recorder.count('backend_connections_broken')
+            notice = self.quarantine.crashed(
+                [self._fingerprint(other.request) for other in self.flights],
+                is_alone=flight.is_alone,
+            )
+            self.notices.send(notice)
+        elif end is End.COMPLETE and not self.quarantine.is_empty:
+            self.notices.send(
+                self.quarantine.succeeded(self._fingerprint(flight.request)),
+            )
+        self.flights.discard(flight)
+        self.gate.leave()
+
+
+@attrs.define
+class ContainedOwner(Owner):
+    """Owner that sends a suspect to the one instance that may run it.
+
+    Parameters
+    ==========
+
+    quarantine : Quarantine
+    forward : callable or None
+        Forwards a call to a member; set once the call handler exists.
+    """
+
+    quarantine: Quarantine = attrs.field(kw_only=True)
+    forward: Callable[[Call, Member], Awaitable[Answer | Refusal]] | None = None
+
+    async def run(self, call: Call, work: WorkClass) -> Answer | Refusal:
+        """Run a call here, or forward a suspect."""
+        if self.quarantine.is_empty:
+            return await Owner.run(self, call, work)
+        print_of_call = fingerprint(
+            call.service,
+            call.method,
+            call.path,
+            call.body,
+        )
+        verdict = self.quarantine.check(print_of_call)
+        if verdict is Verdict.CONVICTED:
+            return convicted()
+        # An order runs only at the owner of its key, there alone as well.
+        if verdict is Verdict.CLEAR or call.order_key or not call.is_repeatable:
+            return await Owner.run(self, call, work)
+        return await self._run_suspect(call, work, print_of_call)
+
+    async def _run_suspect(
+        self,
+        call: Call,
+        work: WorkClass,
+        print_of_call: bytes,
+    ) -> Answer | Refusal:
+        outcome: Answer | Refusal = Refusal(ResultCode.NO_INSTANCE, '')
+        for member in self._ranked(call.service, print_of_call):
+            if member.host == self.roster.own_host:
+                outcome = await Owner.run(self, call, work)
+            else:
+                onward = attrs.evolve(call, hops=call.hops + 1)
+                outcome = await self.forward(onward, member)
+            match outcome:
+                case Refusal(code=ResultCode.INSTANCE_UNREACHABLE, ran=Ran.NO):
+                    continue
+            return outcome
+        return outcome
+
+    def _ranked(self, service: str, print_of_call: bytes) -> list[Member]:
+        """Return the instances in an order that all daemons agree on."""
+        purpose = f'suspect/{print_of_call.hex()}'
+        members = sorted(
+            self.roster.instances(service),
+            key=lambda member: weight(member.host, purpose),
+            reverse=True,
+        )
+        return members[:MAX_INSTANCES]
+
+
+def convicted() -> Refusal:
+    """Return the refusal of a request that crashes backend servers."""
+    reason = 'this request crashed the backend server twice'
+    return Refusal(ResultCode.REQUEST_CRASHES_BACKEND, reason)
--- a/packages/daemon/tanagerbend_daemon/control.py
+++ b/packages/daemon/tanagerbend_daemon/control.py
@@ -2,8 +2,9 @@
 
 import attrs
 
+from tanagerbend_daemon.suspect_notices import SuspectNotices
 from tanagerbend_distribution import Propagation
-from tanagerbend_interfaces import Message, Ping, Pong
+from tanagerbend_interfaces import Message, Ping, Pong, Suspects
 from tanagerbend_membership import Detector, Roster
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
@@ -19,12 +20,14 @@
     roster : Roster
     detector : Detector
     propagation : Propagation
+    suspects : SuspectNotices
     recorder : Recorder
     """
 
     roster: Roster
     detector: Detector
     propagation: Propagation
+    suspects: SuspectNotices
     recorder: Recorder
 
     async def answer(self, sender: str, message: Message) -> Message | Refusal:
@@ -33,6 +36,8 @@
         match message:
             case Ping(target=target):
                 return await self._answer_ping(target)
+            case Suspects():
+                return self.suspects.take(message)
         answer = self.propagation.answer(sender, message)
         if answer is None:
             reason = f'{type(message).__name__} is not a request'
--- a/packages/daemon/tanagerbend_daemon/entry.py
+++ b/packages/daemon/tanagerbend_daemon/entry.py
@@ -102,6 +102,8 @@
         work: WorkClass,
     ) -> bool:
         match outcome:
+            case Refusal(code=ResultCode.REQUEST_CRASHES_BACKEND):
+                return False
             case Refusal(ran=Ran.NO):
                 return call.is_repeatable
             case Refusal():
@@ -118,11 +120,12 @@
         try:
             if member.host == self.own_host:
                 return await self.owner.run(call, work)
-            return await self._forward(call, member)
+            return await self.forward(call, member)
         finally:
             self.balancer.finished(member.host)
 
-    async def _forward(self, call: Call, member: Member) -> Answer | Refusal:
+    async def forward(self, call: Call, member: Member) -> Answer | Refusal:
+        """Send a call to the daemon of a member."""
         request = BackendRequest(
             call.method,
             call.path,
--- a/packages/daemon/tanagerbend_daemon/outbound.py
+++ b/packages/daemon/tanagerbend_daemon/outbound.py
@@ -22,6 +22,11 @@
         'upgrade',
     )
 )
+# Raised before the request is written.
+NOT_SENT: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
 CONNECT_SECONDS: Final = 1.0
 KEEPALIVE_SECONDS: Final = 30
 AUTOMATIC_HEADERS: Final = (
@@ -88,15 +93,15 @@
             return Refusal(ResultCode.DEADLINE_PASSED, 'before it was sent')
         try:
             response = await self._send(request, remaining)
-        except aiohttp.ClientConnectorError as error:
-            reason = f'{self.address}: {error.strerror}'
-            return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
-        except aiohttp.ConnectionTimeoutError:
-            reason = f'{self.address}: connecting timed out'
+        except NOT_SENT as error:
+            reason = f'{self.address}: {type(error).__name__}'
             return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            reason = f'{self.address}: {type(error).__name__} after sending'
+        except TimeoutError:
+            reason = f'{self.address}: no answer in time'
             return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+        except (aiohttp.ClientError, OSError) as error:
+            reason = f'{self.address}: {type(error).__name__} after sending'
+            return Refusal(ResultCode.CONNECTION_LOST, reason, Ran.UNKNOWN)
         return BackendResponse(
             response.status,
             _forwarded(response.raw_headers),
--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/safety.py
@@ -0,0 +1,77 @@
+"""Wiring of orders and quarantine between the owner and its instance."""
+
+import aiohttp
+import attrs
+
+from tanagerbend_daemon.containment import GuardedBackend
+from tanagerbend_daemon.entry import CallHandler
+from tanagerbend_daemon.order_hop import HttpOrderHop
+from tanagerbend_daemon.order_owner import OrderGate, OrderOwner
+from tanagerbend_daemon.order_path import OrderPath
+from tanagerbend_daemon.outbound import HttpServer
+from tanagerbend_daemon.suspect_notices import SuspectNotices
+from tanagerbend_interfaces import PeerTransport
+from tanagerbend_membership import Roster
+from tanagerbend_orders import Ledger, PermitIssuer
+from tanagerbend_quarantine import Quarantine
+from tanagerbend_settings import Settings
+
+
+@attrs.frozen
+class Safety:
+    """What stands between admission and the backend server.
+
+    Parameters
+    ==========
+
+    gate : OrderGate
+        Directly before the backend server.
+    notices : SuspectNotices
+    backend : GuardedBackend
+        Contains the gate.
+    """
+
+    gate: OrderGate
+    notices: SuspectNotices
+    backend: GuardedBackend
+
+    @property
+    def quarantine(self) -> Quarantine:
+        """Suspects and convictions of this daemon."""
+        return self.notices.quarantine
+
+
+def make_safety(
+    settings: Settings,
+    session: aiohttp.ClientSession,
+    roster: Roster,
+    transport: PeerTransport,
+) -> Safety:
+    """Wire the steps between admission and the backend server."""
+    recorder = roster.recorder
+    server = HttpServer(session, settings.addresses.backend, recorder.timer)
+    gate = OrderGate(
+        server,
+        Ledger(recorder),
+        PermitIssuer(settings.peers.shared_key.encode(), recorder.timer),
+    )
+    quarantine = Quarantine(recorder)
+    notices = SuspectNotices(quarantine, roster, transport)
+    guarded = GuardedBackend(gate, settings.host.service, quarantine, notices)
+    return Safety(gate, notices, guarded)
+
+
+def make_orders(
+    calls: CallHandler, safety: Safety, roster: Roster
+) -> OrderPath:
+    """Wire the path of orders around the call handler."""
+    gate = safety.gate
+    calls.owner.forward = calls.forward
+    return OrderPath(
+        calls,
+        OrderOwner(roster.own, gate.ledger, calls.handle, roster.recorder),
+        gate.issuer,
+        HttpOrderHop(calls),
+        roster,
+        roster.recorder,
+    )
