--- a/packages/daemon/tanagerbend_daemon/entry.py
+++ b/packages/daemon/tanagerbend_daemon/entry.py
@@ -107,6 +107,8 @@
         work: WorkClass,
     ) -> bool:
         match outcome:
+            case Refusal(code=ResultCode.REQUEST_CRASHES_BACKEND):
+                return False
             case Refusal(ran=Ran.NO):
                 return call.is_repeatable
             case Refusal():
@@ -123,15 +125,16 @@
         try:
             if member.host == self.own_host:
                 return await self.owner.run(call, work)
-            return await self._forward(call, member)
+            return await self.forward(call, member)
         finally:
             self.balancer.finished(member.host)
 
-    async def _forward(self, call: Call, member: Member) -> Answer | Refusal:
+    async def forward(self, call: Call, member: Member) -> Answer | Refusal:
+        """Send a call to the daemon of a member."""
         request = BackendRequest(
             call.method,
             call.path,
-            call.header_pairs + self._peer_headers(call, member.host),
+            call.header_pairs + self.peer_headers(call, member.host),
             call.body,
             call.request_id,
         )
@@ -142,11 +145,12 @@
                 return response
         return _read_answer(call, response)
 
-    def _peer_headers(
+    def peer_headers(
         self,
         call: Call,
         host: str,
     ) -> tuple[tuple[str, str], ...]:
+        """Return the headers of a call forwarded to ``host``."""
         remaining = call.deadline - self.recorder.timer.now()
         return (
             (headers.SERVICE, call.service),
@@ -156,6 +160,7 @@
             (headers.HOPS, str(call.hops)),
             (headers.REQUEST_ID, call.request_id),
             (headers.INSTANCE, host),
+            (headers.SENDER, self.own_host),
             (headers.PEER_PROOF, peer_proof(self.key, call.request_id, host)),
         )
 
--- a/packages/daemon/tanagerbend_daemon/tests/test_operators.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_operators.py
@@ -131,8 +131,22 @@
 
 async def test_explain_names_row_version_and_reasons(parts, ask):
     """Guards against explanations that differ from the routes in use."""
-    away = Host('host-2', 'pattern', 'hobart-a', 'tas-south', 'a:1', 'a:2')
-    gone = Host('host-3', 'pattern', 'kingston', 'tas-south', 'a:3', 'a:4')
+    away = Host(
+        'host-2',
+        'pattern',
+        'hobart-a',
+        'tas-south',
+        '127.0.0.1:1',
+        '127.0.0.1:2',
+    )
+    gone = Host(
+        'host-3',
+        'pattern',
+        'kingston',
+        'tas-south',
+        '127.0.0.1:3',
+        '127.0.0.1:4',
+    )
     start(parts)
     parts.roster.merge((placeholder(away), placeholder(gone)))
     parts.roster.suspect('host-3')
--- a/packages/daemon/tanagerbend_daemon/views.py
+++ b/packages/daemon/tanagerbend_daemon/views.py
@@ -53,7 +53,7 @@
         'version': None if current is None else str(current.version),
         'position': None if current is None else current.version.position,
         'adopted_at': adopted_at(parts),
-        'provisional': parts.bootstrap.is_provisional,
+        'provisional': parts.propagation.is_provisional,
         'reader': reader.is_reader,
         'service_available': reader.is_available,
         'last_read_age': (
