--- a/packages/operator/tanagerbend_operator/check.py
+++ b/packages/operator/tanagerbend_operator/check.py
@@ -1,6 +1,5 @@
 """Sub-command ``check``."""
 
-import datetime
 import ipaddress
 import pathlib
 from collections.abc import Sequence
@@ -31,6 +30,7 @@
     edition_text,
     warn,
 )
+from tanagerbend_operator.times import today
 from tanagerbend_settings import Settings, load, read_text
 
 
@@ -130,7 +130,7 @@
     other = _other_sheet(against, access) if against else None
     if isinstance(other, int):
         return other
-    warnings = warn(sheet.edition, datetime.date.today(), other)
+    warnings = warn(sheet.edition, today(), other)
     changes = None if other is None else compare(other, sheet)
     if as_json:
         write_json(_as_json(sheet, changes, warnings))
--- a/packages/operator/tanagerbend_operator/client.py
+++ b/packages/operator/tanagerbend_operator/client.py
@@ -45,10 +45,12 @@
                 params=query or {},
             ) as response:
                 return await _read(response)
-        except (aiohttp.ClientError, OSError, ValueError) as error:
-            reason = f'{address}: {error or type(error).__name__}'
         except TimeoutError:
             reason = f'{address}: no answer within {ANSWER_SECONDS:.0f} s'
+        except (aiohttp.ClientConnectorError, ConnectionError):
+            reason = f'{address}: no connection'
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            reason = f'{address}: {type(error).__name__}'
         return Refusal(ResultCode.PEER_UNREACHABLE, reason)
 
     async def ask_all(
--- a/packages/operator/tanagerbend_operator/fleet.py
+++ b/packages/operator/tanagerbend_operator/fleet.py
@@ -84,6 +84,13 @@
         """Tell whether a daemon that answered lacks the newest version."""
         return seen.status is not None and seen.version != self.newest
 
+    def count_newest(self, daemons: Iterable[Seen]) -> int:
+        """Return how many of some daemons have the newest version."""
+        return sum(
+            seen.version is not None and seen.version == self.newest
+            for seen in daemons
+        )
+
     def has_problem(self) -> bool:
         """Tell whether any daemon lags, is not ready or is unreachable."""
         return any(
@@ -101,7 +108,8 @@
             key=lambda seen: (seen.failure_domain, seen.host, seen.address),
         )
         for seen in ordered:
-            domains.setdefault(seen.failure_domain, []).append(seen)
+            domain = seen.failure_domain or 'unknown'
+            domains.setdefault(domain, []).append(seen)
         return domains
 
     def find(self, host: str) -> Seen | None:
--- a/packages/operator/tanagerbend_operator/status.py
+++ b/packages/operator/tanagerbend_operator/status.py
@@ -126,13 +126,12 @@
 ) -> None:
     for domain, daemons in view.by_domain().items():
         if domain not in tasks:
-            tasks[domain] = progress.add_task(domain or 'unknown')
+            tasks[domain] = progress.add_task(domain)
         is_newer = view.newest != before
-        at_newest = sum(seen.version == view.newest for seen in daemons)
         progress.update(
             tasks[domain],
             total=len(daemons),
-            completed=at_newest if is_newer else 0,
+            completed=view.count_newest(daemons) if is_newer else 0,
         )
 
 
@@ -173,7 +172,7 @@
     ]
     console().print(table(COLUMNS, rows))
     for domain, daemons in view.by_domain().items():
-        newest = sum(seen.version == view.newest for seen in daemons)
+        newest = view.count_newest(daemons)
         write_line(f'{domain}: {newest} of {len(daemons)} at the newest')
     write_line(f'newest version: {view.newest}')
 
--- /dev/null
+++ b/packages/operator/tanagerbend_operator/tests/test_docs.py
@@ -0,0 +1,114 @@
+"""Pages of ``docs/`` against the code, and the commands shown in them."""
+
+import ast
+import datetime
+import pathlib
+import re
+import shlex
+
+import pytest
+
+from tanagerbend_metrics import MEANINGS, Event
+from tanagerbend_model import ResultCode
+from tanagerbend_model.advice import ADVICE
+from tanagerbend_operator import command, reference
+
+ROOT = pathlib.Path(__file__).parents[4]
+DOCS = ROOT / 'docs'
+REGENERATE = 'run `python -m tanagerbend_operator.reference docs`'
+CONSOLE = re.compile(r'```console\n(.*?)```', re.DOTALL)
+
+
+@pytest.mark.parametrize('name', reference.PAGES)
+def test_reference_pages_equal_the_code(name):
+    """Guards against a code, setting or event that a page lacks."""
+    assert (DOCS / name).read_text() == reference.PAGES[name](), REGENERATE
+
+
+def test_every_code_and_event_is_explained():
+    """Guards against a new code without meaning and advice."""
+    assert set(ADVICE) == set(ResultCode)
+    assert set(MEANINGS) == set(Event)
+    rans = {advice.ran for advice in ADVICE.values()}
+    assert rans == {'no', 'yes', 'unknown', '-'}
+
+
+def noted():
+    """Return the event literals of all calls of ``note``."""
+    found = {}
+    for path in (ROOT / 'packages').rglob('*.py'):
+        if 'tests' in path.parts or path.name in {'journal.py', 'logs.py'}:
+            continue
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.Call) and (
+                getattr(node.func, 'attr', '') == 'note'
+            ):
+                for part in ast.walk(node.args[0]):
+                    if isinstance(part, ast.Constant):
+                        found[part.value] = path.name
+    return found
+
+
+def test_every_event_of_the_code_is_in_the_table():
+    """Guards against journal entries that no page explains."""
+    events = noted()
+    assert 'version_adopted' in events
+    unknown = {
+        event: path for event, path in events.items() if event not in set(Event)
+    }
+    assert unknown == {}
+
+
+def examples():
+    """Return command and output of each console block."""
+    for path in sorted(DOCS.rglob('*.md')):
+        for block in CONSOLE.findall(path.read_text()):
+            shown, _, output = block.partition('\n')
+            yield pytest.param(shown, output, id=f'{path.stem}: {shown}')
+
+
+@pytest.mark.parametrize(('shown', 'output'), list(examples()))
+def test_commands_of_the_docs_run_as_shown(shown, output, monkeypatch, capsys):
+    """Guards against examples that no longer work."""
+    prompt, *arguments = shlex.split(shown)
+    assert prompt == '$'
+    monkeypatch.chdir(DOCS / 'operators' / 'examples')
+    monkeypatch.setattr(
+        'tanagerbend_operator.check.today',
+        lambda: datetime.date(2026, 12, 4),
+    )
+    monkeypatch.setattr('sys.argv', arguments)
+    with pytest.raises(SystemExit):
+        command.main()
+    assert capsys.readouterr().out == output
+
+
+def test_every_exception_of_the_linter_has_a_reason():
+    """Guards against rules that are switched off without a word."""
+    setup = (ROOT / 'setup.cfg').read_text()
+    options = ''.join(
+        line
+        for line in setup.splitlines(keepends=True)
+        if not line.lstrip().startswith('#')
+    )
+    codes = set(re.findall(r'\b[A-Z]{1,3}[0-9]{3}\b', options))
+    assert 'WPS365' in codes
+    told = set(
+        re.findall(r'\b[A-Z]{1,3}[0-9]{3}\b', (DOCS / 'style.md').read_text())
+    )
+    assert codes == told
+
+
+def test_links_of_the_guide_lead_somewhere():
+    """Guards against a failure page that nobody finds at night."""
+    guide = DOCS / 'operators'
+    for path in (*guide.glob('*.md'), DOCS / 'style.md'):
+        for target in re.findall(r'\]\(([^)#:]+)\)', path.read_text()):
+            assert (path.parent / target).exists(), f'{path.name}: {target}'
+    index = (guide / 'README.md').read_text()
+    assert all(f'(F{number}.md)' in index for number in range(1, 11))
+    assert all(
+        f'`{name}' in (guide / 'binaries.md').read_text()
+        for name in command.COMMANDS
+        if name != 'check'
+    )
--- a/packages/operator/tanagerbend_operator/times.py
+++ b/packages/operator/tanagerbend_operator/times.py
@@ -8,6 +8,11 @@
 AGE: Final = re.compile('([0-9]{1,6})([mhd])')
 
 
+def today() -> datetime.date:
+    """Return the local date."""
+    return datetime.date.today()
+
+
 def clock(wall: float) -> str:
     """Return epoch seconds as local date and time."""
     return datetime.datetime.fromtimestamp(wall).strftime('%m-%d %H:%M:%S')
--- a/packages/settings/tanagerbend_settings/loading.py
+++ b/packages/settings/tanagerbend_settings/loading.py
@@ -31,24 +31,33 @@
     >>> [fault.key for fault in load('colour = 1')][:2]
     ['colour', 'host']
     """
-    loaded = load_as(Settings, text)
+    document = _parse(text)
+    if isinstance(document, tuple):
+        return document
+    loaded = _load_as(Settings, document)
+    relations = check_relations(document)
     match loaded:
         case Settings():
-            return check_relations(loaded) or loaded
-    return loaded
+            return relations or loaded
+    return loaded + relations
 
 
 def load_access(text: str) -> AccessSettings | Faults:
     """Return the settings of the command ``tanagerbend``, or all faults."""
-    return load_as(AccessSettings, text)
+    document = _parse(text)
+    if isinstance(document, tuple):
+        return document
+    return _load_as(AccessSettings, document)
 
 
-def load_as(schema: type, text: str) -> Any:
-    """Return settings of a schema, or all faults of single settings."""
+def _parse(text: str) -> dict[str, Any] | Faults:
     try:
-        document = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+        return tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         return (SettingFault('', '', ResultCode.SETTINGS_NOT_TOML, str(error)),)
+
+
+def _load_as(schema: type, document: dict[str, Any]) -> Any:
     faults: list[SettingFault] = []
     settings = _build(schema, document, '', faults)
     return tuple(faults) or settings
--- a/packages/settings/tanagerbend_settings/tests/test_settings.py
+++ b/packages/settings/tanagerbend_settings/tests/test_settings.py
@@ -110,7 +110,9 @@
 def test_all_faults_come_in_one_run():
     """Guards against a check that stops at the first fault."""
     broken = VALID.replace('"host-1"', '""').replace('slots = 6', 'queue = 0')
-    assert [key for key, _ in found(broken)] == ['host.name', 'instance.queue']
+    broken = broken.replace(':9002"\nop', ':9001"\nop')
+    keys = [key for key, _ in found(broken)]
+    assert keys == ['host.name', 'instance.queue', 'addresses.peers']
 
 
 def test_unreadable_files_are_faults(tmp_path):
