--- a/packages/settings/tanagerbend_settings/schema.py
+++ b/packages/settings/tanagerbend_settings/schema.py
@@ -102,6 +102,9 @@
         Number of daemons that share this limit.
     host_list_poll_seconds : float
         Period in which daemons that are not readers read the host list.
+    readers_per_domain : int
+        0 makes every daemon read the service itself, without
+        announcements; only to compare with.
     """
 
     url: str = attrs.field(validator=validators.http_url)
@@ -111,6 +114,7 @@
     calls_per_second: float = number(2000.0, 0.1, 1_000_000)
     expected_fleet_size: int = number(3700, 1, 1_000_000)
     host_list_poll_seconds: float = number(300.0, 1, 86400)
+    readers_per_domain: int = number(2, 0, 100)
 
 
 @attrs.frozen
