Follow the split of the sheet reader and name the events of all packages

The check now uses the difference of the model in place of its own, the row of a work class is read by the model's reader, and drain goes through the notifier, which tells senders of work at once.

A flood seen by its refusals is now refusals_began, since admission notes flood_began by rank. The test of explain used addresses that the roster refuses as invalid since it checks records; it has valid ones now.

--- a/packages/daemon/tanagerbend_daemon/floods.py
+++ b/packages/daemon/tanagerbend_daemon/floods.py
@@ -51,7 +51,7 @@
     def _go_on(self, refused: int) -> None:
         if not self.refused:
             reason = f'{refused} calls refused in {PERIOD_SECONDS:.0f} s'
-            self.recorder.note(Event.FLOOD_STARTED, self.service, reason)
+            self.recorder.note(Event.REFUSALS_BEGAN, self.service, reason)
         self.refused += refused
         self.quiet = 0
 
@@ -60,6 +60,6 @@
         self.quiet += 1
         if self.quiet >= QUIET_PERIODS:
             reason = f'{self.refused} calls refused in all'
-            self.recorder.note(Event.FLOOD_ENDED, self.service, reason)
+            self.recorder.note(Event.REFUSALS_ENDED, self.service, reason)
             self.refused = 0
             self.quiet = 0
--- a/packages/daemon/tanagerbend_daemon/logs.py
+++ b/packages/daemon/tanagerbend_daemon/logs.py
@@ -22,7 +22,14 @@
         Event.VERSION_CONFLICT,
         Event.SERVICE_LOST,
         Event.MEMBER_SUSPECTED,
-        Event.FLOOD_STARTED,
+        Event.REFUSALS_BEGAN,
+        Event.FLOOD_BEGAN,
+        Event.SHORTAGE_BEGAN,
+        Event.REQUEST_CONVICTED,
+        Event.PAUSED,
+        Event.CONTROL_FAULT,
+        Event.OWN_HOST_TAKEN_OVER,
+        Event.BOOTSTRAPPED_PROVISIONALLY,
     ),
 )
 HIDDEN: Final = '[secret]'
--- a/packages/daemon/tanagerbend_daemon/operators.py
+++ b/packages/daemon/tanagerbend_daemon/operators.py
@@ -205,7 +205,7 @@
     async def drain(self, _request: web.Request) -> web.Response:
         """Stop to take new work; running calls finish."""
         return await self._change_state(
-            (MemberState.LIVE, MemberState.STARTING),
+            (MemberState.LIVE,),
             MemberState.DRAINING,
             Event.DRAIN_STARTED,
         )
@@ -229,9 +229,9 @@
     ) -> web.Response:
         parts = self.parts
         if parts.roster.own.state in before:
-            own = parts.roster.set_own_state(after)
-            parts.recorder.note(event, own.host, 'asked by an operator')
-            await parts.detector.notify((own,))
+            reason = 'asked by an operator'
+            parts.recorder.note(event, parts.roster.own_host, reason)
+            await parts.detector.notifier.announce_state(after)
         return web.json_response(views.status(parts))
 
     def _invalid(self, name: str, text: str) -> web.Response:
--- a/packages/daemon/tanagerbend_daemon/tests/test_floods.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_floods.py
@@ -28,7 +28,7 @@
 async def test_one_flood_is_two_entries(watch):
     """Guards against a journal filled by each period of a flood."""
     events = await rounds(watch, [0, 40, 0, 3, 50, 60, 0, 0, 0, 0, 0, 0, 0])
-    assert events == [('flood_started', '40'), ('flood_ended', '153')]
+    assert events == [('refusals_began', '40'), ('refusals_ended', '153')]
 
 
 async def test_single_refusals_are_no_flood(watch):
--- a/packages/daemon/tanagerbend_daemon/tests/test_operators.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_operators.py
@@ -12,6 +12,7 @@
 
 TOKEN = 'token of the operators'
 SHARED_KEY = 'shared key of the fleet'
+ADDRESSES = '127.0.0.1:9', '127.0.0.1:8'
 SHEET = b'service,work,rank\nartwork,plates,3\npattern,swatches,5\n'
 SETTINGS = f"""
 [host]
@@ -131,8 +132,8 @@
 
 async def test_explain_names_row_version_and_reasons(parts, ask):
     """Guards against explanations that differ from the routes in use."""
-    away = Host('host-2', 'pattern', 'hobart-a', 'tas-south', 'a:1', 'a:2')
-    gone = Host('host-3', 'pattern', 'kingston', 'tas-south', 'a:3', 'a:4')
+    away = Host('host-2', 'pattern', 'hobart-a', 'tas-south', *ADDRESSES)
+    gone = Host('host-3', 'pattern', 'kingston', 'tas-south', *ADDRESSES)
     start(parts)
     parts.roster.merge((placeholder(away), placeholder(gone)))
     parts.roster.suspect('host-3')
--- a/packages/daemon/tanagerbend_daemon/views.py
+++ b/packages/daemon/tanagerbend_daemon/views.py
@@ -1,7 +1,5 @@
 """What a daemon tells operators about itself, as plain data."""
 
-import csv
-import io
 from collections import Counter
 from typing import Any
 
@@ -11,6 +9,8 @@
 from tanagerbend_interfaces import Member, MemberState
 from tanagerbend_metrics import Event
 from tanagerbend_model import Refusal, ResultCode, WorkClass
+from tanagerbend_model.faults import FaultList
+from tanagerbend_model.spreadsheet import read_rows
 from tanagerbend_routing import Route
 
 NANOSECONDS = 1e9
@@ -31,6 +31,8 @@
     state = parts.roster.own.state
     if state is not MemberState.LIVE:
         reasons.append(state.name.lower())
+    if not parts.guard.is_verified:
+        reasons.append('unverified after a pause')
     return tuple(reasons)
 
 
@@ -53,7 +55,7 @@
         'version': None if current is None else str(current.version),
         'position': None if current is None else current.version.position,
         'adopted_at': adopted_at(parts),
-        'provisional': parts.bootstrap.is_provisional,
+        'provisional': parts.propagation.is_provisional,
         'reader': reader.is_reader,
         'service_available': reader.is_available,
         'last_read_age': (
@@ -182,15 +184,13 @@
     >>> sheet_row(sheet, WorkClass('artwork', 'plates', rank=3))
     3
     """
-    text = content.decode('utf-8-sig')
     columns: list[str] = []
-    for number, cells in enumerate(csv.reader(io.StringIO(text)), start=1):
-        stripped = [cell.strip() for cell in cells]
+    for row in read_rows(content, FaultList()):
         if not columns:
-            names = [cell.lower() for cell in stripped]
+            names = [cell.lower() for cell in row.cells]
             columns = names if 'work' in names else []
             continue
-        row = dict(zip(columns, stripped, strict=False))
-        if (row.get('service'), row.get('work')) == (work.service, work.work):
-            return number
+        cells = dict(zip(columns, row.cells, strict=False))
+        if (cells['service'], cells['work']) == (work.service, work.work):
+            return row.number
     return 0
--- a/packages/metrics/tanagerbend_metrics/events.py
+++ b/packages/metrics/tanagerbend_metrics/events.py
@@ -18,6 +18,7 @@
     VERSION_REJECTED = 'version_rejected'
     VERSION_CONFLICT = 'version_conflict'
     BOOTSTRAPPED = 'bootstrapped'
+    BOOTSTRAPPED_PROVISIONALLY = 'bootstrapped_provisionally'
     READER_ROLE_TAKEN = 'reader_role_taken'
     READER_ROLE_LEFT = 'reader_role_left'
     SERVICE_LOST = 'service_lost'
@@ -25,17 +26,28 @@
     MEMBER_SUSPECTED = 'member_suspected'
     MEMBER_GONE = 'member_gone'
     CLAIM_REFUTED = 'claim_refuted'
+    OWN_HOST_TAKEN_OVER = 'own_host_taken_over'
     DRAIN_STARTED = 'drain_started'
     DRAIN_ENDED = 'drain_ended'
-    FLOOD_STARTED = 'flood_started'
+    REFUSALS_BEGAN = 'refusals_began'
+    REFUSALS_ENDED = 'refusals_ended'
+    FLOOD_BEGAN = 'flood_began'
     FLOOD_ENDED = 'flood_ended'
+    SHORTAGE_BEGAN = 'shortage_began'
+    SHORTAGE_ENDED = 'shortage_ended'
+    REQUEST_CONVICTED = 'request_convicted'
+    PAUSED = 'paused'
+    CONTROL_FAULT = 'control_fault'
 
 
 MEANINGS: Final = {
     Event.VERSION_ADOPTED: 'a version is in force at this daemon',
     Event.VERSION_REJECTED: 'a published value is no valid sheet',
     Event.VERSION_CONFLICT: 'two values claim one position in the order',
-    Event.BOOTSTRAPPED: 'the daemon left bootstrap with a version',
+    Event.BOOTSTRAPPED: "the daemon left bootstrap with the peers' version",
+    Event.BOOTSTRAPPED_PROVISIONALLY: (
+        'the daemon left bootstrap without hearing a peer that serves'
+    ),
     Event.READER_ROLE_TAKEN: 'this daemon reads for its failure domain',
     Event.READER_ROLE_LEFT: 'another daemon of the domain reads',
     Event.SERVICE_LOST: 'the configuration service does not answer',
@@ -43,8 +55,16 @@
     Event.MEMBER_SUSPECTED: 'no daemon that was asked reaches a member',
     Event.MEMBER_GONE: 'a suspected member was given up',
     Event.CLAIM_REFUTED: 'this daemon refuted that it is unreachable',
+    Event.OWN_HOST_TAKEN_OVER: 'another process claims the own host name',
     Event.DRAIN_STARTED: 'the instance takes no new work',
     Event.DRAIN_ENDED: 'the instance takes work again',
-    Event.FLOOD_STARTED: 'calls are refused for want of capacity',
-    Event.FLOOD_ENDED: 'no call was refused for want of capacity lately',
+    Event.REFUSALS_BEGAN: 'calls are refused for want of capacity',
+    Event.REFUSALS_ENDED: 'no call was refused for want of capacity lately',
+    Event.FLOOD_BEGAN: 'the work of a rank alone exceeds all slots',
+    Event.FLOOD_ENDED: 'the work of a rank fits its slots again',
+    Event.SHORTAGE_BEGAN: 'other ranks leave a rank too few slots',
+    Event.SHORTAGE_ENDED: 'a rank has enough slots again',
+    Event.REQUEST_CONVICTED: 'a request crashed backend servers twice',
+    Event.PAUSED: 'the process did not run for some seconds',
+    Event.CONTROL_FAULT: 'control work ended by a fault and began again',
 }
--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -16,7 +16,8 @@
 SERVICE_CALLS: Final = 'service_calls'
 # Must stay 0: an order whose key was seen was sent to the backend again.
 ORDERS_STARTED_AGAIN: Final = 'orders_started_again'
-BACKEND_CRASHES: Final = 'backend_crashes'
+# A connection that breaks during a request is taken for a crash.
+BACKEND_CRASHES: Final = 'backend_connections_broken'
 
 # Name of the label of each counter that has one.
 LABELS: Final = {
--- a/packages/operator/tanagerbend_operator/check.py
+++ b/packages/operator/tanagerbend_operator/check.py
@@ -9,11 +9,13 @@
 
 from tanagerbend_model import (
     Accepted,
+    Difference,
     Fault,
     Refusal,
     Rejected,
     Sheet,
     accept,
+    difference,
 )
 from tanagerbend_operator import exits
 from tanagerbend_operator.access import Access, find_access
@@ -25,9 +27,9 @@
     write_line,
 )
 from tanagerbend_operator.sheets import (
-    SheetChange,
-    compare,
+    describe_fields,
     edition_text,
+    kind_of,
     warn,
 )
 from tanagerbend_operator.times import today
@@ -131,7 +133,7 @@
     if isinstance(other, int):
         return other
     warnings = warn(sheet.edition, today(), other)
-    changes = None if other is None else compare(other, sheet)
+    changes = None if other is None else difference(other, sheet)
     if as_json:
         write_json(_as_json(sheet, changes, warnings))
     else:
@@ -179,7 +181,7 @@
 
 def _as_json(
     sheet: Sheet,
-    changes: tuple[SheetChange, ...] | None,
+    changes: tuple[Difference, ...] | None,
     warnings: tuple[str, ...],
 ) -> dict[str, Any]:
     found: dict[str, Any] = {
@@ -189,13 +191,21 @@
         'warnings': warnings,
     }
     if changes is not None:
-        found['changes'] = [attrs.asdict(change) for change in changes]
+        found['changes'] = [
+            {
+                'kind': kind_of(change),
+                'service': change.service,
+                'work': change.work,
+                'what': describe_fields(change),
+            }
+            for change in changes
+        ]
     return found
 
 
 def _show(
     sheet: Sheet,
-    changes: tuple[SheetChange, ...] | None,
+    changes: tuple[Difference, ...] | None,
     warnings: tuple[str, ...],
 ) -> None:
     write_line(
@@ -204,8 +214,10 @@
         f'edition {edition_text(sheet.edition)}',
     )
     for change in changes or ():
-        what = f': {change.what}' if change.what else ''
-        write_line(f'{change.kind} {change.service}/{change.work}{what}')
+        fields = describe_fields(change)
+        what = f': {fields}' if fields else ''
+        name = f'{change.service}/{change.work}'
+        write_line(f'{kind_of(change)} {name}{what}')
     if changes is not None and not changes:
         write_line('no work class changes')
     for warning in warnings:
--- a/packages/operator/tanagerbend_operator/sheets.py
+++ b/packages/operator/tanagerbend_operator/sheets.py
@@ -4,9 +4,7 @@
 from collections.abc import Iterator
 from typing import Final
 
-import attrs
-
-from tanagerbend_model import Sheet, WorkClass
+from tanagerbend_model import Difference, Sheet
 
 # A typing error in the year or month is further off; a sheet for the day
 # after a long weekend is not.
@@ -14,47 +12,20 @@
 DATE_PARTS: Final = 3
 
 
-@attrs.frozen
-class SheetChange:
-    """One work class that a sheet changes.
+def kind_of(change: Difference) -> str:
+    """Return ``added``, ``removed`` or ``changed``."""
+    if change.before is None:
+        return 'added'
+    return 'removed' if change.after is None else 'changed'
 
-    Parameters
-    ==========
-
-    kind : str
-        ``added``, ``removed`` or ``changed``.
-    service, work : str
-    what : str
-        Changed columns with the value before and after.
-    """
 
-    kind: str
-    service: str
-    work: str
-    what: str = ''
-
-
-def compare(before: Sheet, after: Sheet) -> tuple[SheetChange, ...]:
-    """Return the changes in the order of the rows, removals last."""
-    held = {(entry.service, entry.work): entry for entry in before.work}
-    changes = []
-    for entry in after.work:
-        old = held.pop((entry.service, entry.work), None)
-        if old is None:
-            changes.append(SheetChange('added', entry.service, entry.work))
-        elif old != entry:
-            what = ', '.join(_differences(old, entry))
-            change = SheetChange('changed', entry.service, entry.work, what)
-            changes.append(change)
-    changes.extend(SheetChange('removed', *key) for key in held)
-    return tuple(changes)
-
-
-def _differences(old: WorkClass, new: WorkClass) -> Iterator[str]:
-    before, after = attrs.asdict(old), attrs.asdict(new)
-    for column, held in before.items():
-        if held != after[column]:
-            yield f'{column} {_shown(held)} -> {_shown(after[column])}'
+def describe_fields(change: Difference) -> str:
+    """Return the columns that differ, with the value before and after."""
+    return ', '.join(
+        f'{column} {_shown(getattr(change.before, column))}'
+        f' -> {_shown(getattr(change.after, column))}'
+        for column in change.fields
+    )
 
 
 def _shown(cell: object) -> str:
--- a/packages/operator/tanagerbend_operator/story.py
+++ b/packages/operator/tanagerbend_operator/story.py
@@ -22,7 +22,9 @@
         Event.READER_ROLE_LEFT,
         Event.SERVICE_AVAILABLE,
         Event.DRAIN_ENDED,
+        Event.REFUSALS_ENDED,
         Event.FLOOD_ENDED,
+        Event.SHORTAGE_ENDED,
     ),
 )
 
--- a/packages/operator/tanagerbend_operator/tests/test_check.py
+++ b/packages/operator/tanagerbend_operator/tests/test_check.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tanagerbend_model import Accepted, accept
-from tanagerbend_operator.sheets import compare, warn
+from tanagerbend_operator.sheets import warn
 
 HEAD = b'service,work,rank,target_ms\n'
 SHEET = HEAD + b'artwork,plates,3,\npattern,swatches,5,\n'
@@ -100,10 +100,13 @@
     assert 'edition none is older' in warning
 
 
-def test_equal_sheets_have_no_changes():
+def test_equal_sheets_have_no_changes(run, tmp_path):
     """Guards against differences invented by defaults."""
-    spelled_out = SHEET.replace(b'3,\n', b'3,500\n')
-    assert compare(sheet(SHEET), sheet(spelled_out)) == ()
+    (tmp_path / 'a.csv').write_bytes(SHEET)
+    (tmp_path / 'b.csv').write_bytes(SHEET.replace(b'3,\n', b'3,500\n'))
+    status, found, _ = run('check', 'b.csv', '--against', 'a.csv', '--json')
+    assert (status, found['changes']) == (0, [])
+    assert 'no work class' in run('check', 'b.csv', '--against', 'a.csv')[1]
 
 
 def test_settings_files_are_checked_too(run, tmp_path):
--- a/packages/operator/tanagerbend_operator/tests/test_report.py
+++ b/packages/operator/tanagerbend_operator/tests/test_report.py
@@ -69,7 +69,7 @@
     """Guards against the gravest facts missing from the page."""
     daemons.answers[1, '/counters'] = {
         'counters': {
-            'backend_crashes': {'': 2},
+            'backend_connections_broken': {'': 2},
             'orders_started_again': {'': 1},
         },
         'refusals': [
--- a/packages/settings/tanagerbend_settings/schema.py
+++ b/packages/settings/tanagerbend_settings/schema.py
@@ -103,8 +103,9 @@
     host_list_poll_seconds : float
         Period in which daemons that are not readers read the host list.
     readers_per_domain : int
-        0 makes every daemon read the service itself, without
-        announcements; only to compare with.
+        Daemons of a failure domain that watch the service. 0 makes
+        every daemon watch it, without announcements; only to compare
+        with.
     """
 
     url: str = attrs.field(validator=validators.http_url)
