Admit calls by rank with floors and an adaptive limit

Admission in order of arrival lets a flood of any rank make nearly all calls late. RankAdmission serves ranks below their floor first, then the most urgent one; tenants share a rank fairly, deadlines order a tenant. Calls predicted to miss their deadline, or their target while their rank is under pressure, are refused at once. The limit follows shed load and slow answers. Slots are given back when a body ends or is abandoned; a generator that was never started did not do that.

--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -7,7 +7,7 @@
 import aiohttp
 import attrs
 
-from tanagerbend_admission import FifoAdmission
+from tanagerbend_admission import RankAdmission
 from tanagerbend_daemon.control import ControlHandler
 from tanagerbend_daemon.entry import CallHandler
 from tanagerbend_daemon.outbound import HttpServer, make_session
@@ -26,11 +26,14 @@
 from tanagerbend_interfaces import Member, MemberState
 from tanagerbend_membership import Detector, Roster
 from tanagerbend_metrics import Recorder
+from tanagerbend_model import Sheet
 from tanagerbend_routing import Balancer, RouteTable
 from tanagerbend_settings import Settings
 from tanagerbend_timer import SystemTimer
 from tanagerbend_wire import Identity, PeerClient, PeerServer
 
+FULL_PERCENT = 100
+
 
 @attrs.define
 class Parts:
@@ -54,6 +57,9 @@
         """Replace the route table by one of the current facts."""
         current = self.store.current
         if current is not None:
+            service = self.settings.host.service
+            floors = floors_of(current.sheet, service)
+            self.calls.owner.admission.configure(floors)
             self.calls.table = RouteTable.build(
                 current.version,
                 current.sheet,
@@ -61,6 +67,20 @@
             )
 
 
+def floors_of(sheet: Sheet, service: str) -> dict[int, float]:
+    """Return the guaranteed share of slot time by rank, 0 to 1.
+
+    The floor of a rank is the highest of its work classes, as in the
+    check that floors fit into the capacity.
+    """
+    floors: dict[int, float] = {}
+    for work in sheet.of_service(service):
+        rank = work.effective_rank
+        share = work.floor_percent / FULL_PERCENT
+        floors[rank] = max(floors.get(rank, 0.0), share)
+    return floors
+
+
 def own_member(settings: Settings) -> Member:
     """Return the record of a daemon that has just started."""
     host = settings.host
@@ -165,7 +185,7 @@
     instance = settings.instance
     owner = Owner(
         HttpServer(local, settings.addresses.backend, recorder.timer),
-        FifoAdmission(recorder.timer, instance.slots, instance.queue),
+        RankAdmission(recorder, instance.slots, instance.queue),
         roster,
         recorder,
     )
--- a/packages/daemon/tanagerbend_daemon/call.py
+++ b/packages/daemon/tanagerbend_daemon/call.py
@@ -56,6 +56,20 @@
     order_key: str = ''
     instance: str = ''
 
+    def limit_headers(self, now: float, hops: int) -> HeaderPairs:
+        """Return the headers that carry the limits of this call.
+
+        ``now`` is monotonic seconds, ``hops`` the number to be sent.
+        """
+        remaining = min((self.deadline - now) * MILLISECONDS, MAX_DEADLINE_MS)
+        return (
+            (headers.TENANT, self.tenant),
+            (headers.RANK, str(self.rank)),
+            (headers.DEADLINE_MS, str(max(0, int(remaining)))),
+            (headers.HOPS, str(hops)),
+            (headers.REQUEST_ID, self.request_id),
+        )
+
     @property
     def is_repeatable(self) -> bool:
         """Whether the body can be sent more than once."""
@@ -94,6 +108,22 @@
     hops: int
 
 
+def header_of(pairs: HeaderPairs, name: str) -> str:
+    """Return the first value of a header, empty if it is missing.
+
+    Examples
+    ========
+
+    >>> header_of((('content-TYPE', 'text/plain'),), 'Content-Type')
+    'text/plain'
+    """
+    wanted = name.lower()
+    for found, text in pairs:
+        if found.lower() == wanted:
+            return text
+    return ''
+
+
 def read_limits(
     received: Mapping[str, str],
     now: float,
--- a/packages/daemon/tanagerbend_daemon/owner.py
+++ b/packages/daemon/tanagerbend_daemon/owner.py
@@ -1,11 +1,12 @@
 """Owner side of a call: admission and the backend server beside."""
 
-from collections.abc import AsyncIterator, Callable
+from http import HTTPStatus
 
 import attrs
 
-from tanagerbend_admission import FifoAdmission, Ticket
-from tanagerbend_daemon.call import Answer, Call
+from tanagerbend_admission import Admission, Outcome, Ticket
+from tanagerbend_daemon.body import HeldBody, close_body
+from tanagerbend_daemon.call import MILLISECONDS, Answer, Call, header_of
 from tanagerbend_interfaces import (
     BackendRequest,
     BackendResponse,
@@ -14,9 +15,9 @@
 )
 from tanagerbend_membership import Roster
 from tanagerbend_metrics import Recorder
-from tanagerbend_model import Refusal, ResultCode, WorkClass
+from tanagerbend_model import Ran, Refusal, ResultCode, WorkClass, headers
 
-MILLISECONDS = 1000
+DRAINING = Refusal(ResultCode.DRAINING, 'instance takes no new work')
 
 
 @attrs.define
@@ -27,13 +28,15 @@
     ==========
 
     backend : BackendServer
-    admission : FifoAdmission
+    admission : Admission
     roster : Roster
     recorder : Recorder
+    running : int
+        Calls that hold a slot.
     """
 
     backend: BackendServer
-    admission: FifoAdmission
+    admission: Admission
     roster: Roster
     recorder: Recorder
     running: int = 0
@@ -41,61 +44,110 @@
     async def run(self, call: Call, work: WorkClass) -> Answer | Refusal:
         """Run a call on the backend server once a slot is free."""
         if self.roster.own.state is not MemberState.LIVE:
-            return Refusal(ResultCode.DRAINING, 'instance takes no new work')
-        refusal = await self.admission.enter(self._ticket(call, work))
+            return DRAINING
+        ticket = _ticket(call, work)
+        refusal = await self.admission.enter(ticket)
         if refusal is not None:
-            self.recorder.count('refusals', refusal.code.name)
+            self.recorder.count('not_admitted', refusal.code.name)
             return refusal
         self.running += 1
-        response = None
+        lease = Lease(self, ticket, self.recorder.timer.now())
         try:
-            response = await self.backend.exchange(
-                _backend_request(call),
-                call.deadline,
-            )
-        finally:
-            if not isinstance(response, BackendResponse):
-                self._finished()
-        match response:
-            case Refusal():
-                return response
+            return await self._exchange(call, lease)
+        except BaseException:
+            lease.end(Outcome.CANCELLED)
+            raise
+
+    async def _exchange(self, call: Call, lease: 'Lease') -> Answer | Refusal:
+        response = await self.backend.exchange(
+            _backend_request(call, self.recorder.timer.now()),
+            call.deadline,
+        )
+        refusal = _refusal_of(call, response)
+        if refusal is not None:
+            await _abandon(response)
+            lease.end(_outcome(refusal))
+            return refusal
         return Answer(
             response.status,
             response.headers,
-            _with_end(response.chunks, self._finished),
+            HeldBody(response.chunks, lease.end_of_body),
         )
 
-    def _finished(self) -> None:
-        self.running -= 1
-        self.admission.leave()
-
-    def _ticket(self, call: Call, work: WorkClass) -> Ticket:
-        return Ticket(
-            work=work.work,
-            rank=max(work.effective_rank, call.rank),
-            tenant=call.tenant,
-            deadline=call.deadline,
-            target=work.target_ms / MILLISECONDS,
-        )
+
+@attrs.define
+class Lease:
+    """A slot held by a call; it is given back exactly once."""
+
+    owner: Owner
+    ticket: Ticket
+    started: float
+    is_open: bool = True
+
+    def end(self, outcome: Outcome) -> None:
+        """Give the slot back, unless that was done before."""
+        if self.is_open:
+            self.is_open = False
+            self.owner.running -= 1
+            used = self.owner.recorder.timer.now() - self.started
+            self.owner.admission.leave(self.ticket, outcome, used)
+
+    def end_of_body(self, is_whole: bool) -> None:
+        """Give the slot back at the end of the answer."""
+        self.end(Outcome.SERVED if is_whole else Outcome.CANCELLED)
+
+
+def _ticket(call: Call, work: WorkClass) -> Ticket:
+    return Ticket(
+        work.work,
+        max(work.effective_rank, call.rank),
+        call.tenant,
+        call.deadline,
+        work.target_ms / MILLISECONDS,
+    )
 
 
-def _backend_request(call: Call) -> BackendRequest:
+def _backend_request(call: Call, now: float) -> BackendRequest:
+    """Hand the limits on, so that calls it causes stay within them."""
     return BackendRequest(
         call.method,
         call.path,
-        call.header_pairs,
+        call.header_pairs + call.limit_headers(now, call.hops + 1),
         call.body,
         call.request_id,
     )
 
 
-async def _with_end(
-    chunks: AsyncIterator[bytes],
-    finished: Callable[[], None],
-) -> AsyncIterator[bytes]:
-    try:
-        async for chunk in chunks:
-            yield chunk
-    finally:
-        await chunks.aclose()
-        finished()
+def _refusal_of(
+    call: Call,
+    response: BackendResponse | Refusal,
+) -> Refusal | None:
+    match response:
+        case Refusal():
+            return response
+    echoed = header_of(response.headers, headers.REQUEST_ID)
+    if echoed not in {'', call.request_id}:
+        reason = 'backend server answered another request'
+        return Refusal(ResultCode.ANSWER_CROSSED, reason, Ran.UNKNOWN)
+    if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        # A 503 alone does not prove that nothing ran; the backend server
+        # can say so with the header of the refusals.
+        said = header_of(response.headers, headers.RAN)
+        ran = Ran.NO if said == Ran.NO.value else Ran.UNKNOWN
+        reason = 'backend server sheds load'
+        return Refusal(ResultCode.BACKEND_SHED_LOAD, reason, ran)
+    return None
+
+
+def _outcome(refusal: Refusal) -> Outcome:
+    if refusal.code is ResultCode.BACKEND_SHED_LOAD:
+        return Outcome.SHED
+    if refusal.ran is Ran.NO:
+        return Outcome.CANCELLED
+    return Outcome.FAILED
+
+
+async def _abandon(response: BackendResponse | Refusal) -> None:
+    match response:
+        case BackendResponse(chunks=chunks):
+            await close_body(chunks)
