--- a/packages/membership/tanagerbend_membership/roster.py
+++ b/packages/membership/tanagerbend_membership/roster.py
@@ -176,7 +176,7 @@
 
         A host that the list dropped stays a member until it is also
         suspected, because the list lags and can be wrong.  A list that
-        lacks most of the members in use takes no member away at all.
+        lacks most of the known members takes no member away at all.
         """
         hosts = [host for host in listing.hosts if not fault_of(host)]
         faulty = len(listing.hosts) - len(hosts)
@@ -185,9 +185,9 @@
         self.listed = {host.host: host for host in hosts}
         for host in hosts:
             self._observe_host(host)
-        in_use = self.reachable()
-        missing = sum(member.host not in self.listed for member in in_use)
-        self.is_list_plausible = 2 * missing <= len(in_use) and bool(hosts)
+        known = self.known()
+        missing = sum(member.host not in self.listed for member in known)
+        self.is_list_plausible = 2 * missing <= len(known) and bool(hosts)
 
     def _observe_host(self, host: Host) -> None:
         held = self.members.get(host.host)
