--- a/packages/daemon/tanagerbend_daemon/services.py
+++ b/packages/daemon/tanagerbend_daemon/services.py
@@ -7,6 +7,7 @@
 
 from tanagerbend_daemon.assembly import Parts
 from tanagerbend_daemon.front import CallServer
+from tanagerbend_daemon.operators import OperatorService
 from tanagerbend_interfaces import MemberState
 
 EXPIRY_SECONDS = 5.0
@@ -85,7 +86,7 @@
     def __init__(self, parts: Parts) -> None:
         super().__init__()
         self.parts = parts
-        self.server = CallServer(parts.calls)
+        self.server = CallServer(parts.calls, parts.orders)
 
     async def on_start(self) -> None:
         """Listen to callers."""
@@ -104,5 +105,6 @@
     def __init__(self, parts: Parts) -> None:
         super().__init__()
         self.parts = parts
+        self.add_dependency(OperatorService(parts))
         self.add_dependency(ControlService(parts))
         self.add_dependency(CallService(parts))
