--- a/packages/standins/tanagerbend_standins/caller.py
+++ b/packages/standins/tanagerbend_standins/caller.py
@@ -14,6 +14,8 @@
 
 CALL_SECONDS: Final = 30.0
 RESEND_SECONDS: Final = 0.1
+# Not in any sheet: the refusal tells the version and costs no slot.
+NO_SERVICE: Final = 'no-such-service'
 
 
 @attrs.frozen
@@ -34,6 +36,8 @@
         Host of the entry daemon.
     order_key : str
         Key that the answer carried, else an empty string.
+    version : str
+        Version in force at the entry daemon.
     """
 
     status: int
@@ -43,6 +47,7 @@
     seconds: float
     via: str
     order_key: str = ''
+    version: str = ''
 
     @property
     def is_answer(self) -> bool:
@@ -140,6 +145,11 @@
                 await asyncio.sleep(RESEND_SECONDS)
         return reply
 
+    async def version_at(self, node: Node) -> str:
+        """Return the version in force at a daemon; empty if it has none."""
+        reply = await self.call(NO_SERVICE, '/', node=node)
+        return reply.version
+
     async def status(self, node: Node, path: str = '/status') -> Any:
         """Return the JSON that an operator endpoint answers, or None."""
         try:
@@ -173,6 +183,7 @@
         seconds,
         entry.place.host,
         received.get(headers.ORDER_KEY, ''),
+        received.get(headers.VERSION, ''),
     )
 
 
--- a/packages/standins/tanagerbend_standins/fleet.py
+++ b/packages/standins/tanagerbend_standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import pathlib
 import signal
 import socket
@@ -18,6 +19,9 @@
 
 PORTS_PER_NODE: Final = 3
 LOOPBACK: Final = '127.0.0.1'
+FLEETS: Final = itertools.count()
+FLEETS_OF_PROCESS: Final = 250
+BYTE: Final = 256
 SHEET_KEY: Final = 'sheet'
 HOST_LIST_KEY: Final = 'hosts'
 # Only the stand-in fleet uses these.
@@ -27,12 +31,23 @@
 STOP_SECONDS: Final = 40.0
 
 
-def free_ports(count: int) -> list[int]:
+def own_loopback() -> str:
+    """Return a loopback address that no other fleet uses.
+
+    On 127.0.0.1 the port of a daemon could be taken by any outgoing
+    connection between its choice and the start of the daemon.
+    """
+    number = next(FLEETS) % FLEETS_OF_PROCESS + 1
+    high, low = divmod(os.getpid(), BYTE)
+    return f'127.{number}.{high % BYTE}.{low}'
+
+
+def free_ports(count: int, address: str = LOOPBACK) -> list[int]:
     """Return port numbers that were free a moment ago."""
     sockets = [socket.socket() for _ in range(count)]
     try:
         for listener in sockets:
-            listener.bind((LOOPBACK, 0))
+            listener.bind((address, 0))
         return [listener.getsockname()[1] for listener in sockets]
     finally:
         for listener in sockets:
@@ -60,21 +75,22 @@
     platform_url: str = ''
     process: asyncio.subprocess.Process | None = None
     leaving: bool = False
+    loopback: str = LOOPBACK
 
     @property
     def call_address(self) -> str:
         """Address for callers, ``address:port``."""
-        return f'{LOOPBACK}:{self.ports[0]}'
+        return f'{self.loopback}:{self.ports[0]}'
 
     @property
     def peer_address(self) -> str:
         """Address for control messages."""
-        return f'{LOOPBACK}:{self.ports[1]}'
+        return f'{self.loopback}:{self.ports[1]}'
 
     @property
     def operator_address(self) -> str:
         """Address for operators."""
-        return f'{LOOPBACK}:{self.ports[2]}'
+        return f'{self.loopback}:{self.ports[2]}'
 
 
 class Fleet:
@@ -108,12 +124,14 @@
         self.has_log_files = has_log_files
         self.platform = StandinPlatform()
         self.url = ''
-        ports = iter(free_ports(PORTS_PER_NODE * len(places)))
+        loopback = own_loopback()
+        ports = iter(free_ports(PORTS_PER_NODE * len(places), loopback))
         self.nodes = [
             Node(
                 place,
                 StandinBackend(place.host),
                 list(itertools.islice(ports, PORTS_PER_NODE)),
+                loopback=loopback,
             )
             for place in places
         ]
@@ -217,6 +235,14 @@
             _render(name, entries) for name, entries in tables.items()
         )
 
+    def ended(self) -> list[Node]:
+        """Return the nodes whose daemon ended without being told to."""
+        return [
+            node
+            for node in self.nodes
+            if node.process is not None and node.process.returncode is not None
+        ]
+
     def pause(self, node: Node) -> None:
         """Stop the process of a daemon in place, as a suspended host."""
         self._signal(node, signal.SIGSTOP)
