--- a/packages/standins/tanagerbend_standins/load.py
+++ b/packages/standins/tanagerbend_standins/load.py
@@ -56,6 +56,11 @@
         """Calls begun whose answer did not arrive."""
         return self.accepted - self.answered
 
+    def without(self, host: str) -> 'Tally':
+        """Return the tally without calls through one entry daemon."""
+        kept = tuple(reply for reply in self.replies if reply.via != host)
+        return Tally(self.work, kept)
+
     def __str__(self) -> str:
         return (
             f'{self.work.work}: {self.answered} of {len(self.replies)} '
