--- a/packages/settings/tanagerbend_settings/validators.py
+++ b/packages/settings/tanagerbend_settings/validators.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from tanagerbend_model.acceptance import NAME
+from tanagerbend_model.cells import NAME
 
 HIGHEST_PORT: Final = 65535
 SECRET_LENGTH: Final = 16
