--- a/packages/admission/tanagerbend_admission/floods.py
+++ b/packages/admission/tanagerbend_admission/floods.py
@@ -4,14 +4,16 @@
 
 import attrs
 
-from tanagerbend_metrics import Recorder
+from tanagerbend_metrics import Event, Recorder
 
 # A burst may wait beyond its target; if calls are still predicted to be
 # late after this time, waiting longer only makes all of them late.
 BEGIN_SECONDS: Final = 0.1
 END_SECONDS: Final = 2.0
-FLOOD: Final = 'flood'
-SHORTAGE: Final = 'shortage'
+ENDS: Final = {
+    Event.FLOOD_BEGAN: Event.FLOOD_ENDED,
+    Event.SHORTAGE_BEGAN: Event.SHORTAGE_ENDED,
+}
 
 
 @attrs.define
@@ -26,14 +28,14 @@
     last_late : float
     offered : float
         Slot seconds that arrivals need since ``late_since``.
-    event : str
-        Empty while the rank is not under pressure.
+    event : Event or None
+        What began; None while the rank is not under pressure.
     """
 
     late_since: float | None = None
     last_late: float = 0.0
     offered: float = 0.0
-    event: str = ''
+    event: Event | None = None
 
 
 class Floods:
@@ -86,7 +88,7 @@
     def is_pressed(self, rank: int) -> bool:
         """Return whether a rank is under pressure."""
         known = self.ranks.get(rank)
-        return known is not None and bool(known.event)
+        return known is not None and known.event is not None
 
     def expire(self, now: float) -> bool:
         """End what is over; return whether any rank is under pressure."""
@@ -95,14 +97,14 @@
             if not known.event:
                 continue
             if now - known.last_late > END_SECONDS:
-                self.recorder.note(f'{known.event}_ended', f'rank {rank}')
-                known.event = ''
+                self.recorder.note(ENDS[known.event], f'rank {rank}')
+                known.event = None
                 known.late_since = None
             else:
                 is_any = True
         return is_any
 
     def _begin(self, known: Pressure, rank: int, load: float) -> None:
-        known.event = FLOOD if load > 1 else SHORTAGE
+        known.event = Event.FLOOD_BEGAN if load > 1 else Event.SHORTAGE_BEGAN
         reason = f'offers {load:.0%} of all slots'
-        self.recorder.note(f'{known.event}_began', f'rank {rank}', reason)
+        self.recorder.note(known.event, f'rank {rank}', reason)
--- a/packages/standins/tanagerbend_standins/backend.py
+++ b/packages/standins/tanagerbend_standins/backend.py
@@ -13,6 +13,7 @@
 from tanagerbend_standins.behaviour import Behaviour, Excess
 
 FULL_PERCENT: Final = 100
+READY_PATH: Final = '/ready'
 OTHER_REQUEST: Final = 'request-of-another-caller'
 
 
@@ -88,6 +89,8 @@
         """Run one request, with the faults that are switched on."""
         if request.transport in self.silent:
             await asyncio.Event().wait()
+        if request.path == READY_PATH:
+            return self._answer_probe()
         if self._connections().index(request.protocol) >= (
             self.behaviour.connections
         ):
@@ -186,6 +189,11 @@
         await asyncio.sleep(self.behaviour.crash_seconds)
         await self._listen(*self.bound)
 
+    def _answer_probe(self) -> web.Response:
+        if not self.behaviour.draining:
+            return web.Response()
+        return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+
     async def close(self) -> None:
         """Stop listening."""
         if self.restarting is not None:
--- a/packages/standins/tanagerbend_standins/fleet.py
+++ b/packages/standins/tanagerbend_standins/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import pathlib
 import signal
 import socket
@@ -16,6 +17,10 @@
 from tanagerbend_standins.backend import StandinBackend
 from tanagerbend_standins.platform import StandinPlatform
 
+LOWEST_PORT: Final = 12000
+PORT_RANGE: Final = 20000
+# Keeps fleets of processes that run at the same time apart.
+PORTS_PER_PROCESS: Final = 61
 PORTS_PER_NODE: Final = 3
 LOOPBACK: Final = '127.0.0.1'
 SHEET_KEY: Final = 'sheet'
@@ -27,16 +32,40 @@
 STOP_SECONDS: Final = 40.0
 
 
+# Ports given out by this process, which may not listen yet.
+_GIVEN: Final[set[int]] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return port numbers that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for listener in sockets:
-            listener.bind((LOOPBACK, 0))
-        return [listener.getsockname()[1] for listener in sockets]
-    finally:
-        for listener in sockets:
-            listener.close()
+    """Return port numbers that are free now.
+
+    Explanation
+    ===========
+
+    They lie below the range from which the system picks ports for
+    outgoing connections and for port 0, so that nothing else takes them
+    before the daemon that gets them listens.
+    """
+    start = os.getpid() * PORTS_PER_PROCESS
+    found = []
+    for offset in itertools.count():
+        port = LOWEST_PORT + (start + offset) % PORT_RANGE
+        if port not in _GIVEN and _is_free(port):
+            found.append(port)
+            _GIVEN.add(port)
+        if len(found) == count:
+            break
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 @attrs.frozen
