--- a/packages/daemon/tanagerbend_daemon/command.py
+++ b/packages/daemon/tanagerbend_daemon/command.py
@@ -56,16 +56,22 @@
 
 async def serve(settings: Settings) -> int:
     """Run until a signal asks to stop."""
+    parts = assemble(settings)
+    service = DaemonService(parts)
     stopped = asyncio.Event()
+
+    def ask_to_stop() -> None:  # noqa: WPS430
+        if stopped.is_set():
+            parts.drain.hurry()
+        stopped.set()
+
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
-    parts = assemble(settings)
+        loop.add_signal_handler(number, ask_to_stop)
     log_journal(parts.recorder, settings)
-    service = DaemonService(parts)
     await service.start()
     await stopped.wait()
-    await service.stop()
+    await service.stop_gracefully()
     return EXIT_STOPPED
 
 
--- a/packages/daemon/tanagerbend_daemon/operators.py
+++ b/packages/daemon/tanagerbend_daemon/operators.py
@@ -14,14 +14,15 @@
 from tanagerbend_daemon import views
 from tanagerbend_daemon.assembly import Parts
 from tanagerbend_daemon.floods import PERIOD_SECONDS, FloodWatch
-from tanagerbend_interfaces import MemberState
-from tanagerbend_metrics import Event, expose
+from tanagerbend_metrics import expose
 from tanagerbend_model import Refusal, ResultCode
 
 BEARER: Final = 'Bearer '
 # The only path that needs no token: it says nothing but that the process
 # answers, and load balancers that ask it hold no secrets.
 OPEN_PATH: Final = '/health'
+# Reason to drain, beside the host list and the backend server itself.
+OPERATOR: Final = 'operator'
 
 
 class OperatorServer:
@@ -204,35 +205,13 @@
 
     async def drain(self, _request: web.Request) -> web.Response:
         """Stop to take new work; running calls finish."""
-        return await self._change_state(
-            (MemberState.LIVE,),
-            MemberState.DRAINING,
-            Event.DRAIN_STARTED,
-        )
+        await self.parts.drain.drain(OPERATOR)
+        return web.json_response(views.status(self.parts))
 
     async def undrain(self, _request: web.Request) -> web.Response:
-        """Take new work again, once a sheet is in force."""
-        target = MemberState.LIVE
-        if self.parts.store.current is None:
-            target = MemberState.STARTING
-        return await self._change_state(
-            (MemberState.DRAINING,),
-            target,
-            Event.DRAIN_ENDED,
-        )
-
-    async def _change_state(
-        self,
-        before: tuple[MemberState, ...],
-        after: MemberState,
-        event: Event,
-    ) -> web.Response:
-        parts = self.parts
-        if parts.roster.own.state in before:
-            reason = 'asked by an operator'
-            parts.recorder.note(event, parts.roster.own_host, reason)
-            await parts.detector.notifier.announce_state(after)
-        return web.json_response(views.status(parts))
+        """Take new work again, unless another reason to drain holds."""
+        await self.parts.drain.undrain(OPERATOR)
+        return web.json_response(views.status(self.parts))
 
     def _invalid(self, name: str, text: str) -> web.Response:
         refusal = Refusal(ResultCode.QUERY_INVALID, f'{name}: {text!r}')
