--- a/packages/daemon/tanagerbend_daemon/tests/control_fleet.py
+++ b/packages/daemon/tanagerbend_daemon/tests/control_fleet.py
@@ -126,7 +126,7 @@
         self.detector = Detector(self.roster, self, chance, self.recorder)
         self.timer.on_pause(self.detector.paused)
         self.handler = ControlHandler(
-            self.roster, self.detector, self.propagation, self.recorder
+            self.roster, self.detector, self.propagation, None, self.recorder
         )
         self.reader = PlatformReader(
             fleet.service,
