Count orders that reach the backend server more than once

The counter must be evidence, so it stands directly before the backend server and shares no state with the ledger that prevents the second start. It is exposed as tanagerbend_orders_started_again_total and in the report. The times are named queue, backend and added, as admission records them.

--- a/packages/daemon/tanagerbend_daemon/logs.py
+++ b/packages/daemon/tanagerbend_daemon/logs.py
@@ -26,6 +26,7 @@
         Event.FLOOD_BEGAN,
         Event.SHORTAGE_BEGAN,
         Event.REQUEST_CONVICTED,
+        Event.ORDER_STARTED_AGAIN,
         Event.PAUSED,
         Event.CONTROL_FAULT,
         Event.OWN_HOST_TAKEN_OVER,
--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/order_watch.py
@@ -0,0 +1,76 @@
+"""Counts orders that reach the backend server more than once."""
+
+from collections import OrderedDict
+from typing import Final
+
+import attrs
+
+from tanagerbend_interfaces import (
+    BackendRequest,
+    BackendResponse,
+    BackendServer,
+)
+from tanagerbend_metrics import Event, Recorder
+from tanagerbend_metrics.names import ORDERS_STARTED_AGAIN
+from tanagerbend_model import Ran, Refusal, headers
+from tanagerbend_orders import OrderKey, PermitIssuer
+
+# About an hour at 6 orders a second; one nonce takes some 150 bytes.
+MAX_NONCES: Final = 20_000
+
+
+@attrs.define
+class OrderWatch:
+    """The last part before the backend server; it only counts.
+
+    Explanation
+    ===========
+
+    The ledger already keeps an order from being sent twice.  This part
+    shares no state with it, so that the counter is evidence rather than
+    a consequence of the rule that it checks.
+
+    Parameters
+    ==========
+
+    backend : BackendServer
+    issuer : PermitIssuer
+    recorder : Recorder
+    """
+
+    backend: BackendServer
+    issuer: PermitIssuer
+    recorder: Recorder
+    sent: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
+
+    async def exchange(
+        self,
+        request: BackendRequest,
+        deadline: float,
+    ) -> BackendResponse | Refusal:
+        """Send a request; ``deadline`` in monotonic seconds."""
+        nonce = self._nonce(request)
+        if nonce:
+            self._count(nonce)
+        response = await self.backend.exchange(request, deadline)
+        match response:
+            case Refusal(ran=Ran.NO):
+                # It never reached the backend server.
+                self.sent.pop(nonce, None)
+        return response
+
+    def _nonce(self, request: BackendRequest) -> str:
+        wanted = headers.ORDER_KEY.lower()
+        tokens = (
+            text for name, text in request.headers if name.lower() == wanted
+        )
+        key = self.issuer.read(next(tokens, ''))
+        return key.nonce if isinstance(key, OrderKey) else ''
+
+    def _count(self, nonce: str) -> None:
+        if nonce in self.sent:
+            self.recorder.count(ORDERS_STARTED_AGAIN)
+            self.recorder.note(Event.ORDER_STARTED_AGAIN, nonce)
+        self.sent[nonce] = None
+        if len(self.sent) > MAX_NONCES:
+            self.sent.popitem(last=False)
--- a/packages/daemon/tanagerbend_daemon/safety.py
+++ b/packages/daemon/tanagerbend_daemon/safety.py
@@ -8,6 +8,7 @@
 from tanagerbend_daemon.order_hop import HttpOrderHop
 from tanagerbend_daemon.order_owner import OrderGate, OrderOwner
 from tanagerbend_daemon.order_path import OrderPath
+from tanagerbend_daemon.order_watch import OrderWatch
 from tanagerbend_daemon.outbound import HttpServer
 from tanagerbend_daemon.suspect_notices import SuspectNotices
 from tanagerbend_interfaces import PeerTransport
@@ -50,10 +51,11 @@
     """Wire the steps between admission and the backend server."""
     recorder = roster.recorder
     server = HttpServer(session, settings.addresses.backend, recorder.timer)
+    issuer = PermitIssuer(settings.peers.shared_key.encode(), recorder.timer)
     gate = OrderGate(
-        server,
+        OrderWatch(server, issuer, recorder),
         Ledger(recorder),
-        PermitIssuer(settings.peers.shared_key.encode(), recorder.timer),
+        issuer,
     )
     quarantine = Quarantine(recorder)
     notices = SuspectNotices(quarantine, roster, transport)
--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/tests/test_order_watch.py
@@ -0,0 +1,67 @@
+"""The count of orders that were sent more than once."""
+
+import pytest
+
+from tanagerbend_daemon import order_watch
+from tanagerbend_daemon.order_watch import OrderWatch
+from tanagerbend_interfaces import BackendRequest, BackendResponse
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_orders import PermitIssuer
+from tanagerbend_timer import ManualTimer
+
+RAN = BackendResponse(200, (), None)
+NOT_RUN = Refusal(ResultCode.INSTANCE_UNREACHABLE, '')
+UNKNOWN = Refusal(ResultCode.OUTCOME_UNKNOWN, '', Ran.UNKNOWN)
+
+
+class Backend:
+    """Answers with what it is told."""
+
+    answer = RAN
+
+    async def exchange(self, request, deadline):
+        return self.answer
+
+
+@pytest.fixture
+def watch():
+    recorder = Recorder(ManualTimer())
+    issuer = PermitIssuer(b'key of the deployment', recorder.timer)
+    return OrderWatch(Backend(), issuer, recorder)
+
+
+async def send(watch, token, answer=RAN):
+    """Send an order; return how many were started again so far."""
+    watch.backend.answer = answer
+    pairs = (('idempotency-key', token),)
+    await watch.exchange(BackendRequest('POST', '/', pairs, b'', 'r'), 9.0)
+    return watch.recorder.counters.total('orders_started_again')
+
+
+@pytest.mark.parametrize(
+    ('first', 'counted'),
+    [(RAN, 1), (UNKNOWN, 1), (NOT_RUN, 0)],
+)
+async def test_second_start_is_counted(watch, first, counted):
+    """Guards against a double order that no counter shows."""
+    token = watch.issuer.issue('order', 'host-1', 1).token
+    assert await send(watch, token, first) == 0
+    assert await send(watch, token) == counted
+
+
+async def test_other_keys_are_no_orders(watch):
+    """Guards against alarms about idempotent work with keys of callers."""
+    for _ in range(3):
+        assert await send(watch, 'key of a caller') == 0
+    for _ in range(3):
+        token = watch.issuer.issue('order', 'host-1', 1).token
+        assert await send(watch, token) == 0
+
+
+async def test_memory_is_bounded(watch, monkeypatch):
+    """Guards against memory that grows with the number of orders."""
+    monkeypatch.setattr(order_watch, 'MAX_NONCES', 10)
+    for _ in range(50):
+        await send(watch, watch.issuer.issue('order', 'host-1', 1).token)
+    assert len(watch.sent) == 10
--- a/packages/metrics/tanagerbend_metrics/events.py
+++ b/packages/metrics/tanagerbend_metrics/events.py
@@ -36,6 +36,7 @@
     SHORTAGE_BEGAN = 'shortage_began'
     SHORTAGE_ENDED = 'shortage_ended'
     REQUEST_CONVICTED = 'request_convicted'
+    ORDER_STARTED_AGAIN = 'order_started_again'
     PAUSED = 'paused'
     CONTROL_FAULT = 'control_fault'
 
@@ -65,6 +66,7 @@
     Event.SHORTAGE_BEGAN: 'other ranks leave a rank too few slots',
     Event.SHORTAGE_ENDED: 'a rank has enough slots again',
     Event.REQUEST_CONVICTED: 'a request crashed backend servers twice',
+    Event.ORDER_STARTED_AGAIN: 'an order was sent to the backend server twice',
     Event.PAUSED: 'the process did not run for some seconds',
     Event.CONTROL_FAULT: 'control work ended by a fault and began again',
 }
--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -3,10 +3,10 @@
 from typing import Final
 
 # Histograms, in seconds, by tenant and effective rank.
-QUEUE_TIME: Final = 'queue_time'
-BACKEND_TIME: Final = 'backend_time'
+QUEUE_TIME: Final = 'queue'
+BACKEND_TIME: Final = 'backend'
 # Time of a call in this daemon without queue, backend server and peers.
-ADDED_TIME: Final = 'added_time'
+ADDED_TIME: Final = 'added'
 
 REFUSALS: Final = 'refusals'
 EVENTS: Final = 'events'
@@ -14,7 +14,7 @@
 CONTROL_MESSAGES: Final = 'control_messages'
 FRAMES_REFUSED: Final = 'frames_refused'
 SERVICE_CALLS: Final = 'service_calls'
-# Must stay 0: an order whose key was seen was sent to the backend again.
+# Must stay 0.
 ORDERS_STARTED_AGAIN: Final = 'orders_started_again'
 # A connection that breaks during a request is taken for a crash.
 BACKEND_CRASHES: Final = 'backend_connections_broken'
--- a/packages/operator/tanagerbend_operator/histograms.py
+++ b/packages/operator/tanagerbend_operator/histograms.py
@@ -41,11 +41,11 @@
     Examples::
 
         tanagerbend histograms
-        tanagerbend histograms --name queue_time --tenant studio
+        tanagerbend histograms --name queue --tenant studio
         tanagerbend histograms --json
 
     :param tenant: only this tenant.
-    :param name: only this time, for example ``queue_time``.
+    :param name: only this time, for example ``queue``.
     :param daemon: operators' addresses.
     :param access: TOML file with daemons and token.
     :param json: write JSON, with the encoded histograms.
