--- a/packages/standins/tanagerbend_standins/fleet.py
+++ b/packages/standins/tanagerbend_standins/fleet.py
@@ -246,6 +246,14 @@
             _render(name, entries) for name, entries in tables.items()
         )
 
+    def ended(self) -> list[Node]:
+        """Return the nodes whose daemon ended without being told to."""
+        return [
+            node
+            for node in self.nodes
+            if node.process is not None and node.process.returncode is not None
+        ]
+
     def pause(self, node: Node) -> None:
         """Stop the process of a daemon in place, as a suspended host."""
         self._signal(node, signal.SIGSTOP)
