Balance by own observation and harden the path of a call

Instances were compared by outstanding calls alone, and retries had no budget. Retries are bounded to 10% of the first attempts of a service.

Faults of the path that are removed: a body that was closed before its first chunk kept its slot and the quarantine gate; a caller that went away did not cancel its call; compressed requests were decompressed but still labelled as compressed; a malformed answer of a peer raised; a call forwarded to an address that another host has taken ran there; the id of a caller was used as the id between daemons, so that crossed answers of a reused id looked right; a truncated answer to an HTTP/1.0 caller looked whole; relative paths were matched as another class than the one that the backend server runs. A kept connection that stays silent for half of the remaining time is closed with its idle siblings.

--- a/packages/admission/tanagerbend_admission/fifo.py
+++ b/packages/admission/tanagerbend_admission/fifo.py
@@ -48,11 +48,17 @@
         queue: int = DEFAULT_QUEUE,
     ) -> None:
         self.timer = timer
+        self.slots = slots
         self.free = slots
         self.queue = queue
         self.order = itertools.count()
         self.waiting: list[Entrant] = []
 
+    @property
+    def load_percent(self) -> int:
+        """Running calls in relation to the slots; a hint for others."""
+        return 100 * (self.slots - self.free) // self.slots
+
     def configure(self, floors: dict[int, float]) -> None:
         """Ignore the floors; the baselines have none."""
 
--- a/packages/admission/tanagerbend_admission/ranked.py
+++ b/packages/admission/tanagerbend_admission/ranked.py
@@ -87,6 +87,11 @@
         """Number of waiting calls."""
         return sum(queue.count for queue in self.queues.values())
 
+    @property
+    def load_percent(self) -> int:
+        """Running calls in relation to the slots; a hint for others."""
+        return min(100, 100 * self.running // self.limit.calls)
+
     def configure(self, floors: dict[int, float]) -> None:
         """Set the guaranteed share of slot time of each rank, 0 to 1."""
         self.shares.floors = floors
--- a/packages/admission/tanagerbend_admission/ticket.py
+++ b/packages/admission/tanagerbend_admission/ticket.py
@@ -57,6 +57,10 @@
     StrictPriorityAdmission
     """
 
+    @property
+    def load_percent(self) -> int:
+        """Running calls in relation to the slots; a hint for others."""
+
     async def enter(self, ticket: Ticket) -> Refusal | None:
         """Wait for a slot; None means that the caller holds one."""
 
--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from functools import lru_cache
 from typing import Any, Final
 
 import aiohttp
@@ -43,6 +44,7 @@
 
 # A restart of the fleet changes thousands of records in a few seconds.
 REBUILD_SECONDS: Final = 0.1
+MAX_CLIENTS: Final = 1024
 
 
 @attrs.define
@@ -82,10 +84,12 @@
             service = self.settings.host.service
             floors = floors_of(current.sheet, service)
             self.calls.owner.admission.configure(floors)
-            self.calls.table = RouteTable.build(
-                current.version,
-                current.sheet,
-                self.roster.instances,
+            self.calls.adopt(
+                RouteTable.build(
+                    current.version,
+                    current.sheet,
+                    self.roster.instances,
+                )
             )
 
 
@@ -244,7 +248,9 @@
         settings.host.name,
         settings.peers.shared_key.encode(),
         owner,
-        Balancer(settings.host.failure_domain, chance),
-        lambda address: HttpServer(peers, address, recorder.timer),
+        Balancer(settings.host.failure_domain, chance, recorder),
+        lru_cache(MAX_CLIENTS)(
+            lambda address: HttpServer(peers, address, recorder.timer),
+        ),
         recorder,
     )
--- a/packages/daemon/tanagerbend_daemon/body.py
+++ b/packages/daemon/tanagerbend_daemon/body.py
@@ -1,6 +1,9 @@
 """Body of an answer that releases what the call holds."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+# Called once with the error that ended the body, None if it was whole.
+EndOfBody = Callable[[BaseException | None], Awaitable[None]]
 
 
 class HeldBody:
@@ -17,16 +20,12 @@
 
     chunks : asynchronous iterator of bytes
     on_end : callable
-        Called with True if the body was read to its end.
+        Awaited before the end is passed on.
     """
 
-    def __init__(
-        self,
-        chunks: AsyncIterator[bytes],
-        on_end: Callable[[bool], None],
-    ) -> None:
+    def __init__(self, chunks: AsyncIterator[bytes], on_end: EndOfBody) -> None:
         self.chunks = chunks
-        self.on_end: Callable[[bool], None] | None = on_end
+        self.on_end: EndOfBody | None = on_end
 
     def __aiter__(self) -> 'HeldBody':
         return self
@@ -35,10 +34,10 @@
         try:
             return await self.chunks.__anext__()
         except StopAsyncIteration:
-            self._report(is_whole=True)
+            await self._report(None)
             raise
-        except BaseException:
-            self._report(is_whole=False)
+        except BaseException as error:
+            await self._report(error)
             raise
 
     async def aclose(self) -> None:
@@ -46,13 +45,13 @@
         try:
             await close_body(self.chunks)
         finally:
-            self._report(is_whole=False)
+            await self._report(GeneratorExit())
 
-    def _report(self, *, is_whole: bool) -> None:
+    async def _report(self, error: BaseException | None) -> None:
         on_end = self.on_end
         self.on_end = None
         if on_end is not None:
-            on_end(is_whole)
+            await on_end(error)
 
 
 async def close_body(chunks: AsyncIterator[bytes]) -> None:
--- a/packages/daemon/tanagerbend_daemon/call.py
+++ b/packages/daemon/tanagerbend_daemon/call.py
@@ -89,6 +89,8 @@
         Raises ``ConnectionError`` if the body ends early.
     code : ResultCode
     ran : Ran
+    load : str
+        Load in percent that the owner daemon reports, empty if unknown.
     """
 
     status: int
@@ -96,6 +98,7 @@
     chunks: AsyncIterator[bytes]
     code: ResultCode = ResultCode.OK
     ran: Ran = Ran.YES
+    load: str = ''
 
 
 @attrs.frozen
--- a/packages/daemon/tanagerbend_daemon/containment.py
+++ b/packages/daemon/tanagerbend_daemon/containment.py
@@ -1,11 +1,13 @@
 """Containment of requests that crash the backend server."""
 
 import enum
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Final
 
 import attrs
 
+from tanagerbend_daemon.body import HeldBody
 from tanagerbend_daemon.call import Answer, Call
 from tanagerbend_daemon.owner import Owner
 from tanagerbend_daemon.suspect_notices import SuspectNotices
@@ -87,7 +89,7 @@
                 self._ended(flight, End.CUT)
         match response:
             case BackendResponse(chunks=chunks):
-                watched = self._watch(flight, chunks)
+                watched = HeldBody(chunks, partial(self._end_body, flight))
                 return attrs.evolve(response, chunks=watched)
             case Refusal(code=ResultCode.CONNECTION_LOST):
                 await self._finish(flight, End.BROKEN)
@@ -108,23 +110,12 @@
             request.body,
         )
 
-    async def _watch(
+    async def _end_body(
         self,
         flight: Flight,
-        chunks: AsyncIterator[bytes],
-    ) -> AsyncIterator[bytes]:
-        end = End.CUT
-        try:
-            async for chunk in chunks:
-                yield chunk
-            end = End.COMPLETE
-        except ConnectionError as error:
-            if not isinstance(error.__cause__, TimeoutError):
-                end = End.BROKEN
-            raise
-        finally:
-            await chunks.aclose()
-            await self._finish(flight, end)
+        error: BaseException | None,
+    ) -> None:
+        await self._finish(flight, _end_of(error))
 
     async def _finish(self, flight: Flight, end: End) -> None:
         self._ended(flight, end)
@@ -147,6 +138,15 @@
         self.gate.leave()
 
 
+def _end_of(error: BaseException | None) -> End:
+    match error:
+        case None:
+            return End.COMPLETE
+        case ConnectionError() if not isinstance(error.__cause__, TimeoutError):
+            return End.BROKEN
+    return End.CUT
+
+
 @attrs.define
 class ContainedOwner(Owner):
     """Owner that sends a suspect to the one instance that may run it.
--- a/packages/daemon/tanagerbend_daemon/entry.py
+++ b/packages/daemon/tanagerbend_daemon/entry.py
@@ -1,26 +1,36 @@
 """Entry side of a call: route, choice of an instance, forwarding."""
 
-import hashlib
-import hmac
 from collections.abc import Awaitable, Callable
+from typing import Final
 
 import attrs
 
-from tanagerbend_daemon.call import MAX_HOPS, Answer, Call
+from tanagerbend_daemon.body import HeldBody, close_body
+from tanagerbend_daemon.call import MAX_HOPS, MILLISECONDS, Answer, Call
 from tanagerbend_daemon.owner import Owner
+from tanagerbend_daemon.peer_hop import peer_proof, read_answer, result_of
 from tanagerbend_interfaces import BackendRequest, BackendServer, Member
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode, WorkClass, headers
-from tanagerbend_routing import Balancer, Route, RouteTable
+from tanagerbend_routing import (
+    Balancer,
+    InstanceStats,
+    Result,
+    RetryBudget,
+    Route,
+    RouteTable,
+)
 
-MILLISECONDS = 1000
-MAX_ATTEMPTS = 3
-
-
-def peer_proof(key: bytes, request_id: str, instance: str) -> str:
-    """Return the proof that a forwarded call comes from a peer."""
-    text = f'{request_id}/{instance}'.encode()
-    return hmac.new(key, text, hashlib.sha256).hexdigest()
+MAX_ATTEMPTS: Final = 3
+# After these a new connection to the same instance may succeed.
+LOST: Final = frozenset(
+    (
+        ResultCode.OUTCOME_UNKNOWN,
+        ResultCode.CONNECTION_LOST,
+        ResultCode.ANSWER_CROSSED,
+    )
+)
+NOBODY: Final[frozenset[str]] = frozenset()
 
 
 @attrs.define
@@ -42,6 +52,7 @@
         Replaced as a whole when a version is adopted or members change.
     ready : callable or None
         Awaited before a call is looked at; waits after a pause.
+    budget : RetryBudget
     """
 
     own_host: str
@@ -52,6 +63,7 @@
     recorder: Recorder
     table: RouteTable | None = None
     ready: Callable[[], Awaitable[None]] | None = None
+    budget: RetryBudget = attrs.field(factory=RetryBudget)
 
     async def handle(self, call: Call) -> Answer | Refusal:
         """Answer a call, or refuse it with a reason."""
@@ -64,6 +76,10 @@
         if call.hops >= MAX_HOPS:
             reason = f'{call.hops} calls led to this one'
             return Refusal(ResultCode.TOO_MANY_HOPS, reason)
+        if call.instance not in {'', self.own_host}:
+            # The address now belongs to another host than the one chosen.
+            reason = f'sent to {call.instance!r}, this is {self.own_host!r}'
+            return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
         route = table.match(call.service, call.method, call.path)
         match route:
             case Refusal():
@@ -73,6 +89,12 @@
             return await self.owner.run(limited, route.work)
         return await self._try_instances(limited, route)
 
+    def adopt(self, table: RouteTable) -> None:
+        """Replace the routes; calls in flight keep the table they have."""
+        self.table = table
+        self.balancer.retain(table.services)
+        self.budget.retain(frozenset(table.services))
+
     def _limit(self, call: Call, work: WorkClass) -> Call:
         now = self.recorder.timer.now()
         longest = now + work.deadline_ms / MILLISECONDS
@@ -87,33 +109,47 @@
         call: Call,
         route: Route,
     ) -> Answer | Refusal:
-        tried: frozenset[str] = frozenset()
-        outcome: Answer | Refusal = Refusal(ResultCode.NO_INSTANCE, '')
-        while len(tried) < MAX_ATTEMPTS:
-            member = self.balancer.choose(route, tried)
+        self.budget.first_attempt(call.service)
+        tried = NOBODY
+        member = self.balancer.choose(route)
+        for attempt in range(MAX_ATTEMPTS):
             match member:
                 case Refusal():
-                    return outcome if tried else member
+                    return member
             outcome = await self._send(call, route.work, member)
-            if not self._may_retry(outcome, call, route.work):
-                return outcome
             tried |= {member.host}
+            if attempt + 1 == MAX_ATTEMPTS:
+                break
+            following = self._next(outcome, call, route, tried)
+            if following is None:
+                break
+            self.recorder.count('retries', call.service)
+            member = following
         return outcome
 
-    def _may_retry(
+    def _next(
         self,
         outcome: Answer | Refusal,
         call: Call,
-        work: WorkClass,
-    ) -> bool:
-        match outcome:
-            case Refusal(code=ResultCode.REQUEST_CRASHES_BACKEND):
-                return False
-            case Refusal(ran=Ran.NO):
-                return call.is_repeatable
+        route: Route,
+        tried: frozenset[str],
+    ) -> Member | None:
+        """Return the instance for a retry, None if there is to be none."""
+        if not _is_worth_retry(outcome, call, route.work):
+            return None
+        if self.recorder.timer.now() >= call.deadline:
+            return None
+        member = self.balancer.choose(route, tried)
+        match member:
+            case Refusal() if outcome.code in LOST:
+                member = self.balancer.choose(route)
+        match member:
             case Refusal():
-                return call.is_repeatable and not work.order
-        return False
+                return None
+        if not self.budget.may_retry(call.service):
+            self.recorder.count('retries_beyond_budget', call.service)
+            return None
+        return member
 
     async def _send(
         self,
@@ -121,13 +157,27 @@
         work: WorkClass,
         member: Member,
     ) -> Answer | Refusal:
-        self.balancer.started(member.host)
+        flight = Flight(
+            self.balancer,
+            member,
+            self.balancer.started(member),
+            self.recorder.timer.now(),
+        )
         try:
             if member.host == self.own_host:
-                return await self.owner.run(call, work)
-            return await self.forward(call, member)
-        finally:
-            self.balancer.finished(member.host)
+                outcome = await self.owner.run(call, work)
+            else:
+                outcome = await self.forward(call, member)
+        except BaseException:
+            flight.end(Result.CANCELLED)
+            raise
+        match outcome:
+            case Refusal(code=code):
+                flight.end(result_of(code))
+                return outcome
+        flight.answered(outcome)
+        body = HeldBody(outcome.chunks, flight.end_of_body)
+        return Answer(outcome.status, outcome.header_pairs, body)
 
     async def forward(self, call: Call, member: Member) -> Answer | Refusal:
         """Send a call to the daemon of a member."""
@@ -143,7 +193,11 @@
         match response:
             case Refusal():
                 return response
-        return _read_answer(call, response)
+        answer = read_answer(call.request_id, response)
+        match answer:
+            case Refusal():
+                await close_body(response.chunks)
+        return answer
 
     def peer_headers(
         self,
@@ -151,27 +205,65 @@
         host: str,
     ) -> tuple[tuple[str, str], ...]:
         """Return the headers of a call forwarded to ``host``."""
-        remaining = call.deadline - self.recorder.timer.now()
+        table = self.table
         return (
+            *call.limit_headers(self.recorder.timer.now(), call.hops),
             (headers.SERVICE, call.service),
-            (headers.TENANT, call.tenant),
-            (headers.RANK, str(call.rank)),
-            (headers.DEADLINE_MS, str(max(0, int(remaining * MILLISECONDS)))),
-            (headers.HOPS, str(call.hops)),
-            (headers.REQUEST_ID, call.request_id),
+            (headers.VERSION, '' if table is None else table.version_text),
             (headers.INSTANCE, host),
             (headers.SENDER, self.own_host),
             (headers.PEER_PROOF, peer_proof(self.key, call.request_id, host)),
         )
 
 
-def _read_answer(call: Call, response: object) -> Answer | Refusal:
-    received = {name.lower(): text for name, text in response.headers}
-    if received.get(headers.REQUEST_ID.lower()) != call.request_id:
-        reason = 'answer to another request'
-        return Refusal(ResultCode.ANSWER_CROSSED, reason, Ran.UNKNOWN)
-    code = ResultCode(int(received[headers.RESULT.lower()]))
-    ran = Ran(received[headers.RAN.lower()])
-    if code is not ResultCode.OK:
-        return Refusal(code, 'refused by the owner daemon', ran)
-    return Answer(response.status, response.headers, response.chunks)
+@attrs.define
+class Flight:
+    """A call at an instance, as the entry daemon counts it."""
+
+    balancer: Balancer
+    member: Member
+    stats: InstanceStats
+    started: float
+    seconds: float = 0.0
+    is_open: bool = True
+
+    def answered(self, answer: Answer) -> None:
+        """Take the time until the answer begins and the load with it."""
+        self.seconds = self.balancer.timer.now() - self.started
+        self.balancer.answered(self.stats, answer.load)
+
+    def end(self, result: Result) -> None:
+        """Count the end, unless that was done before."""
+        if self.is_open:
+            self.is_open = False
+            self.balancer.finished(
+                self.member,
+                self.stats,
+                result,
+                self.seconds,
+            )
+
+    async def end_of_body(self, error: BaseException | None) -> None:
+        """Count the end of the answer."""
+        match error:
+            case None:
+                self.end(Result.ANSWERED)
+            case ConnectionError():
+                self.end(Result.FAILED)
+            case _:
+                self.end(Result.CANCELLED)
+
+
+def _is_worth_retry(
+    outcome: Answer | Refusal,
+    call: Call,
+    work: WorkClass,
+) -> bool:
+    match outcome:
+        case Refusal(code=ResultCode.REQUEST_CRASHES_BACKEND):
+            return False
+        case Refusal(ran=Ran.NO):
+            return call.is_repeatable
+        case Refusal():
+            return call.is_repeatable and not work.order
+    return False
--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -1,20 +1,29 @@
 """HTTP server for callers and entry daemons."""
 
+import asyncio
+import itertools
+import re
 import secrets
 from collections.abc import AsyncIterator
-from typing import Final
+from typing import Any, Final
 
 from aiohttp import web
 
-from tanagerbend_daemon.call import Answer, Call, CallLimits, read_limits
-from tanagerbend_daemon.entry import CallHandler, peer_proof
-from tanagerbend_daemon.order_answers import ORDER_STATUS, order_headers
+from tanagerbend_daemon.body import close_body
+from tanagerbend_daemon.call import Answer, Call, read_limits
+from tanagerbend_daemon.cutting import cut
+from tanagerbend_daemon.entry import CallHandler
+from tanagerbend_daemon.order_answers import order_headers
 from tanagerbend_daemon.order_path import OrderPath
 from tanagerbend_daemon.outbound import HOP_BY_HOP
+from tanagerbend_daemon.peer_hop import peer_proof
+from tanagerbend_daemon.statuses import status_of
 from tanagerbend_model import Ran, Refusal, ResultCode, headers
 
 # Bodies up to this size are held, so that they can be sent again.
 MAX_HELD_BYTES: Final = 65536
+# A caller that takes nothing for this time would hold a slot for ever.
+STALL_SECONDS: Final = 10.0
 OWN_HEADERS: Final = frozenset(
     name.lower()
     for name in (
@@ -29,24 +38,14 @@
         headers.PEER_PROOF,
         headers.RESULT,
         headers.RAN,
+        headers.LOAD,
         headers.FRESH_ORDER_KEY,
         headers.ORDER_OWNER,
         headers.SENDER,
     )
 )
 NOT_PASSED_ON: Final = HOP_BY_HOP | OWN_HEADERS
-STATUS: Final = {
-    ResultCode.HEADER_INVALID: 400,
-    ResultCode.ROUTE_UNKNOWN: 404,
-    ResultCode.TOO_MANY_HOPS: 508,
-    **ORDER_STATUS,
-    ResultCode.QUEUE_FULL: 429,
-    ResultCode.DEADLINE_PASSED: 504,
-    ResultCode.DEADLINE_UNREACHABLE: 504,
-    ResultCode.OUTCOME_UNKNOWN: 502,
-    ResultCode.ANSWER_CROSSED: 502,
-}
-DEFAULT_STATUS: Final = 503
+NAMED_ID: Final = re.compile('[A-Za-z0-9_-]{1,64}')
 
 
 class CallServer:
@@ -69,10 +68,18 @@
         self.orders = orders or handler
         self.recorder = handler.recorder
         self.runner: web.ServerRunner | None = None
+        self.prefix = secrets.token_hex(6)
+        self.numbers = itertools.count(1)
 
     async def start(self, address: str, port: int) -> str:
         """Listen; return ``address:port``."""
-        server = web.Server(self.serve, access_log=None)
+        server = web.Server(
+            self.serve,
+            # A caller that goes away gives its slot back.
+            handler_cancellation=True,
+            auto_decompress=False,
+            access_log=None,
+        )
         self.runner = web.ServerRunner(server, access_log=None)
         await self.runner.setup()
         site = web.TCPSite(self.runner, address, port, backlog=1024)
@@ -88,13 +95,14 @@
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
         call = await self.read_call(request)
+        named = request.headers.get(headers.REQUEST_ID, '')
         match call:
             case Refusal():
-                return self._refuse(call, '')
+                return self._refuse(call, named)
         outcome = await self.orders.handle(call)
         match outcome:
             case Refusal():
-                return self._refuse(outcome, call.request_id)
+                return self._refuse(outcome, named or call.request_id)
         return await self._pass_on(request, call, outcome)
 
     async def read_call(self, request: web.BaseRequest) -> Call | Refusal:
@@ -103,45 +111,58 @@
         match limits:
             case Refusal():
                 return limits
+        pairs = _passed_on(request)
+        if pairs is None:
+            reason = 'header that is not UTF-8'
+            return Refusal(ResultCode.HEADER_INVALID, reason)
         instance = request.headers.get(headers.INSTANCE, '')
         request_id = request.headers.get(headers.REQUEST_ID, '')
-        if instance and not self._is_peer(request, request_id, instance):
+        if not instance:
+            request_id = self._new_id(request_id)
+        elif not self._is_peer(request, request_id, instance):
             reason = 'forwarded call without a valid proof'
             return Refusal(ResultCode.FRAME_UNAUTHENTICATED, reason)
-        return await self._make_call(request, limits, instance, request_id)
-
-    def _is_peer(
-        self,
-        request: web.BaseRequest,
-        request_id: str,
-        instance: str,
-    ) -> bool:
-        expected = peer_proof(self.handler.key, request_id, instance)
-        proof = request.headers.get(headers.PEER_PROOF, '')
-        return secrets.compare_digest(proof.encode(), expected.encode())
-
-    async def _make_call(
-        self,
-        request: web.BaseRequest,
-        limits: CallLimits,
-        instance: str,
-        request_id: str,
-    ) -> Call:
+        await _continue(request)
         return Call(
             service=_service(request),
             method=request.method,
             path=request.path_qs,
-            header_pairs=_passed_on(request),
+            header_pairs=pairs,
             body=await _body(request),
             tenant=limits.tenant,
             rank=limits.rank,
             deadline=limits.deadline,
             hops=limits.hops,
-            request_id=request_id or secrets.token_hex(8),
+            request_id=request_id,
             order_key=request.headers.get(headers.ORDER_KEY, ''),
             instance=instance,
         )
 
+    def _new_id(self, named: str) -> str:
+        """Return an id that no other call has.
+
+        A caller may use one id for many calls, and crossed answers would
+        then look right.  Its id is kept as the beginning.
+        """
+        unique = f'{self.prefix}-{next(self.numbers):x}'
+        named = named.partition('.')[0]
+        if NAMED_ID.fullmatch(named) is None:
+            return unique
+        return f'{named}.{unique}'
+
+    def _is_peer(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        instance: str,
+    ) -> bool:
+        expected = peer_proof(self.handler.key, request_id, instance)
+        proof = request.headers.get(headers.PEER_PROOF, '')
+        return secrets.compare_digest(
+            proof.encode('utf-8', 'replace'),
+            expected.encode(),
+        )
+
     def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
         self.recorder.count('refusals', refusal.code.name)
         return web.json_response(
@@ -151,7 +172,7 @@
                 'reason': refusal.reason,
                 'ran': refusal.ran.value,
             },
-            status=STATUS.get(refusal.code, DEFAULT_STATUS),
+            status=status_of(refusal.code),
             headers={
                 **self._own_headers(refusal.code, refusal.ran, request_id),
                 **order_headers(refusal),
@@ -164,13 +185,11 @@
         ran: Ran,
         request_id: str,
     ) -> dict[str, str]:
-        own = {
-            headers.RESULT: str(int(code)),
-            headers.RAN: ran.value,
-            headers.REQUEST_ID: request_id,
-        }
+        own = {headers.RESULT: str(int(code)), headers.RAN: ran.value}
+        if request_id.isprintable() and request_id.isascii():
+            own[headers.REQUEST_ID] = request_id
         if self.handler.table is not None:
-            own[headers.VERSION] = str(self.handler.table.version)
+            own[headers.VERSION] = self.handler.table.version_text
         return own
 
     async def _pass_on(
@@ -179,29 +198,44 @@
         call: Call,
         answer: Answer,
     ) -> web.StreamResponse:
+        named = request.headers.get(headers.REQUEST_ID) or call.request_id
         response = web.StreamResponse(status=answer.status)
         for name, text in answer.header_pairs:
-            if name.lower() not in OWN_HEADERS:
+            if name.lower() not in NOT_PASSED_ON:
                 response.headers.add(name, text)
-        response.headers.update(
-            self._own_headers(answer.code, answer.ran, call.request_id),
-        )
+        own = self._own_headers(answer.code, answer.ran, named)
+        if call.instance and answer.load:
+            own[headers.LOAD] = answer.load
+        response.headers.update(own)
         try:
-            await response.prepare(request)
-            async for chunk in answer.chunks:
-                await response.write(chunk)
-            await response.write_eof()
-        except ConnectionError:
+            await _write(request, response, answer.chunks)
+        except (ConnectionError, TimeoutError):
             self.recorder.count('answers_cut')
-            # Without the end of the body the caller sees a truncated
-            # answer, never one that looks whole.
-            if request.transport is not None:
-                request.transport.abort()
+            cut(request.transport)
         finally:
-            await answer.chunks.aclose()
+            await close_body(answer.chunks)
         return response
 
 
+async def _write(
+    request: web.BaseRequest,
+    response: web.StreamResponse,
+    chunks: AsyncIterator[bytes],
+) -> None:
+    await response.prepare(request)
+    async for chunk in chunks:
+        async with asyncio.timeout(STALL_SECONDS):
+            await response.write(chunk)
+    await response.write_eof()
+
+
+async def _continue(request: web.BaseRequest) -> None:
+    """Let the caller send its body if it waits to be asked."""
+    expected: Any = request.headers.get('Expect', '')
+    if expected.lower() == '100-continue' and request.transport is not None:
+        request.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+
 def _service(request: web.BaseRequest) -> str:
     named = request.headers.get(headers.SERVICE)
     if named:
@@ -209,12 +243,19 @@
     return request.host.partition(':')[0].partition('.')[0]
 
 
-def _passed_on(request: web.BaseRequest) -> tuple[tuple[str, str], ...]:
-    return tuple(
+def _passed_on(
+    request: web.BaseRequest,
+) -> tuple[tuple[str, str], ...] | None:
+    pairs = tuple(
         (name, text)
         for name, text in request.headers.items()
         if name.lower() not in NOT_PASSED_ON
     )
+    # aiohttp reads invalid UTF-8 as surrogates, which it cannot write.
+    for _name, text in pairs:
+        if not text.isascii() and '\udc80' <= max(text) <= '\udcff':
+            return None
+    return pairs
 
 
 async def _body(request: web.BaseRequest) -> bytes | AsyncIterator[bytes]:
--- a/packages/daemon/tanagerbend_daemon/order_path.py
+++ b/packages/daemon/tanagerbend_daemon/order_path.py
@@ -220,13 +220,12 @@
             reason = f'service {service!r} is not in the sheet'
             return Refusal(ResultCode.ROUTE_UNKNOWN, reason)
         # A host known from the host list alone has no known incarnation.
-        known = tuple(
-            member for member in routes[0].instances if member.incarnation
-        )
-        member = self.calls.balancer.choose(
-            attrs.evolve(routes[0], instances=known),
-            exclude,
+        unknown = frozenset(
+            member.host
+            for member in routes[0].instances
+            if not member.incarnation
         )
+        member = self.calls.balancer.choose(routes[0], exclude | unknown)
         match member:
             case Refusal():
                 return member
--- a/packages/daemon/tanagerbend_daemon/outbound.py
+++ b/packages/daemon/tanagerbend_daemon/outbound.py
@@ -1,25 +1,36 @@
 """Outgoing HTTP: to the backend server beside and to other daemons."""
 
-from collections.abc import AsyncIterator
+import asyncio
 from typing import Final
 
 import aiohttp
 from yarl import URL
 
+from tanagerbend_daemon.connections import (
+    ATTEMPT,
+    CONNECT_SECONDS,
+    Attempt,
+    make_session,
+)
 from tanagerbend_interfaces import BackendRequest, BackendResponse
-from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_model import Ran, Refusal, ResultCode, headers
 from tanagerbend_timer import Timer
 
+__all__ = ('HOP_BY_HOP', 'HttpServer', 'make_session')
+
 HOP_BY_HOP: Final = frozenset(
     (
         'connection',
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
+        'proxy-connection',
         'te',
         'trailer',
         'transfer-encoding',
         'upgrade',
+        # Answered by this daemon.
+        'expect',
     )
 )
 # Raised before the request is written.
@@ -27,42 +38,19 @@
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
 )
-CONNECT_SECONDS: Final = 1.0
-KEEPALIVE_SECONDS: Final = 30
-AUTOMATIC_HEADERS: Final = (
-    'Accept',
-    'Accept-Encoding',
-    'User-Agent',
-    'Content-Type',
-)
-
-
-def make_session(connections: int) -> aiohttp.ClientSession:
-    """Return a session that passes requests on as they are.
-
-    Parameters
-    ==========
-
-    connections : int
-        Limit of open connections, 0 for no limit.
-    """
-    session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
-            limit=connections, keepalive_timeout=KEEPALIVE_SECONDS
-        ),
-        cookie_jar=aiohttp.DummyCookieJar(),
-        auto_decompress=False,
-        skip_auto_headers=AUTOMATIC_HEADERS,
-    )
-    # aiohttp sends PUT and DELETE again when a kept connection is lost,
-    # which could run an order twice; it offers no public switch.
-    session._retry_connection = False  # noqa: SLF001
-    return session
+ORDER_KEY: Final = headers.ORDER_KEY.lower()
 
 
 class HttpServer:
     """A server reached over HTTP: backend server or daemon.
 
+    Explanation
+    ===========
+
+    A request that may be sent again gives up on a kept connection after
+    half of its time, so that a silent connection leaves time for a new
+    one.  The kept connections to the address are then closed.
+
     Parameters
     ==========
 
@@ -91,59 +79,106 @@
         remaining = deadline - self.timer.now()
         if remaining <= 0:
             return Refusal(ResultCode.DEADLINE_PASSED, 'before it was sent')
+        limit = asyncio.timeout(None)
+        patience = remaining / 2 if _may_repeat(request) else 0
+        attempt = Attempt(limit, patience)
         try:
-            response = await self._send(request, remaining)
-        except NOT_SENT as error:
-            reason = f'{self.address}: {type(error).__name__}'
-            return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
-        except TimeoutError:
-            reason = f'{self.address}: no answer in time'
-            return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
-        except (aiohttp.ClientError, OSError) as error:
-            reason = f'{self.address}: {type(error).__name__} after sending'
-            return Refusal(ResultCode.CONNECTION_LOST, reason, Ran.UNKNOWN)
+            async with limit:
+                response = await self._send(request, remaining, attempt)
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            # TimeoutError is an OSError.
+            return self._refuse(error, attempt)
         return BackendResponse(
             response.status,
             _forwarded(response.raw_headers),
-            _chunks(response),
+            ResponseBody(response),
         )
 
+    def _refuse(self, error: Exception, attempt: Attempt) -> Refusal:
+        """Return what is known of a request that got no answer."""
+        reason = f'{self.address}: {type(error).__name__}'
+        if isinstance(error, NOT_SENT) or not attempt.is_connected:
+            return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
+        if attempt.limit.expired():
+            self.session.connector.drop_idle(self.address)
+            reason = f'{self.address}: silent connection'
+            return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+        if isinstance(error, TimeoutError):
+            reason = f'{self.address}: no answer in time'
+            return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+        return Refusal(ResultCode.CONNECTION_LOST, reason, Ran.UNKNOWN)
+
     async def _send(
         self,
         request: BackendRequest,
         remaining: float,
+        attempt: Attempt,
     ) -> aiohttp.ClientResponse:
-        return await self.session.request(
-            request.method,
-            URL(f'http://{self.address}{request.path}', encoded=True),
-            headers=request.headers,
-            data=request.body,
-            allow_redirects=False,
-            timeout=aiohttp.ClientTimeout(
-                total=remaining,
-                connect=min(remaining, CONNECT_SECONDS),
-            ),
-        )
+        token = ATTEMPT.set(attempt)
+        try:
+            return await self.session.request(
+                request.method,
+                URL(f'http://{self.address}{request.path}', encoded=True),
+                headers=request.headers,
+                data=request.body,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=remaining,
+                    connect=min(remaining, CONNECT_SECONDS),
+                ),
+            )
+        finally:
+            ATTEMPT.reset(token)
+
+
+class ResponseBody:
+    """Body of an answer; raises ``ConnectionError`` if it ends early."""
+
+    def __init__(self, response: aiohttp.ClientResponse) -> None:
+        self.response = response
+
+    def __aiter__(self) -> 'ResponseBody':
+        return self
+
+    async def __anext__(self) -> bytes:
+        try:
+            chunk = await self.response.content.readany()
+        except (aiohttp.ClientError, OSError) as error:
+            self.response.close()
+            raise ConnectionError(f'answer ended early: {error!r}') from error
+        except BaseException:
+            self.response.close()
+            raise
+        if not chunk:
+            self.response.release()
+            raise StopAsyncIteration
+        return chunk
+
+    async def aclose(self) -> None:
+        """Keep the connection only if the whole body has arrived."""
+        if self.response.content.is_eof():
+            self.response.release()
+        else:
+            self.response.close()
+
+
+def _may_repeat(request: BackendRequest) -> bool:
+    if not isinstance(request.body, bytes):
+        return False
+    return all(name.lower() != ORDER_KEY for name, _text in request.headers)
 
 
 def _forwarded(
     raw_headers: tuple[tuple[bytes, bytes], ...],
 ) -> tuple[tuple[str, str], ...]:
-    pairs = (
-        (name.decode('latin-1'), text.decode('latin-1'))
-        for name, text in raw_headers
-    )
+    pairs = [(_text(name), _text(text)) for name, text in raw_headers]
     return tuple(
         (name, text) for name, text in pairs if name.lower() not in HOP_BY_HOP
     )
 
 
-async def _chunks(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+def _text(raw: bytes) -> str:
     try:
-        async for chunk in response.content.iter_any():
-            yield chunk
-    except (aiohttp.ClientError, TimeoutError) as error:
-        raise ConnectionError(f'answer ended early: {error!r}') from error
-    finally:
-        # Closes the connection if the body was not read to its end.
-        response.release() if response.content.at_eof() else response.close()
+        return raw.decode()
+    except UnicodeDecodeError:
+        return raw.decode('latin-1')
--- a/packages/daemon/tanagerbend_daemon/owner.py
+++ b/packages/daemon/tanagerbend_daemon/owner.py
@@ -72,6 +72,7 @@
             response.status,
             response.headers,
             HeldBody(response.chunks, lease.end_of_body),
+            load=str(self.admission.load_percent),
         )
 
 
@@ -92,9 +93,9 @@
             used = self.owner.recorder.timer.now() - self.started
             self.owner.admission.leave(self.ticket, outcome, used)
 
-    def end_of_body(self, is_whole: bool) -> None:
+    async def end_of_body(self, error: BaseException | None) -> None:
         """Give the slot back at the end of the answer."""
-        self.end(Outcome.SERVED if is_whole else Outcome.CANCELLED)
+        self.end(Outcome.SERVED if error is None else Outcome.CANCELLED)
 
 
 def _ticket(call: Call, work: WorkClass) -> Ticket:
--- /dev/null
+++ b/packages/routing/tanagerbend_routing/budget.py
@@ -0,0 +1,41 @@
+"""Budget that keeps retries from adding to an overload."""
+
+from typing import Final
+
+RETRY_SHARE: Final = 0.1
+# Lets a service with few calls retry at all.
+FIRST_RETRIES: Final = 1.0
+MOST_SAVED: Final = 10.0
+
+
+class RetryBudget:
+    """Allows retries for 10% of the first attempts of each service.
+
+    Examples
+    ========
+
+    >>> budget = RetryBudget()
+    >>> budget.may_retry('order'), budget.may_retry('order')
+    (True, False)
+    """
+
+    def __init__(self) -> None:
+        self.saved: dict[str, float] = {}
+
+    def first_attempt(self, service: str) -> None:
+        """Count a first attempt."""
+        saved = self.saved.get(service, FIRST_RETRIES)
+        self.saved[service] = min(saved + RETRY_SHARE, MOST_SAVED)
+
+    def may_retry(self, service: str) -> bool:
+        """Spend a retry; False if none is left."""
+        saved = self.saved.get(service, FIRST_RETRIES)
+        if saved < 1:
+            return False
+        self.saved[service] = saved - 1
+        return True
+
+    def retain(self, services: frozenset[str]) -> None:
+        """Forget the services that are no longer routed."""
+        for service in self.saved.keys() - services:
+            self.saved.pop(service)
--- a/packages/routing/tanagerbend_routing/table.py
+++ b/packages/routing/tanagerbend_routing/table.py
@@ -1,16 +1,30 @@
 """Route table of one version and one view of the instances."""
 
-from collections.abc import Callable
+import re
+from collections.abc import Callable, Iterable
+from typing import Final
+from urllib.parse import unquote
 
 import attrs
 
 from tanagerbend_interfaces import Member
 from tanagerbend_model import Refusal, ResultCode, Sheet, Version, WorkClass
 
+# Spellings of a path that a backend server may read as another path.
+UNUSUAL: Final = re.compile(r'%|//|/\.')
+DOTS: Final = frozenset(('.', '..'))
+
 
 @attrs.frozen
 class Route:
-    """A work class together with the instances of its service."""
+    """A work class together with the instances of its service.
+
+    Parameters
+    ==========
+
+    work : WorkClass
+    instances : tuple of Member
+    """
 
     work: WorkClass
     instances: tuple[Member, ...]
@@ -32,10 +46,13 @@
     version : Version
     services : mapping of str to tuple of Route
         Routes of a service, the longest path first.
+    version_text : str
+        The version as in headers.
     """
 
     version: Version
     services: dict[str, tuple[Route, ...]]
+    version_text: str = ''
 
     @classmethod
     def build(
@@ -45,31 +62,73 @@
         instances: Callable[[str], tuple[Member, ...]],
     ) -> 'RouteTable':
         """Build the table of a sheet; ``instances`` maps a service."""
-        services = {}
-        for service in sheet.services:
-            members = instances(service)
-            routes = [
-                Route(work, members) for work in sheet.of_service(service)
-            ]
-            routes.sort(key=_specificity, reverse=True)
-            services[service] = tuple(routes)
-        return cls(version, services)
+        classes: dict[str, list[WorkClass]] = {}
+        for work in sheet.work:
+            classes.setdefault(work.service, []).append(work)
+        services = {
+            service: _routes(rows, instances(service))
+            for service, rows in classes.items()
+        }
+        return cls(version, services, str(version))
 
     def match(self, service: str, method: str, path: str) -> Route | Refusal:
-        """Return the route of a request."""
+        """Return the route of a request; the path may hold a query.
+
+        Explanation
+        ===========
+
+        A path with ``.`` or ``..`` segments is refused.  The backend
+        server would resolve them, and the request would run as work of
+        another class than the one it was admitted for.
+        """
         routes = self.services.get(service)
         if routes is None:
             reason = f'service {service!r} is not in the sheet'
             return Refusal(ResultCode.ROUTE_UNKNOWN, reason)
+        plain = plain_path(path)
+        if plain is None:
+            reason = f'{path!r} has relative segments'
+            return Refusal(ResultCode.HEADER_INVALID, reason)
         for route in routes:
-            if _covers(route.work, method, path):
+            if _covers(route.work, method, plain):
                 return route
-        reason = f'no work of {service!r} covers {method} {path}'
+        reason = f'no work of {service!r} covers {method} {plain}'
         return Refusal(ResultCode.ROUTE_UNKNOWN, reason)
 
 
+def plain_path(path: str) -> str | None:
+    """Return the path without query, escapes and empty segments.
+
+    None if it has relative segments.
+
+    Examples
+    ========
+
+    >>> plain_path('/a//%6frders?x=1')
+    '/a/orders'
+    >>> plain_path('/a/%2e%2e/orders') is None
+    True
+    """
+    plain = path.partition('?')[0]
+    if UNUSUAL.search(plain) is None:
+        return plain
+    plain = re.sub('/+', '/', unquote(plain))
+    if DOTS.isdisjoint(plain.split('/')):
+        return plain
+    return None
+
+
+def _routes(
+    rows: Iterable[WorkClass],
+    members: tuple[Member, ...],
+) -> tuple[Route, ...]:
+    routes = [Route(work, members) for work in rows]
+    routes.sort(key=_specificity, reverse=True)
+    return tuple(routes)
+
+
 def _specificity(route: Route) -> tuple[int, bool]:
-    return len(route.work.path), bool(route.work.method)
+    return len(route.work.path.rstrip('/')), bool(route.work.method)
 
 
 def _covers(work: WorkClass, method: str, path: str) -> bool:
@@ -79,5 +138,4 @@
     if not path.startswith(prefix):
         return False
     # '/orders' covers '/orders' and '/orders/7' but not '/orders-old'.
-    rest = path[len(prefix) :]
-    return not rest or rest[0] in '/?'
+    return len(path) == len(prefix) or path[len(prefix)] == '/'
