Test routing, and let observations of instances fade

An instance that had refused or been slow was not chosen any more and so never showed that it had recovered. What was observed now halves every two seconds without a call.

--- a/packages/routing/tanagerbend_routing/balancer.py
+++ b/packages/routing/tanagerbend_routing/balancer.py
@@ -78,7 +78,7 @@
         now = self.timer.now()
         left_out = exclude | self._unusable(now) if self.ejected else exclude
         near = self._better(split.near, left_out, now)
-        if near is not None and not self._is_short(near):
+        if near is not None and not self._is_short(near, now):
             return near
         far = self._better(split.far, left_out, now)
         found = [member for member in (near, far) if member is not None]
@@ -151,11 +151,11 @@
     def _score(self, member: Member, now: float) -> float:
         return self.of(member).score(now, FIRST_LATENCY)
 
-    def _is_short(self, member: Member) -> bool:
+    def _is_short(self, member: Member, now: float) -> bool:
         stats = self.of(member)
         return (
             stats.outstanding >= SPILL_OUTSTANDING
-            or stats.refusals > SPILL_REFUSALS
+            or stats.recent_refusals(now) > SPILL_REFUSALS
         )
 
     def _unusable(self, now: float) -> frozenset[str]:
@@ -193,7 +193,7 @@
     ) -> None:
         """Count the end of a call that began ``seconds`` ago."""
         stats.outstanding -= 1
-        stats.observe(result, seconds)
+        stats.observe(result, seconds, self.timer.now())
         if result is Result.FAILED and stats.is_outlier():
             self._eject(member, stats)
 
--- a/packages/routing/tanagerbend_routing/stats.py
+++ b/packages/routing/tanagerbend_routing/stats.py
@@ -9,6 +9,10 @@
 REFUSAL_WEIGHT: Final = 0.2
 # One refusal of ten makes an instance look half as attractive.
 REFUSAL_PENALTY: Final = 10.0
+# Half of what was observed counts after this time without a call.  An
+# instance that is not chosen any more could otherwise never show that it
+# has recovered.
+HALF_LIFE_SECONDS: Final = 2.0
 SLOW_START_SECONDS: Final = 10.0
 LEAST_WEIGHT: Final = 0.1
 EJECTION_FAILURES: Final = 3
@@ -49,6 +53,10 @@
     failures : int
         Failures since the last answer.
     ejected_until, ejection_seconds, failed_at : float
+    observed_at : float
+        Monotonic seconds of the last observation.
+    reported, reported_at : float
+        Load in percent that the instance reports.
     """
 
     incarnation: int
@@ -60,11 +68,14 @@
     ejected_until: float = 0.0
     ejection_seconds: float = 0.0
     failed_at: float = float('-inf')
+    observed_at: float = 0.0
     reported: float = 0.0
     reported_at: float = float('-inf')
 
-    def observe(self, result: Result, seconds: float) -> None:
-        """Take the end of a call after ``seconds``."""
+    def observe(self, result: Result, seconds: float, now: float) -> None:
+        """Take the end of a call that was answered after ``seconds``."""
+        self.refusals *= self._memory(now)
+        self.observed_at = now
         match result:
             case Result.ANSWERED:
                 self.failures = 0
@@ -83,8 +94,10 @@
         ``typical`` is the latency assumed for an instance that has not
         answered yet.
         """
-        load = (self.outstanding + 1) * (self.latency or typical)
-        load *= 1 + REFUSAL_PENALTY * self.refusals
+        memory = self._memory(now)
+        latency = (self.latency or typical) * memory + typical * (1 - memory)
+        load = (self.outstanding + 1) * latency
+        load *= 1 + REFUSAL_PENALTY * self.refusals * memory
         if now - self.reported_at < HINT_SECONDS:
             # The report may be old or false, so it only tips a balance.
             load *= 1 + HINT_WEIGHT * self.reported / FULL_PERCENT
@@ -92,6 +105,13 @@
             load /= self.weight(now)
         return load
 
+    def recent_refusals(self, now: float) -> float:
+        """Return the share of refused calls, which fades with time."""
+        return self.refusals * self._memory(now)
+
+    def _memory(self, now: float) -> float:
+        return 0.5 ** ((now - self.observed_at) / HALF_LIFE_SECONDS)
+
     def weight(self, now: float) -> float:
         """Return the share of work during slow start, up to 1."""
         cold = (self.warm_at - now) / SLOW_START_SECONDS
--- /dev/null
+++ b/packages/routing/tanagerbend_routing/tests/test_balancer.py
@@ -0,0 +1,190 @@
+"""Choice of instances by own observation."""
+
+import random
+from collections import Counter
+
+import attrs
+import pytest
+
+from tanagerbend_model import Refusal
+from tanagerbend_routing import Result
+
+
+@pytest.fixture
+def call(balancer):
+    """Return a function that chooses and finishes one call."""
+
+    def call(route, result=Result.ANSWERED, seconds=0.01):
+        member = balancer.choose(route)
+        stats = balancer.started(member)
+        balancer.finished(member, stats, result, seconds)
+        return member.host
+
+    return call
+
+
+def fail(balancer, member, count):
+    """Let calls to one instance fail."""
+    for _ in range(count):
+        stats = balancer.started(member)
+        balancer.finished(member, stats, Result.FAILED, 0.1)
+
+
+async def pass_time(balancer, seconds):
+    """Let manual time pass."""
+    await balancer.timer.advance(seconds)
+
+
+def spread(balancer, route, count=300):
+    """Return how often each host is chosen while nothing is sent."""
+    return Counter(balancer.choose(route).host for _ in range(count))
+
+
+def test_idle_instances_of_the_own_domain_share_the_work(
+    balancer, make_member, make_route, call
+):
+    """Guards against calls that cross domains, or herd to one instance."""
+    near = [make_member(f'near-{index}') for index in range(4)]
+    far = [make_member(f'far-{index}', 'celaya') for index in range(4)]
+    counts = Counter(call(make_route(*near, *far)) for _ in range(400))
+    assert set(counts) == {member.host for member in near}
+    assert min(counts.values()) > 60
+
+
+def test_slow_or_busy_instance_gets_less(balancer, make_member, make_route):
+    """Guards against a choice that ignores latency or open calls."""
+    members = [make_member(name) for name in ('slow', 'busy', 'idle')]
+    route = make_route(*members)
+    balancer.choose(route)
+    balancer.of(members[0]).latency = 0.1
+    for member in members[1:]:
+        balancer.of(member).latency = 0.01
+    for _ in range(3):
+        balancer.started(members[1])
+    counts = spread(balancer, route)
+    assert counts['idle'] > counts['busy'] > counts['slow']
+
+
+async def test_calls_spill_when_the_own_domain_is_short(
+    balancer, make_member, make_route
+):
+    """Guards against refusals while other domains have capacity."""
+    near, far = make_member('near'), make_member('far', 'celaya')
+    route = make_route(near, far)
+    balancer.choose(route)
+    for _ in range(3):
+        stats = balancer.started(near)
+        balancer.finished(near, stats, Result.REFUSED, 0.0)
+    assert balancer.choose(route) is far
+    await pass_time(balancer, 10)
+    assert balancer.choose(route) is near
+
+
+def test_reported_load_never_hides_an_instance(
+    balancer, make_member, make_route
+):
+    """Guards against a false or old report that draws or repels all work."""
+    liar, honest = make_member('liar'), make_member('honest')
+    route = make_route(liar, honest)
+    balancer.choose(route)
+    stats = balancer.of(honest)
+    for text in ('', 'much', '-5', '99999', '١٠'):
+        balancer.answered(stats, text)
+    assert stats.reported_at == float('-inf')
+    balancer.answered(stats, '100')
+    for _ in range(2):
+        balancer.started(liar)
+    assert balancer.choose(route) is honest
+
+
+async def test_cold_instance_starts_slowly(balancer, make_member, make_route):
+    """Guards against a full share of work for a cold instance."""
+    old = [make_member(f'old-{index}') for index in range(3)]
+    balancer.choose(make_route(*old))
+    route = make_route(*old, make_member('new'))
+    assert spread(balancer, route)['new'] == 0
+    await pass_time(balancer, 11)
+    assert spread(balancer, route)['new'] > 40
+
+
+async def test_outlier_is_ejected_for_a_growing_time(
+    balancer, make_member, make_route
+):
+    """Guards against work for an instance that fails every call."""
+    members = [make_member(f'host-{index}') for index in range(3)]
+    route = make_route(*members)
+    balancer.choose(route)
+    fail(balancer, members[0], 3)
+    assert spread(balancer, route)['host-0'] == 0
+    await pass_time(balancer, 1.1)
+    assert 'host-0' not in balancer._unusable(balancer.timer.now())
+    fail(balancer, members[0], 1)
+    await pass_time(balancer, 1.1)
+    assert 'host-0' in balancer._unusable(balancer.timer.now())
+
+
+def test_at_most_a_third_of_a_service_is_ejected(
+    balancer, make_member, make_route
+):
+    """Guards against a fault of the own network that empties a service."""
+    members = [make_member(f'host-{index}') for index in range(7)]
+    balancer.choose(make_route(*members))
+    for member in members:
+        fail(balancer, member, 5)
+    assert len(balancer.ejected) == 2
+
+
+def test_new_incarnation_starts_with_fresh_statistics(
+    balancer, make_member, make_route
+):
+    """Guards against faults of a dead process held against its successor."""
+    old = make_member('host')
+    balancer.choose(make_route(old))
+    stats = balancer.started(old)
+    new = attrs.evolve(old, incarnation=2)
+    balancer.choose(make_route(new))
+    balancer.finished(old, stats, Result.FAILED, 1.0)
+    assert balancer.of(new).outstanding == 0
+    assert balancer.of(new).failures == 0
+
+
+def test_statistics_of_gone_hosts_are_dropped(
+    balancer, make_member, make_route
+):
+    """Guards against memory that grows with every replaced host."""
+    for index in range(100):
+        route = make_route(make_member(f'host-{index}'))
+        balancer.choose(route)
+        balancer.retain({'artwork': (route,)})
+    assert list(balancer.stats) == ['host-99']
+    balancer.retain({})
+    assert not balancer.stats
+    assert not balancer.splits
+
+
+def test_excluded_hosts_are_never_chosen(balancer, make_member, make_route):
+    """Guards against retries at the instance that has just failed."""
+    route = make_route(make_member('one'), make_member('two'))
+    tried = frozenset(('one',))
+    assert {balancer.choose(route, tried).host for _ in range(50)} == {'two'}
+    match balancer.choose(route, tried | {'two'}):
+        case Refusal(code=code):
+            assert code.name == 'NO_INSTANCE'
+
+
+def test_outstanding_never_drifts(balancer, make_member, make_route):
+    """Guards against counts that leak over many random results."""
+    chance = random.Random(8)
+    route = make_route(*(make_member(f'host-{index}') for index in range(5)))
+    open_calls = []
+    for _ in range(2000):
+        if open_calls and chance.random() < 0.5:
+            member, stats = open_calls.pop(chance.randrange(len(open_calls)))
+            result = chance.choice(list(Result))
+            balancer.finished(member, stats, result, chance.random())
+        else:
+            member = balancer.choose(route)
+            open_calls.append((member, balancer.started(member)))
+    counts = Counter(member.host for member, _stats in open_calls)
+    for host, stats in balancer.stats.items():
+        assert stats.outstanding == counts[host]
