--- a/packages/metrics/tanagerbend_metrics/events.py
+++ b/packages/metrics/tanagerbend_metrics/events.py
@@ -23,6 +23,7 @@
     READER_ROLE_LEFT = 'reader_role_left'
     SERVICE_LOST = 'service_lost'
     SERVICE_AVAILABLE = 'service_available'
+    INSTANCE_EJECTED = 'instance_ejected'
     MEMBER_SUSPECTED = 'member_suspected'
     MEMBER_GONE = 'member_gone'
     CLAIM_REFUTED = 'claim_refuted'
@@ -53,6 +54,7 @@
     Event.READER_ROLE_LEFT: 'another daemon of the domain reads',
     Event.SERVICE_LOST: 'the configuration service does not answer',
     Event.SERVICE_AVAILABLE: 'the configuration service answers again',
+    Event.INSTANCE_EJECTED: 'an instance gets no calls from here for a while',
     Event.MEMBER_SUSPECTED: 'no daemon that was asked reaches a member',
     Event.MEMBER_GONE: 'a suspected member was given up',
     Event.CLAIM_REFUTED: 'this daemon refuted that it is unreachable',
