--- a/packages/standins/tanagerbend_standins/caller.py
+++ b/packages/standins/tanagerbend_standins/caller.py
@@ -14,6 +14,9 @@
 
 CALL_SECONDS: Final = 30.0
 RESEND_SECONDS: Final = 0.1
+DECIDED: Final = frozenset(
+    (ResultCode.ORDER_OWNER_GONE, ResultCode.ORDER_ANSWER_DROPPED),
+)
 # Not in any sheet: the refusal tells the version and costs no slot.
 NO_SERVICE: Final = 'no-such-service'
 
@@ -35,9 +38,11 @@
     via : str
         Host of the entry daemon.
     order_key : str
-        Key that the answer carried, else an empty string.
+        Key for the next attempt that the answer carried, or empty.
     version : str
         Version in force at the entry daemon.
+    owner : str
+        Daemon that decided about an order, else an empty string.
     """
 
     status: int
@@ -48,12 +53,21 @@
     via: str
     order_key: str = ''
     version: str = ''
+    owner: str = ''
 
     @property
     def is_answer(self) -> bool:
         """Whether a backend server's whole answer arrived."""
         return self.status == HTTPStatus.OK and self.code <= 0
 
+    @property
+    def is_final(self) -> bool:
+        """Whether sending the same order key again can change nothing."""
+        if self.is_answer or self.code in DECIDED:
+            return True
+        is_known = bool(self.owner) and self.ran is not Ran.NO
+        return is_known and self.code != ResultCode.ORDER_IN_PROGRESS
+
 
 class Caller:
     """Sends calls and orders to the daemons of a fleet.
@@ -136,11 +150,11 @@
         reply = await self.call(service, path, body)
         key = reply.order_key
         begun = time.monotonic()
-        while key and not _is_final(reply):
+        while key and not reply.is_final:
             if time.monotonic() - begun > CALL_SECONDS:
                 break
             reply = await self.call(service, path, body, order_key=key)
-            if not reply.is_answer:
+            if not reply.is_final:
                 key = reply.order_key or key
                 await asyncio.sleep(RESEND_SECONDS)
         return reply
@@ -182,12 +196,7 @@
         body,
         seconds,
         entry.place.host,
-        received.get(headers.ORDER_KEY, ''),
+        received.get(headers.FRESH_ORDER_KEY, ''),
         received.get(headers.VERSION, ''),
+        received.get(headers.ORDER_OWNER, ''),
     )
-
-
-def _is_final(reply: Reply) -> bool:
-    """Tell whether sending the same key again can change nothing."""
-    gone = {ResultCode.ORDER_OWNER_GONE, ResultCode.ORDER_ANSWER_DROPPED}
-    return reply.is_answer or reply.code in gone
--- a/packages/standins/tanagerbend_standins/judging.py
+++ b/packages/standins/tanagerbend_standins/judging.py
@@ -87,6 +87,18 @@
             tally.answered >= least,
         )
 
+    def judge_ends(self, tally: Tally) -> None:
+        """State that no order is left without an outcome."""
+        answered = tally.answered
+        unknown = tally.interrupted
+        sent = len(tally.replies)
+        self.judge(
+            'I6',
+            f'{tally.work.work}: each is answered or "outcome unknown"',
+            f'{answered} answered, {unknown} unknown, of {sent}',
+            answered + unknown == sent and answered > 0,
+        )
+
     def judge_orders(self, tallies: list[Tally]) -> None:
         """Count the runs of all orders at the stand-in backend servers."""
         runs: Counter[bytes] = Counter()
--- a/packages/standins/tanagerbend_standins/scenario.py
+++ b/packages/standins/tanagerbend_standins/scenario.py
@@ -125,6 +125,7 @@
         )
         for node in self.fleet.nodes:
             node.backend.behave(lost=0.0)
+        self.verdicts.judge_ends(self.orders[-1])
 
     async def flood(self, flooding: str, judged: str, name: str) -> None:
         """Send three times the capacity of one kind of work."""
