--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -1,13 +1,14 @@
 """Assembly of a daemon from its packages."""
 
+import asyncio
 import random
 import time
-from typing import Any
+from typing import Any, Final
 
 import aiohttp
 import attrs
 
-from tanagerbend_admission import FifoAdmission
+from tanagerbend_admission import RankAdmission
 from tanagerbend_daemon.containment import ContainedOwner
 from tanagerbend_daemon.control import ControlHandler
 from tanagerbend_daemon.drain import Drain
@@ -28,18 +29,28 @@
 from tanagerbend_distribution import (
     Bootstrap,
     CallBudget,
+    CatchUp,
+    PauseGuard,
     PlatformReader,
     Propagation,
+    ReadTimes,
     VersionStore,
 )
 from tanagerbend_interfaces import Member, MemberState
 from tanagerbend_membership import Detector, Roster
 from tanagerbend_metrics import Recorder
+from tanagerbend_model import Sheet
 from tanagerbend_routing import Balancer, RouteTable
 from tanagerbend_settings import Settings
 from tanagerbend_timer import SystemTimer
 from tanagerbend_wire import Identity, PeerClient, PeerServer
 
+FULL_PERCENT = 100
+
+
+# A restart of the fleet changes thousands of records in a few seconds.
+REBUILD_SECONDS: Final = 0.1
+
 
 @attrs.define
 class Parts:
@@ -61,11 +72,25 @@
     drain: Drain
     leaving: LeavingWatch
     sessions: list[aiohttp.ClientSession]
+    guard: PauseGuard
+    catch_up: CatchUp
+    is_rebuild_due: bool = False
+
+    def rebuild_routes_soon(self, _event: Any = None) -> None:
+        """Replace the route table once for changes that come together."""
+        if not self.is_rebuild_due:
+            self.is_rebuild_due = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(REBUILD_SECONDS, self.rebuild_routes)
 
     def rebuild_routes(self, _event: Any = None) -> None:
         """Replace the route table by one of the current facts."""
+        self.is_rebuild_due = False
         current = self.store.current
         if current is not None:
+            service = self.settings.host.service
+            floors = floors_of(current.sheet, service)
+            self.calls.owner.admission.configure(floors)
             self.calls.table = RouteTable.build(
                 current.version,
                 current.sheet,
@@ -73,6 +98,20 @@
             )
 
 
+def floors_of(sheet: Sheet, service: str) -> dict[int, float]:
+    """Return the guaranteed share of slot time by rank, 0 to 1.
+
+    The floor of a rank is the highest of its work classes, as in the
+    check that floors fit into the capacity.
+    """
+    floors: dict[int, float] = {}
+    for work in sheet.of_service(service):
+        rank = work.effective_rank
+        share = work.floor_percent / FULL_PERCENT
+        floors[rank] = max(floors.get(rank, 0.0), share)
+    return floors
+
+
 def own_member(settings: Settings) -> Member:
     """Return the record of a daemon that has just started."""
     host = settings.host
@@ -89,27 +128,45 @@
     )
 
 
+def own_identity(settings: Settings, roster: Roster) -> Identity:
+    """Return who this daemon is to its peers."""
+    return Identity(
+        settings.host.deployment,
+        roster.own.host,
+        roster.own.incarnation,
+        settings.peers.shared_key.encode(),
+    )
+
+
 def assemble(settings: Settings) -> Parts:
     """Wire the parts of a daemon; needs a running event loop."""
     timer = SystemTimer()
     recorder = Recorder(timer)
     chance = random.Random()  # noqa: S311
-    own = own_member(settings)
-    roster = Roster(own, recorder)
-    identity = Identity(
-        settings.host.deployment,
-        own.host,
-        own.incarnation,
-        settings.peers.shared_key.encode(),
+    roster = Roster(
+        own_member(settings),
+        recorder,
+        settings.platform.readers_per_domain,
     )
+    identity = own_identity(settings, roster)
     client = PeerClient(identity, recorder)
     store = VersionStore(recorder)
-    propagation = Propagation(store, roster, client, chance, recorder)
+    propagation = Propagation(
+        store,
+        roster,
+        client,
+        chance,
+        recorder,
+        settings.peers.seeds,
+    )
+    guard = PauseGuard(propagation, recorder)
     detector = Detector(roster, client, chance, recorder)
+    timer.on_pause(detector.paused)
     sessions = [make_session(0), make_session(settings.instance.connections)]
-    reader = _reader(settings, sessions[0], store, roster, chance, recorder)
+    reader = _reader(settings, sessions[0], propagation, guard)
     safety = make_safety(settings, sessions[1], roster, client)
     calls = _calls(settings, sessions[0], safety, roster, chance)
+    calls.ready = guard.ready
     drain = make_drain(
         settings,
         make_orders(calls, safety, roster),
@@ -154,37 +211,40 @@
             settings.instance.ready_path,
         ),
         sessions,
+        guard,
+        CatchUp(propagation, recorder),
     )
     store.listeners.append(parts.rebuild_routes)
-    roster.listeners.append(parts.rebuild_routes)
+    roster.listeners.append(parts.rebuild_routes_soon)
     return parts
 
 
 def _reader(
     settings: Settings,
     session: aiohttp.ClientSession,
-    store: VersionStore,
-    roster: Roster,
-    chance: random.Random,
-    recorder: Recorder,
+    propagation: Propagation,
+    guard: PauseGuard,
 ) -> PlatformReader:
     platform = settings.platform
     service = HttpConfigurationService(session, platform.url)
+    recorder = propagation.recorder
+    budget = CallBudget(
+        recorder.timer,
+        propagation.random,
+        platform.calls_per_second,
+        platform.expected_fleet_size,
+    )
     return PlatformReader(
         service,
         HttpHostList(service, platform.host_list_key),
         platform.sheet_key,
-        platform.watch_seconds,
-        CallBudget(
-            recorder.timer,
-            chance,
-            platform.calls_per_second,
-            platform.expected_fleet_size,
-        ),
-        store,
-        roster,
-        chance,
+        ReadTimes(platform.watch_seconds, platform.host_list_poll_seconds),
+        budget,
+        propagation.store,
+        propagation.roster,
+        propagation.random,
         recorder,
+        guard.ready,
     )
 
 
@@ -199,7 +259,7 @@
     recorder = roster.recorder
     owner = ContainedOwner(
         safety.backend,
-        FifoAdmission(recorder.timer, instance.slots, instance.queue),
+        RankAdmission(recorder, instance.slots, instance.queue),
         roster,
         recorder,
         quarantine=safety.quarantine,
--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -128,6 +128,8 @@
         if instance and not self._is_peer(request, request_id, instance):
             reason = 'forwarded call without a valid proof'
             return Refusal(ResultCode.FRAME_UNAUTHENTICATED, reason)
+        if instance and self.drain is not None:
+            self.drain.note_sender(request.headers.get(headers.SENDER, ''))
         return await self._make_call(request, limits, instance, request_id)
 
     def _is_peer(
--- a/packages/daemon/tanagerbend_daemon/safety.py
+++ b/packages/daemon/tanagerbend_daemon/safety.py
@@ -11,7 +11,7 @@
 from tanagerbend_daemon.order_path import OrderPath
 from tanagerbend_daemon.outbound import HttpServer
 from tanagerbend_daemon.suspect_notices import SuspectNotices
-from tanagerbend_interfaces import MemberState, PeerTransport
+from tanagerbend_interfaces import PeerTransport
 from tanagerbend_membership import Detector, Roster
 from tanagerbend_orders import Ledger, PermitIssuer
 from tanagerbend_quarantine import Quarantine
@@ -85,14 +85,11 @@
 ) -> Drain:
     """Wire planned stops around the path of calls and orders."""
 
-    async def announce(state: MemberState) -> None:  # noqa: WPS430
-        own = detector.roster.set_own_state(state)
-        await detector.notify((own,))
-
     return Drain(
         orders,
         detector.roster,
-        announce,
+        detector.notifier.announce_state,
         orders.owner.end_unsent,
+        detector.notifier.senders.note,
         settings.instance.drain_seconds,
     )
--- a/packages/daemon/tanagerbend_daemon/tests/test_crashes_real.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_crashes_real.py
@@ -20,7 +20,7 @@
     fleet = Fleet(tmp_path, PLACES)
     await fleet.start(SHEET)
     for node in fleet.nodes:
-        node.backend.behave(crash_path='/poison', work_seconds=0.05)
+        node.backend.behave(crash_mark=b'poison', work_seconds=0.05)
     yield fleet
     await fleet.close()
 
--- a/packages/daemon/tanagerbend_daemon/tests/test_stops_real.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_stops_real.py
@@ -115,7 +115,7 @@
     node = fleet.nodes[0]
     async with aiohttp.ClientSession() as caller:
         await all_serve(caller, fleet)
-        node.backend.behave(is_ready=False)
+        node.backend.behave(draining=True)
 
         async def is_spared():
             before = sum(node.backend.runs.values())
@@ -126,7 +126,7 @@
             )
 
         assert await eventually(is_spared, 30)
-        node.backend.behave(is_ready=True)
+        node.backend.behave(draining=False)
 
         async def is_used():
             await send(caller, node)
--- a/packages/standins/tanagerbend_standins/fleet.py
+++ b/packages/standins/tanagerbend_standins/fleet.py
@@ -1,7 +1,9 @@
 """A small fleet on loopback: stand-ins here, daemons as processes."""
 
 import asyncio
+import contextlib
 import itertools
+import os
 import pathlib
 import signal
 import socket
@@ -15,6 +17,10 @@
 from tanagerbend_standins.backend import StandinBackend
 from tanagerbend_standins.platform import StandinPlatform
 
+LOWEST_PORT: Final = 12000
+PORT_RANGE: Final = 20000
+# Keeps fleets of processes that run at the same time apart.
+PORTS_PER_PROCESS: Final = 61
 PORTS_PER_NODE: Final = 3
 LOOPBACK: Final = '127.0.0.1'
 SHEET_KEY: Final = 'sheet'
@@ -26,16 +32,40 @@
 STOP_SECONDS: Final = 40.0
 
 
+# Ports given out by this process, which may not listen yet.
+_GIVEN: Final[set[int]] = set()
+
+
 def free_ports(count: int) -> list[int]:
-    """Return port numbers that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for listener in sockets:
-            listener.bind((LOOPBACK, 0))
-        return [listener.getsockname()[1] for listener in sockets]
-    finally:
-        for listener in sockets:
-            listener.close()
+    """Return port numbers that are free now.
+
+    Explanation
+    ===========
+
+    They lie below the range from which the system picks ports for
+    outgoing connections and for port 0, so that nothing else takes them
+    before the daemon that gets them listens.
+    """
+    start = os.getpid() * PORTS_PER_PROCESS
+    found = []
+    for offset in itertools.count():
+        port = LOWEST_PORT + (start + offset) % PORT_RANGE
+        if port not in _GIVEN and _is_free(port):
+            found.append(port)
+            _GIVEN.add(port)
+        if len(found) == count:
+            break
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 @attrs.frozen
@@ -56,6 +86,7 @@
     backend: StandinBackend
     ports: list[int]
     backend_address: str = ''
+    platform_url: str = ''
     process: asyncio.subprocess.Process | None = None
     leaving: bool = False
 
@@ -87,6 +118,9 @@
     deployment : str
     overrides : dict of str to dict
         Settings by table, on top of those the fleet needs.
+    has_log_files : bool
+        Each daemon writes to ``HOST.log`` in the directory instead of the
+        standard error of this process.
     """
 
     def __init__(
@@ -95,10 +129,12 @@
         places: list[Place],
         deployment: str = 'tas-south',
         overrides: dict[str, dict] | None = None,
+        has_log_files: bool = False,
     ) -> None:
         self.directory = directory
         self.deployment = deployment
         self.overrides = overrides or {}
+        self.has_log_files = has_log_files
         self.platform = StandinPlatform()
         self.url = ''
         ports = iter(free_ports(PORTS_PER_NODE * len(places)))
@@ -116,6 +152,7 @@
         self.url = await self.platform.start()
         for node in self.nodes:
             node.backend_address = await node.backend.start()
+            node.platform_url = await self.platform.start_for(node.place.host)
         await self.publish_hosts()
         if sheet:
             await self.publish(sheet)
@@ -125,8 +162,23 @@
         """Publish a sheet."""
         return await self.platform.publish(SHEET_KEY, sheet, revision)
 
-    async def publish_hosts(self) -> None:
-        """Publish the host list."""
+    async def publish_hosts(
+        self,
+        omitted: frozenset[str] = frozenset(),
+        invented: tuple[dict, ...] = (),
+    ) -> None:
+        """Publish the host list, which lies if the parameters say so.
+
+        To let it lag, freeze its key of the platform.
+
+        Parameters
+        ==========
+
+        omitted : frozenset of str
+            Hosts that the list lacks although they are up.
+        invented : tuple of dict
+            Entries of hosts that do not exist.
+        """
         await self.platform.publish_hosts(
             HOST_LIST_KEY,
             [
@@ -137,19 +189,27 @@
                     'leaving': node.leaving,
                 }
                 for node in self.nodes
-            ],
+                if node.place.host not in omitted
+            ]
+            + list(invented),
         )
 
     async def start_daemon(self, node: Node) -> None:
         """Start the daemon of a node as a process of its own."""
         path = self.directory / f'{node.place.host}.toml'
         path.write_text(self.settings(node))
-        node.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            '-m',
-            'tanagerbend_daemon',
-            str(path),
-        )
+        with contextlib.ExitStack() as stack:
+            log = None
+            if self.has_log_files:
+                log = stack.enter_context(path.with_suffix('.log').open('ab'))
+            node.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'tanagerbend_daemon',
+                str(path),
+                stderr=log,
+                stdout=log,
+            )
 
     def settings(self, node: Node) -> str:
         """Return the settings of a node's daemon."""
@@ -169,7 +229,7 @@
                 'backend': node.backend_address,
             },
             'platform': {
-                'url': self.url,
+                'url': node.platform_url,
                 'sheet_key': SHEET_KEY,
                 'host_list_key': HOST_LIST_KEY,
                 'expected_fleet_size': len(self.nodes),
@@ -186,6 +246,18 @@
             _render(name, entries) for name, entries in tables.items()
         )
 
+    def pause(self, node: Node) -> None:
+        """Stop the process of a daemon in place, as a suspended host."""
+        self._signal(node, signal.SIGSTOP)
+
+    def resume(self, node: Node) -> None:
+        """Let a paused daemon go on."""
+        self._signal(node, signal.SIGCONT)
+
+    def _signal(self, node: Node, number: signal.Signals) -> None:
+        if node.process is not None and node.process.returncode is None:
+            node.process.send_signal(number)
+
     async def stop_daemon(
         self,
         node: Node,
