Add bench.orders: orders under faults, checked against the true counts

Real daemons with a stand-in hop between them, which loses, delays, doubles and partitions; kills, pauses, planned stops and crashes are drawn from a seed.

--- /dev/null
+++ b/bench/orders.py
@@ -0,0 +1,322 @@
+"""Orders under faults: run at most once, "not run" is true, all answered.
+
+Starts real daemons and stand-in backend servers on loopback.  Faults:
+daemons are killed, stopped and paused; backend servers crash and lose or
+truncate answers; a stand-in hop between the daemons loses, delays and
+doubles messages and partitions the fleet (see ``bench.cut_daemon``).
+Callers give up waiting early, send the same key through several daemons at
+once, and void keys.  What the stand-in backend servers have counted is the
+truth.  In the same run, requests without order keys are sent again after
+each lost answer, as a baseline.
+"""
+
+import argparse
+import asyncio
+import collections
+import contextlib
+import json
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+import aiohttp
+import attrs
+
+from bench.chaos import Chaos
+from tanagerbend_model import headers
+from tanagerbend_standins import Fleet, Place, eventually
+
+SHEET = (
+    b'service,work,rank,method,path,deadline_ms,order\n'
+    b'booking,truck,1,POST,/trucks,2000,yes\n'
+    b'booking,plain,1,POST,/plain,2000,no\n'
+)
+DOMAINS = ('leon', 'celaya', 'irapuato', 'silao')
+KEYS = '/.tanagerbend/orders'
+WORKERS = 160
+# An order without a verdict after this time counts as unanswered.
+ORDER_SECONDS = 60.0
+# After this time a caller takes "outcome unknown" for an answer.
+PATIENCE_SECONDS = 8.0
+
+
+@attrs.frozen
+class Reply:
+    """A whole answer of a daemon."""
+
+    status: int
+    ran: str
+    code: str
+    fresh_key: str
+    body: bytes
+
+
+@attrs.define
+class Tally:
+    """What the callers were told."""
+
+    answered: dict = attrs.field(factory=dict)
+    unknown: set = attrs.field(factory=set)
+    unanswered: set = attrs.field(factory=set)
+    not_run: set = attrs.field(factory=set)
+    codes: collections.Counter = attrs.field(
+        factory=collections.Counter,
+    )
+    plain: int = 0
+
+
+class Callers:
+    """Seeded callers that send orders until they have an outcome."""
+
+    def __init__(self, fleet, seed):
+        self.fleet = fleet
+        self.random = random.Random(seed)
+        self.tally = Tally()
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+        )
+
+    async def send(self, method, path, key='', body=b'', seconds=4.0):
+        """Send to a random daemon; None if no whole answer arrived."""
+        node = self.random.choice(self.fleet.nodes)
+        own = {headers.SERVICE: 'booking'}
+        if key:
+            own[headers.ORDER_KEY] = key
+        try:
+            async with self.session.request(
+                method,
+                f'http://{node.call_address}{path}',
+                headers=own,
+                data=body,
+                timeout=aiohttp.ClientTimeout(total=seconds),
+            ) as response:
+                content = await response.read()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return None
+        received = response.headers
+        reply = Reply(
+            response.status,
+            received.get(headers.RAN, ''),
+            received.get(headers.RESULT, ''),
+            received.get(headers.FRESH_ORDER_KEY, ''),
+            content,
+        )
+        self.tally.codes[reply.code] += 1
+        if key and reply.ran == 'no':
+            self.tally.not_run.add(key)
+        return reply
+
+    async def key(self):
+        """Return a key from the resource, or from a refusal."""
+        while True:
+            if self.random.random() < 0.5:
+                reply = await self.send('POST', KEYS)
+                if reply is not None and reply.status == 201:
+                    return json.loads(reply.body)['key']
+            else:
+                reply = await self.send('POST', '/trucks')
+                if reply is not None and reply.fresh_key:
+                    return reply.fresh_key
+            await asyncio.sleep(0.05)
+
+    async def order(self, number):
+        """Place one order; note its outcome."""
+        body = b'order %d' % number
+        try:
+            async with asyncio.timeout(ORDER_SECONDS):
+                await self._place(number, body)
+        except TimeoutError:
+            self.tally.unanswered.add(number)
+
+    async def _place(self, number, body):
+        key = await self.key()
+        begun = time.monotonic()
+        while True:
+            reply = await self._attempt(key, body)
+            if reply is None:
+                await asyncio.sleep(0.02)
+                continue
+            if reply.ran == 'yes' and reply.code == '0':
+                self.tally.answered[number] = reply.body
+                return
+            if reply.ran == 'no':
+                key = reply.fresh_key or await self.key()
+                begun = time.monotonic()
+                continue
+            is_final = reply.code in {'505', '509'}
+            if is_final or time.monotonic() - begun > PATIENCE_SECONDS:
+                self.tally.unknown.add(number)
+                return
+            await asyncio.sleep(self.random.uniform(0.02, 0.2))
+
+    async def _attempt(self, key, body):
+        drawn = self.random.random()
+        if drawn < 0.05:
+            return await self.send('DELETE', f'{KEYS}/{key}', key)
+        if drawn < 0.1:
+            reply = await self.send('GET', f'{KEYS}/{key}', key)
+            return None if reply and reply.status == 404 else reply
+        if drawn < 0.2:
+            replies = await asyncio.gather(
+                *(self.send('POST', '/trucks', key, body) for _ in range(3)),
+            )
+            whole = [reply for reply in replies if reply is not None]
+            whole.sort(key=lambda reply: reply.ran != 'yes')
+            return whole[0] if whole else None
+        seconds = 4.0 if drawn < 0.8 else self.random.uniform(0.01, 0.5)
+        return await self.send('POST', '/trucks', key, body, seconds)
+
+    async def plain(self, number):
+        """Send a request without a key until it is answered."""
+        body = b'plain %d' % number
+        self.tally.plain += 1
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ORDER_SECONDS):
+                while True:
+                    seconds = self.random.choice((4.0, 4.0, 4.0, 0.05))
+                    reply = await self.send(
+                        'POST',
+                        '/plain',
+                        body=body,
+                        seconds=seconds,
+                    )
+                    if reply is not None and reply.status == 200:
+                        return
+                    await asyncio.sleep(0.05)
+
+
+async def run(arguments, directory):
+    """Run the benchmark; return the figures."""
+    places = [
+        Place(f'host-{number}', 'booking', DOMAINS[number % 4], 'centro-mx')
+        for number in range(arguments.hosts)
+    ]
+    fleet = Fleet(
+        directory,
+        places,
+        'centro-mx',
+        {'instance': {'drain_seconds': 5.0}},
+        has_log_files=True,
+        module='bench.cut_daemon',
+    )
+    chaos = Chaos(fleet, arguments.seed)
+    callers = Callers(fleet, arguments.seed + 1)
+    try:
+        await fleet.start(SHEET)
+        assert await eventually(lambda: is_ready(callers, fleet), 60)
+        begun = time.monotonic()
+        await load(arguments, callers, chaos)
+        seconds = time.monotonic() - begun
+        # Late duplicates arrive before the counts are taken.
+        await asyncio.sleep(3.0)
+        return figures(arguments, fleet, callers.tally, chaos, seconds)
+    finally:
+        await callers.session.close()
+        await fleet.close()
+
+
+async def is_ready(callers, fleet):
+    """Tell whether keys for every instance are issued."""
+    found = set()
+    for _ in range(20 * len(fleet.nodes)):
+        reply = await callers.send('POST', KEYS)
+        if reply is not None and reply.status == 201:
+            found.add(json.loads(reply.body)['host'])
+    return len(found) == len(fleet.nodes)
+
+
+async def load(arguments, callers, chaos):
+    """Send all orders and baseline requests while faults happen."""
+    jobs = [(callers.order, number) for number in range(arguments.orders)]
+    jobs += [(callers.plain, number) for number in range(arguments.baseline)]
+    callers.random.shuffle(jobs)
+    is_over = asyncio.Event()
+    faults = asyncio.create_task(chaos.run(is_over))
+
+    async def work():
+        while jobs:
+            job, number = jobs.pop()
+            await job(number)
+
+    await asyncio.gather(*(work() for _ in range(WORKERS)))
+    is_over.set()
+    await faults
+
+
+def figures(arguments, fleet, tally, chaos, seconds):
+    """Compare what the callers were told with the counts of the truth."""
+    runs = collections.Counter()
+    bodies = collections.Counter()
+    for node in fleet.nodes:
+        runs.update(node.backend.runs)
+        bodies.update(node.backend.bodies)
+    orders = {b'order %d' % number for number in range(arguments.orders)}
+    lost = [
+        number
+        for number, body in tally.answered.items()
+        if not body.endswith(b' ran order %d' % number)
+        or bodies[b'order %d' % number] != 1
+    ]
+    told = len(tally.answered) + len(tally.unknown) + len(tally.unanswered)
+    return {
+        'orders': arguments.orders,
+        'seconds': round(seconds, 1),
+        'faults': dict(chaos.counts),
+        'answered': len(tally.answered),
+        'outcome_unknown': len(tally.unknown),
+        'unknown_that_ran': sum(
+            bodies[b'order %d' % number] for number in tally.unknown
+        ),
+        'keys_said_not_run': len(tally.not_run),
+        'doubled': sum(bodies[body] > 1 for body in orders),
+        'doubled_keys': sum(
+            count > 1 for key, count in runs.items() if key.startswith('tb1.')
+        ),
+        'falsely_not_run': sum(runs[key] > 0 for key in tally.not_run),
+        'wrongly_answered': len(lost),
+        'unanswered': len(tally.unanswered) + arguments.orders - told,
+        'baseline': tally.plain,
+        'baseline_doubled': sum(
+            count > 1
+            for body, count in bodies.items()
+            if body.startswith(b'plain ')
+        ),
+        'codes': dict(tally.codes.most_common()),
+    }
+
+
+BOUNDS = (
+    'doubled',
+    'doubled_keys',
+    'falsely_not_run',
+    'wrongly_answered',
+    'unanswered',
+)
+
+
+def main():
+    """Print the figures; fail if a bound is broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--orders', type=int, default=10_000)
+    parser.add_argument('--baseline', type=int, default=2_000)
+    parser.add_argument('--hosts', type=int, default=6)
+    parser.add_argument('--seed', type=int, default=1)
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory:
+        found = asyncio.run(run(arguments, pathlib.Path(directory)))
+    for name, figure in found.items():
+        print(f'{name:20} {figure}')
+    print(
+        ' '.join(
+            f'{name}={figure}'
+            for name, figure in found.items()
+            if not isinstance(figure, dict)
+        ),
+    )
+    sys.exit(any(found[name] for name in BOUNDS))
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/standins/tanagerbend_standins/caller.py
+++ b/packages/standins/tanagerbend_standins/caller.py
@@ -172,7 +172,7 @@
         body,
         seconds,
         entry.place.host,
-        received.get(headers.ORDER_KEY, ''),
+        received.get(headers.FRESH_ORDER_KEY, ''),
     )
 
 
--- a/packages/standins/tanagerbend_standins/fleet.py
+++ b/packages/standins/tanagerbend_standins/fleet.py
@@ -121,6 +121,8 @@
     has_log_files : bool
         Each daemon writes to ``HOST.log`` in the directory instead of the
         standard error of this process.
+    module : str
+        Module that is run as the daemon.
     """
 
     def __init__(
@@ -130,7 +132,9 @@
         deployment: str = 'tas-south',
         overrides: dict[str, dict] | None = None,
         has_log_files: bool = False,
+        module: str = 'tanagerbend_daemon',
     ) -> None:
+        self.module = module
         self.directory = directory
         self.deployment = deployment
         self.overrides = overrides or {}
@@ -205,7 +209,7 @@
             node.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
-                'tanagerbend_daemon',
+                self.module,
                 str(path),
                 stderr=log,
                 stdout=log,
