--- /dev/null
+++ b/bench/stops.py
@@ -0,0 +1,159 @@
+"""Planned stops under load: no request may be cut.
+
+Real daemons on loopback are stopped by SIGTERM and started again, one after
+the other, while callers send calls on kept connections through all daemons.
+A request is cut if its connection breaks after it was sent, if its answer
+is incomplete, or if the daemon cannot say whether it ran.  A connection that
+is refused is no cut: nothing was sent.
+"""
+
+import argparse
+import asyncio
+import collections
+import pathlib
+import random
+import sys
+import tempfile
+import time
+
+import aiohttp
+
+from tanagerbend_model import headers
+from tanagerbend_standins import Fleet, Place, eventually
+
+SHEET = (
+    b'service,work,rank,method,path,deadline_ms\nartwork,any,1,,/plates,8000\n'
+)
+BODY = b'x' * 20_000
+CONNECTIONS = 8
+
+
+class Callers:
+    """Callers on kept connections, a few for each daemon."""
+
+    def __init__(self, fleet, seed):
+        self.fleet = fleet
+        self.random = random.Random(seed)
+        self.seen = collections.Counter()
+        self.is_over = asyncio.Event()
+
+    async def keep_sending(self, node):
+        """Send calls to one daemon on one connection."""
+        connector = aiohttp.TCPConnector(limit=1)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            while not self.is_over.is_set():
+                outcome = await self.send(session, node)
+                self.seen[outcome] += 1
+                if outcome == 'not listening':
+                    await asyncio.sleep(0.05)
+                await asyncio.sleep(self.random.uniform(0.0, 0.05))
+
+    async def send(self, session, node):
+        """Send one call; return what the caller saw."""
+        try:
+            async with session.post(
+                f'http://{node.call_address}/plates',
+                headers={headers.SERVICE: 'artwork'},
+                data=BODY,
+                timeout=aiohttp.ClientTimeout(total=20.0),
+            ) as response:
+                answer = await response.read()
+                ran = response.headers.get(headers.RAN, '')
+                code = response.headers.get(headers.RESULT, '')
+        except aiohttp.ClientConnectorError:
+            return 'not listening'
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            return f'cut: {type(error).__name__}'
+        if ran == 'yes' and not answer.endswith(BODY):
+            return 'cut: answer incomplete'
+        if ran == 'unknown':
+            return f'cut: outcome unknown ({code})'
+        return 'answered' if code == '0' else f'not run ({code})'
+
+
+async def run(arguments, directory):
+    """Run the benchmark; return the figures."""
+    places = [
+        Place(f'host-{number}', 'artwork', 'kingston', 'tas-south')
+        for number in range(arguments.hosts)
+    ]
+    overrides = {'instance': {'drain_seconds': 10.0}}
+    fleet = Fleet(directory, places, overrides=overrides, has_log_files=True)
+    callers = Callers(fleet, arguments.seed)
+    try:
+        await fleet.start(SHEET)
+        for node in fleet.nodes:
+            node.backend.behave(work_seconds=0.02)
+
+        async def all_serve():
+            async with aiohttp.ClientSession() as session:
+                seen = {
+                    await callers.send(session, node) for node in fleet.nodes
+                }
+            return seen == {'answered'}
+
+        assert await eventually(all_serve, 60)
+        tasks = [
+            asyncio.create_task(callers.keep_sending(node))
+            for node in fleet.nodes
+            for _ in range(CONNECTIONS)
+        ]
+        statuses, seconds = await stop_all(arguments, fleet, callers)
+        callers.is_over.set()
+        await asyncio.gather(*tasks)
+    finally:
+        await fleet.close()
+    return figures(arguments, callers.seen, statuses, seconds)
+
+
+async def stop_all(arguments, fleet, callers):
+    """Stop daemons one after the other; return statuses and times."""
+    statuses, seconds = collections.Counter(), []
+    for number in range(arguments.stops):
+        node = fleet.nodes[number % len(fleet.nodes)]
+        begun = time.monotonic()
+        statuses[await fleet.stop_daemon(node)] += 1
+        seconds.append(time.monotonic() - begun)
+        await fleet.start_daemon(node)
+        await asyncio.sleep(callers.random.uniform(1.0, 2.0))
+    return statuses, seconds
+
+
+def figures(arguments, seen, statuses, seconds):
+    """Return the figures by name."""
+    return {
+        'stops': arguments.stops,
+        'requests': sum(seen.values()) - seen['not listening'],
+        'answered': seen['answered'],
+        'cut': sum(
+            count for outcome, count in seen.items() if outcome[:3] == 'cut'
+        ),
+        'bad_exits': sum(statuses.values()) - statuses[0],
+        'longest_stop_seconds': round(max(seconds), 2),
+        'outcomes': dict(seen.most_common()),
+    }
+
+
+def main():
+    """Print the figures; fail if a request was cut."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--stops', type=int, default=50)
+    parser.add_argument('--hosts', type=int, default=5)
+    parser.add_argument('--seed', type=int, default=1)
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory:
+        found = asyncio.run(run(arguments, pathlib.Path(directory)))
+    for name, figure in found.items():
+        print(f'{name:20} {figure}')
+    print(
+        ' '.join(
+            f'{name}={figure}'
+            for name, figure in found.items()
+            if not isinstance(figure, dict)
+        ),
+    )
+    sys.exit(bool(found['cut'] or found['bad_exits']))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/tests/test_orders_in_memory.py
@@ -0,0 +1,186 @@
+"""Orders in a fleet in memory, with seeded faults on a manual clock."""
+
+import asyncio
+import random
+
+import pytest
+
+from tanagerbend_daemon.call import Answer
+from tanagerbend_daemon.tests.memory_fleet import MemoryFleet
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_orders import Recorded
+from tanagerbend_timer import ManualTimer
+
+FAULTS = ['lost', 'delayed', 'late copy', 'crossed']
+
+
+@pytest.fixture
+def fleet():
+    return MemoryFleet(ManualTimer(), random.Random(1))
+
+
+def key_for(fleet, host, issuer='host-0'):
+    """Return a key that a daemon issues for the instance of a host."""
+    path = fleet.nodes[issuer].path
+    incarnation = fleet.members[host].incarnation
+    return path.issuer.issue('print', host, incarnation).token
+
+
+async def body_of(answer):
+    return b''.join([chunk async for chunk in answer.chunks])
+
+
+async def test_no_key_runs_twice_and_not_run_is_true():
+    """Guards against a second run and against a false "not run"."""
+    outcomes = set()
+    for seed in range(25):
+        fleet = MemoryFleet(ManualTimer(), random.Random(seed))
+        fleet.faults = FAULTS
+        told = {}
+        placed = [
+            asyncio.ensure_future(place(fleet, number, told))
+            for number in range(12)
+        ]
+        disturbed = asyncio.ensure_future(disturb(fleet))
+        await fleet.run(*placed, disturbed)
+        while not all(task.done() for task in fleet.tasks):
+            await fleet.timer.advance(1.0)
+        assert max(fleet.runs.values()) == 1, seed
+        for key, ran in told.items():
+            if ran is not Ran.UNKNOWN:
+                assert fleet.runs[key] == (ran is Ran.YES), seed
+        outcomes.update(told.values())
+    assert outcomes == {Ran.YES, Ran.NO, Ran.UNKNOWN}
+
+
+async def place(fleet, number, told):
+    """Send one order through many daemons until its outcome is known."""
+    host = fleet.random.choice(list(fleet.nodes))
+    key = key_for(fleet, host)
+    for _ in range(8):
+        await fleet.timer.sleep(fleet.random.uniform(0.0, 2.0))
+        method, path = 'POST', '/print'
+        if fleet.random.random() < 0.2:
+            method, path = 'DELETE', f'/.tanagerbend/orders/{key}'
+        entry = fleet.random.choice(list(fleet.nodes))
+        body = b'order %d' % number
+        outcome = await fleet.call(entry, key, body, method, path)
+        match outcome:
+            case Answer():
+                assert await body_of(outcome) == b'ran ' + body
+                told[key] = Ran.YES
+                return
+            case Refusal(ran=Ran.NO):
+                told[key] = Ran.NO
+                return
+            case Refusal():
+                told[key] = Ran.UNKNOWN
+
+
+async def disturb(fleet):
+    """Restart daemons and divide the fleet, with different host lists."""
+    for incarnation in range(2, 8):
+        await fleet.timer.sleep(fleet.random.uniform(0.0, 3.0))
+        host = fleet.random.choice(list(fleet.nodes))
+        if fleet.random.random() < 0.5:
+            fleet.start(host, incarnation)
+        else:
+            fleet.groups = {} if fleet.groups else {host: 'other side'}
+        fleet.gossip()
+    fleet.groups = {}
+    fleet.gossip()
+
+
+async def test_unreachable_owner_is_outcome_unknown(fleet):
+    """Guards against "not run" from a daemon that is not the owner."""
+    key = key_for(fleet, 'host-2')
+    fleet.groups = {'host-2': 'other side'}
+    for host in ('host-0', 'host-1'):
+        (outcome,) = await fleet.run(fleet.call(host, key))
+        assert (outcome.ran, outcome.code) == (
+            Ran.UNKNOWN,
+            ResultCode.OUTCOME_UNKNOWN,
+        )
+
+
+async def test_entry_daemon_without_sheet_does_not_say_not_run(fleet):
+    """Guards against early refusals that claim "not run" for a key."""
+    key = key_for(fleet, 'host-2')
+    fleet.nodes['host-0'].path.calls.table = None
+    await fleet.run(fleet.call('host-1', key))
+    fleet.groups = {'host-0': 'other side'}
+    (outcome,) = await fleet.run(fleet.call('host-0', key))
+    assert outcome.ran is Ran.UNKNOWN
+
+
+async def test_new_incarnation_does_not_run_an_old_key(fleet):
+    """Guards against a restarted owner that has forgotten its orders."""
+    key = key_for(fleet, 'host-2')
+    fleet.start('host-2', 2)
+    (outcome,) = await fleet.run(fleet.call('host-0', key))
+    assert outcome.code is ResultCode.ORDER_OWNER_GONE
+    assert outcome.ran is Ran.UNKNOWN
+    assert not fleet.runs
+
+
+async def test_pause_before_sending_does_not_run_after_the_deadline(fleet):
+    """Guards against an order that a resumed process sends late."""
+    owner = fleet.nodes['host-0']
+    owner.backend.seconds = 1.0
+    keys = [key_for(fleet, 'host-0') for _ in range(3)]
+    calls = [asyncio.ensure_future(fleet.call('host-0', key)) for key in keys]
+    await fleet.timer.advance(0.5)
+    assert sum(fleet.runs.values()) == 2
+    fleet.timer.pause(60.0)
+    outcomes = await fleet.run(*calls)
+    refusals = [outcome for outcome in outcomes if isinstance(outcome, Refusal)]
+    assert sum(fleet.runs.values()) == 2
+    assert Ran.NO in {refusal.ran for refusal in refusals}
+
+
+async def test_sent_order_outlives_its_caller(fleet):
+    """Guards against an order that is cut when its caller hangs up."""
+    key = key_for(fleet, 'host-0')
+    sent = asyncio.ensure_future(fleet.call('host-0', key))
+    await fleet.timer.advance(0.05)
+    sent.cancel()
+    await fleet.timer.advance(1.0)
+    (again,) = await fleet.run(fleet.call('host-1', key))
+    assert await body_of(again) == b'ran one'
+    assert fleet.runs[key] == 1
+
+
+async def test_not_run_carries_a_key_for_another_instance(fleet):
+    """Guards against a refused order that cannot be placed again."""
+    fleet.nodes['host-0'].path.calls.owner.admission.queue = 0
+    fleet.nodes['host-0'].backend.seconds = 1.0
+    keys = [key_for(fleet, 'host-0') for _ in range(3)]
+    outcomes = await fleet.run(*(fleet.call('host-1', key) for key in keys))
+    (refusal,) = [
+        outcome for outcome in outcomes if isinstance(outcome, Refusal)
+    ]
+    assert (refusal.code, refusal.ran) == (ResultCode.QUEUE_FULL, Ran.NO)
+    fresh = fleet.nodes['host-1'].path.issuer.read(refusal.fresh_key)
+    assert fresh.host != 'host-0'
+
+
+async def test_oversized_order_voids_its_key(fleet):
+    """Guards against "not run" for a large order that may still arrive."""
+    key = key_for(fleet, 'host-2')
+    (large,) = await fleet.run(fleet.call('host-0', key, bytes(2_000_000)))
+    assert large.code is ResultCode.ORDER_BODY_TOO_LARGE
+    assert large.ran is Ran.NO
+    (late,) = await fleet.run(fleet.call('host-1', key))
+    assert late.code is ResultCode.ORDER_KEY_VOID
+    assert not fleet.runs
+
+
+async def test_second_request_waits_for_the_first(fleet):
+    """Guards against a repeat that returns before its own deadline."""
+    key = key_for(fleet, 'host-2')
+    answers = await fleet.run(*(fleet.call(host, key) for host in fleet.nodes))
+    assert [await body_of(answer) for answer in answers] == [b'ran one'] * 3
+    record = fleet.nodes['host-2'].ledger.records
+    assert [entry.answer for entry in record.values()] == [
+        Recorded(200, (), b'ran one'),
+    ]
