--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -142,6 +142,8 @@
         elif not self._is_peer(request, request_id, instance):
             reason = 'forwarded call without a valid proof'
             return Refusal(ResultCode.FRAME_UNAUTHENTICATED, reason)
+        if instance and self.drain is not None:
+            self.drain.note_sender(request.headers.get(headers.SENDER, ''))
         await _continue(request)
         return Call(
             service=_service(request),
