Explain order keys, and show the state of the instance

An order that ended as 'outcome unknown' leaves an operator with nothing but its key. The daemon that owns the key now tells what came of the order, any other one names the owner, and tanagerbend explain KEY asks them all. The status shows limit, waiting calls, orders held, suspects and convicted requests.

--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/explanations.py
@@ -0,0 +1,128 @@
+"""Explanations of routes and order keys for operators."""
+
+from typing import Any, Final
+
+import attrs
+
+from tanagerbend_daemon.assembly import Parts
+from tanagerbend_interfaces import Member, MemberState
+from tanagerbend_model import Refusal, ResultCode, WorkClass
+from tanagerbend_model.faults import FaultList
+from tanagerbend_model.spreadsheet import read_rows
+from tanagerbend_orders import OrderKey
+from tanagerbend_routing import Route
+
+STATE_REASONS: Final = {
+    MemberState.STARTING: 'not used: starting, holds no sheet yet',
+    MemberState.LIVE: 'not used: the host list says that it leaves',
+    MemberState.DRAINING: 'not used: draining, takes no new work',
+    MemberState.SUSPECTED: 'not used: unreachable, and others are live',
+    MemberState.GONE: 'not used: gone',
+}
+
+
+def explain(
+    parts: Parts,
+    service: str,
+    method: str,
+    path: str,
+) -> dict[str, Any] | Refusal:
+    """Return which row covers a request and which instances may run it."""
+    table = parts.calls.table
+    current = parts.store.current
+    if table is None or current is None:
+        reason = 'no sheet is in force yet'
+        return Refusal(ResultCode.NO_CONFIGURATION, reason)
+    route = table.match(service, method, path)
+    match route:
+        case Refusal():
+            return route
+    return {
+        'version': str(table.version),
+        'row': sheet_row(current.content, route.work),
+        'work': attrs.asdict(route.work),
+        'instances': [
+            {
+                'host': member.host,
+                'failure_domain': member.failure_domain,
+                'state': member.state.name.lower(),
+                'why': _why(parts, route, member),
+            }
+            for member in parts.roster.members.values()
+            if member.service == service
+        ],
+    }
+
+
+def _why(parts: Parts, route: Route, member: Member) -> str:
+    hosts = {instance.host for instance in route.instances}
+    if member.host not in hosts:
+        return STATE_REASONS[member.state]
+    if member.is_claimed:
+        return 'used: unreachable, but too few others are live'
+    if member.failure_domain == parts.roster.own.failure_domain:
+        return 'used first: live, in the own failure domain'
+    return 'used: live, in another failure domain'
+
+
+def sheet_row(content: bytes, work: WorkClass) -> int:
+    r"""Return the row of a work class, counted as a spreadsheet does.
+
+    Examples
+    ========
+
+    >>> sheet = b'\r\nService,Work,rank\r\nartwork,plates,3\r\n'
+    >>> sheet_row(sheet, WorkClass('artwork', 'plates', rank=3))
+    3
+    """
+    columns: list[str] = []
+    for row in read_rows(content, FaultList()):
+        if not columns:
+            names = [cell.lower() for cell in row.cells]
+            columns = names if 'work' in names else []
+            continue
+        cells = dict(zip(columns, row.cells, strict=False))
+        if (cells['service'], cells['work']) == (work.service, work.work):
+            return row.number
+    return 0
+
+
+def explain_order(parts: Parts, token: str) -> dict[str, Any] | Refusal:
+    """Return who owns an order key and what its owner knows of it.
+
+    Parameters
+    ==========
+
+    parts : Parts
+    token : str
+        Value of ``Idempotency-Key``.
+    """
+    key = parts.orders.issuer.read(token)
+    match key:
+        case Refusal():
+            return key
+    found = {
+        'service': key.service,
+        'host': key.host,
+        'incarnation': key.incarnation,
+        'expiry': key.expiry,
+        'is_owner': _is_owner(parts, key),
+    }
+    if not found['is_owner']:
+        return found
+    outcome = parts.orders.owner.ledger.status(key)
+    match outcome:
+        case Refusal(code=code, reason=reason, ran=ran):
+            return {
+                **found,
+                'outcome': code.name,
+                'reason': reason,
+                'ran': ran.value,
+            }
+    reason = f'answered with status {outcome.status}'
+    return {**found, 'outcome': 'OK', 'reason': reason, 'ran': 'yes'}
+
+
+def _is_owner(parts: Parts, key: OrderKey) -> bool:
+    own = parts.orders.owner.own
+    return (key.host, key.incarnation) == (own.host, own.incarnation)
--- a/packages/daemon/tanagerbend_daemon/operators.py
+++ b/packages/daemon/tanagerbend_daemon/operators.py
@@ -11,7 +11,7 @@
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST
 
-from tanagerbend_daemon import views
+from tanagerbend_daemon import explanations, views
 from tanagerbend_daemon.assembly import Parts
 from tanagerbend_daemon.floods import PERIOD_SECONDS, FloodWatch
 from tanagerbend_interfaces import MemberState
@@ -62,6 +62,7 @@
                 web.get('/counters', self.counters),
                 web.get('/journal', self.journal),
                 web.get('/explain', self.explain),
+                web.get('/order', self.order),
                 web.get('/sheet', self.sheet),
                 web.post('/drain', self.drain),
                 web.post('/undrain', self.undrain),
@@ -162,7 +163,8 @@
         text = request.query.get('since', '0')
         since = _finite(text)
         if since is None:
-            return self._invalid('since', text)
+            refusal = Refusal(ResultCode.QUERY_INVALID, f'since: {text!r}')
+            return self.refuse(refusal, HTTPStatus.BAD_REQUEST)
         return web.json_response(
             {
                 'host': self.parts.roster.own_host,
@@ -176,7 +178,7 @@
 
     async def explain(self, request: web.Request) -> web.Response:
         """Answer which row and instances a request is routed to."""
-        found = views.explain(
+        found = explanations.explain(
             self.parts,
             request.query.get('service', ''),
             request.query.get('method', 'GET'),
@@ -187,6 +189,17 @@
                 return self.refuse(found, HTTPStatus.NOT_FOUND)
         return web.json_response(found)
 
+    async def order(self, request: web.Request) -> web.Response:
+        """Answer who owns the order key ``?key=`` and what it knows."""
+        found = explanations.explain_order(
+            self.parts,
+            request.query.get('key', ''),
+        )
+        match found:
+            case Refusal():
+                return self.refuse(found, HTTPStatus.NOT_FOUND)
+        return web.json_response(found)
+
     async def sheet(self, _request: web.Request) -> web.Response:
         """Answer with the bytes of the sheet in force."""
         current = self.parts.store.current
@@ -234,10 +247,6 @@
             await parts.detector.notifier.announce_state(after)
         return web.json_response(views.status(parts))
 
-    def _invalid(self, name: str, text: str) -> web.Response:
-        refusal = Refusal(ResultCode.QUERY_INVALID, f'{name}: {text!r}')
-        return self.refuse(refusal, HTTPStatus.BAD_REQUEST)
-
 
 def _finite(text: str) -> float | None:
     try:
--- a/packages/daemon/tanagerbend_daemon/tests/test_operators.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_operators.py
@@ -128,6 +128,14 @@
     assert answer['reader'] is True
     assert answer['last_read_age'] is None
     assert answer['members'] == {'live': 1}
+    assert answer['instance'] == {
+        'slots': 6,
+        'limit': 6,
+        'waiting': 0,
+        'orders_held': 0,
+        'suspects': [],
+        'convicted': [],
+    }
 
 
 async def test_explain_names_row_version_and_reasons(parts, ask):
@@ -150,6 +158,21 @@
     assert (status, answer['name']) == (404, 'ROUTE_UNKNOWN')
 
 
+async def test_order_key_is_explained_by_its_owner(parts, ask):
+    """Guards against an owner that is not told from other daemons."""
+    own = parts.roster.own
+    issue = parts.orders.issuer.issue
+    key = issue(own.service, own.host, own.incarnation)
+    _, answer = await ask(f'/order?key={key.token}')
+    assert answer['is_owner'] is True
+    assert (answer['outcome'], answer['ran']) == ('ORDER_NOT_BEGUN', 'unknown')
+    other = issue(own.service, 'host-2', 7)
+    _, answer = await ask(f'/order?key={other.token}')
+    assert (answer['host'], answer['is_owner']) == ('host-2', False)
+    status, answer = await ask('/order?key=tb1.x.y')
+    assert (status, answer['name']) == (404, 'ORDER_KEY_INVALID')
+
+
 async def test_metrics_hold_hostile_names_without_breaking(parts, ask):
     """Guards against labels from outside that break the text format."""
     start(parts)
--- a/packages/daemon/tanagerbend_daemon/views.py
+++ b/packages/daemon/tanagerbend_daemon/views.py
@@ -6,21 +6,10 @@
 import attrs
 
 from tanagerbend_daemon.assembly import Parts
-from tanagerbend_interfaces import Member, MemberState
+from tanagerbend_interfaces import MemberState
 from tanagerbend_metrics import Event
-from tanagerbend_model import Refusal, ResultCode, WorkClass
-from tanagerbend_model.faults import FaultList
-from tanagerbend_model.spreadsheet import read_rows
-from tanagerbend_routing import Route
 
 NANOSECONDS = 1e9
-STATE_REASONS = {
-    MemberState.STARTING: 'not used: starting, holds no sheet yet',
-    MemberState.LIVE: 'not used: the host list says that it leaves',
-    MemberState.DRAINING: 'not used: draining, takes no new work',
-    MemberState.SUSPECTED: 'not used: unreachable, and others are live',
-    MemberState.GONE: 'not used: gone',
-}
 
 
 def reasons_not_ready(parts: Parts) -> tuple[str, ...]:
@@ -62,10 +51,25 @@
             None if last_read is None else parts.timer.now() - last_read
         ),
         'running': parts.calls.owner.running,
+        'instance': instance(parts),
         'members': members_by_state(parts),
     }
 
 
+def instance(parts: Parts) -> dict[str, Any]:
+    """Return the state of the instance and of what guards it."""
+    owner = parts.calls.owner
+    known = owner.quarantine.snapshot()
+    return {
+        'slots': parts.settings.instance.slots,
+        'limit': owner.admission.limit.calls,
+        'waiting': owner.admission.waiting,
+        'orders_held': len(parts.orders.owner.ledger.records),
+        'suspects': [entry.hex() for entry in known.suspected],
+        'convicted': [entry.hex() for entry in known.convicted],
+    }
+
+
 def members_by_state(parts: Parts) -> dict[str, int]:
     """Return the number of members in each state."""
     found = Counter(
@@ -95,6 +99,9 @@
         'reader': found['reader'],
         'service_available': found['service_available'],
         'calls_running': found['running'],
+        'calls_waiting': found['instance']['waiting'],
+        'calls_limit': found['instance']['limit'],
+        'orders_held': found['instance']['orders_held'],
     }
     if found['last_read_age'] is not None:
         numbers['last_read_age_seconds'] = found['last_read_age']
@@ -128,69 +135,3 @@
         and entry.subject == str(current.version)
     ]
     return times[-1] if times else None
-
-
-def explain(
-    parts: Parts,
-    service: str,
-    method: str,
-    path: str,
-) -> dict[str, Any] | Refusal:
-    """Return which row covers a request and which instances may run it."""
-    table = parts.calls.table
-    current = parts.store.current
-    if table is None or current is None:
-        reason = 'no sheet is in force yet'
-        return Refusal(ResultCode.NO_CONFIGURATION, reason)
-    route = table.match(service, method, path)
-    match route:
-        case Refusal():
-            return route
-    return {
-        'version': str(table.version),
-        'row': sheet_row(current.content, route.work),
-        'work': attrs.asdict(route.work),
-        'instances': [
-            {
-                'host': member.host,
-                'failure_domain': member.failure_domain,
-                'state': member.state.name.lower(),
-                'why': _why(parts, route, member),
-            }
-            for member in parts.roster.members.values()
-            if member.service == service
-        ],
-    }
-
-
-def _why(parts: Parts, route: Route, member: Member) -> str:
-    hosts = {instance.host for instance in route.instances}
-    if member.host not in hosts:
-        return STATE_REASONS[member.state]
-    if member.is_claimed:
-        return 'used: unreachable, but too few others are live'
-    if member.failure_domain == parts.roster.own.failure_domain:
-        return 'used first: live, in the own failure domain'
-    return 'used: live, in another failure domain'
-
-
-def sheet_row(content: bytes, work: WorkClass) -> int:
-    r"""Return the row of a work class, counted as a spreadsheet does.
-
-    Examples
-    ========
-
-    >>> sheet = b'\r\nService,Work,rank\r\nartwork,plates,3\r\n'
-    >>> sheet_row(sheet, WorkClass('artwork', 'plates', rank=3))
-    3
-    """
-    columns: list[str] = []
-    for row in read_rows(content, FaultList()):
-        if not columns:
-            names = [cell.lower() for cell in row.cells]
-            columns = names if 'work' in names else []
-            continue
-        cells = dict(zip(columns, row.cells, strict=False))
-        if (cells['service'], cells['work']) == (work.service, work.work):
-            return row.number
-    return 0
--- a/packages/operator/tanagerbend_operator/explain.py
+++ b/packages/operator/tanagerbend_operator/explain.py
@@ -9,6 +9,7 @@
 from tanagerbend_operator import exits
 from tanagerbend_operator.access import Access, find_access
 from tanagerbend_operator.client import DaemonClient, run_with
+from tanagerbend_operator.explain_order import ORDER_KEY, explain_order
 from tanagerbend_operator.output import (
     console,
     describe,
@@ -34,8 +35,9 @@
     With a path, the subject is a service: the row of the sheet that
     covers the request is shown, and each instance with the reason why it
     is used or not. A number or name of a result code is explained
-    without asking a daemon. Anything else (a host, a version, a request
-    id, an order key) is looked up in the journals of the given daemons.
+    without asking a daemon. An order key is explained by the daemon that
+    owns it. Anything else (a host, a version, a request id) is looked up
+    in the journals of the given daemons.
 
     Exit codes: 0 explained; 1 nothing covers or mentions the subject;
     2 access is not valid; 3 no daemon answered.
@@ -62,6 +64,8 @@
             if path:
                 query = {'service': subject, 'method': method, 'path': path}
                 return _explain_route(found, query, json)
+            if subject.startswith(ORDER_KEY):
+                return explain_order(found, subject, json)
             answers = run_with(
                 found,
                 lambda client: client.ask_all(daemons, '/journal'),
--- a/packages/operator/tanagerbend_operator/tests/test_fleet.py
+++ b/packages/operator/tanagerbend_operator/tests/test_fleet.py
@@ -172,6 +172,26 @@
     assert 'used first' in text
 
 
+def test_order_key_is_explained_by_its_owner(run, daemons):
+    """Guards against the word of a daemon that does not own the key."""
+    for index in range(3):
+        daemons.answers[index, '/order'] = {
+            'service': 'artwork',
+            'host': 'host-1',
+            'incarnation': 5,
+            'expiry': 9.0,
+            'is_owner': index == 1,
+            'outcome': 'ORDER_IN_PROGRESS',
+            'reason': 'it runs',
+            'ran': 'unknown',
+        }
+    status, text, _ = run('explain', 'tb1.x.y')
+    assert status == 0
+    assert 'ORDER_IN_PROGRESS: it runs (ran: unknown)' in text
+    daemons.stop(1)
+    assert 'outcome unknown' in run('explain', 'tb1.x.y')[1]
+
+
 def test_unknown_route_is_status_1(run, daemons):
     """Guards against a missing row that reads like a lost daemon."""
     refusal = {'code': 301, 'reason': 'no work covers it'}
