Drain through the planned stops of the daemon

An operator's drain set the own state directly, so an undrain ended the drain of a stop or of the host list as well. It is now one reason of several; readiness names them, and undrain tells when another one is left.

--- a/packages/daemon/tanagerbend_daemon/operators.py
+++ b/packages/daemon/tanagerbend_daemon/operators.py
@@ -21,6 +21,8 @@
 # The only path that needs no token: it says nothing but that the process
 # answers, and load balancers that ask it hold no secrets.
 OPEN_PATH: Final = '/health'
+# Reason of a drain that an operator asked for.
+OPERATOR: Final = 'operator'
 # Reason to drain, beside the host list and the backend server itself.
 OPERATOR: Final = 'operator'
 
@@ -222,7 +224,7 @@
         return web.json_response(views.status(self.parts))
 
     async def undrain(self, _request: web.Request) -> web.Response:
-        """Take new work again, unless another reason to drain holds."""
+        """Take new work again, unless there are other reasons."""
         await self.parts.drain.undrain(OPERATOR)
         return web.json_response(views.status(self.parts))
 
--- a/packages/daemon/tanagerbend_daemon/tests/test_operators.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_operators.py
@@ -106,15 +106,20 @@
 
 
 async def test_drain_and_undrain_change_state_once(parts, ask):
-    """Guards against repeated requests that raise the record each time."""
+    """Guards against repeated requests that raise the record each time,
+    and against an operator who ends the drain of a stop."""
     await start(parts)
     await ask('/drain', method='POST')
     sequence = parts.roster.own.sequence
     status, answer = await ask('/drain', method='POST')
-    assert (status, answer['not_ready']) == (200, ['draining'])
+    assert (status, answer['state']) == (200, 'draining')
     assert parts.roster.own.sequence == sequence
-    assert (await ask('/ready'))[1]['reasons'] == ['draining']
+    reasons = (await ask('/ready'))[1]['reasons']
+    assert reasons == ['draining', 'drain: operator']
+    await parts.drain.drain('stop')
     await ask('/undrain', method='POST')
+    assert (await ask('/ready'))[1]['reasons'] == ['draining', 'drain: stop']
+    await parts.drain.undrain('stop')
     assert parts.roster.own.state is MemberState.LIVE
 
 
--- a/packages/daemon/tanagerbend_daemon/views.py
+++ b/packages/daemon/tanagerbend_daemon/views.py
@@ -20,6 +20,7 @@
     state = parts.roster.own.state
     if state is not MemberState.LIVE:
         reasons.append(state.name.lower())
+    reasons.extend(f'drain: {it}' for it in sorted(parts.drain.reasons))
     if not parts.guard.is_verified:
         reasons.append('unverified after a pause')
     return tuple(reasons)
--- a/packages/operator/tanagerbend_operator/drains.py
+++ b/packages/operator/tanagerbend_operator/drains.py
@@ -58,8 +58,9 @@
 ) -> int:
     """Let a drained instance take new work again.
 
-    Exit codes: 0 it takes work; 1 the host is unknown; 2 access is not
-    valid; 3 the daemon does not answer.
+    Exit codes: 0 it takes work; 1 the host is unknown, or drains for
+    another reason as well; 2 access is not valid; 3 the daemon does not
+    answer.
 
     Examples::
 
@@ -88,7 +89,8 @@
                 found,
                 lambda client: _ask(client, daemons, host, path, force),
             )
-            return _show(outcome, as_json)
+            expected = 'draining' if path == '/drain' else LIVE
+            return _show(outcome, as_json, expected)
     for fault in found:
         write_error(str(fault))
     return exits.USAGE
@@ -125,7 +127,7 @@
     )
 
 
-def _show(outcome: Any, as_json: bool) -> int:
+def _show(outcome: Any, as_json: bool, expected: str) -> int:
     match outcome:
         case Refusal():
             write_error(describe(outcome))
@@ -136,8 +138,10 @@
     if as_json:
         write_json(outcome)
     else:
+        reasons = ', '.join(outcome['not_ready'])
         write_line(
             f'{outcome["host"]} is {outcome["state"]}, '
-            f'{outcome["running"]} calls are running',
+            f'{outcome["running"]} calls are running'
+            f'{reasons and "; not ready: "}{reasons}',
         )
-    return exits.FINE
+    return exits.FINE if outcome['state'] == expected else exits.PROBLEM
--- a/packages/operator/tanagerbend_operator/tests/test_fleet.py
+++ b/packages/operator/tanagerbend_operator/tests/test_fleet.py
@@ -130,6 +130,15 @@
     assert daemons.posts == [(0, '/drain')]
 
 
+def test_undrain_that_has_no_effect_is_status_1(run, daemons):
+    """Guards against a host believed to work that drains for a stop."""
+    changes = {'state': 'draining', 'not_ready': ['drain: stop']}
+    daemons.show(1, **changes)
+    daemons.answers[1, '/undrain'] = daemons.answers[1, '/status']
+    status, text, _ = run('undrain', 'host-1')
+    assert (status, text.split('; ')[1]) == (1, 'not ready: drain: stop\n')
+
+
 def test_drain_reaches_the_named_host_alone(run, daemons):
     """Guards against a drain of another host than the named one."""
     assert run('drain', 'host-1')[:2] == (
