--- a/packages/daemon/tanagerbend_daemon/tests/test_operators.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_operators.py
@@ -106,15 +106,20 @@
 
 
 async def test_drain_and_undrain_change_state_once(parts, ask):
-    """Guards against repeated requests that raise the record each time."""
+    """Guards against repeated requests that raise the record each time,
+    and against an operator who ends the drain of a stop."""
     await start(parts)
     await ask('/drain', method='POST')
     sequence = parts.roster.own.sequence
     status, answer = await ask('/drain', method='POST')
-    assert (status, answer['not_ready']) == (200, ['draining'])
+    assert (status, answer['state']) == (200, 'draining')
     assert parts.roster.own.sequence == sequence
-    assert (await ask('/ready'))[1]['reasons'] == ['draining']
+    reasons = (await ask('/ready'))[1]['reasons']
+    assert reasons == ['draining', 'drain: operator']
+    await parts.drain.drain('stop')
     await ask('/undrain', method='POST')
+    assert (await ask('/ready'))[1]['reasons'] == ['draining', 'drain: stop']
+    await parts.drain.undrain('stop')
     assert parts.roster.own.state is MemberState.LIVE
 
 
@@ -128,6 +133,14 @@
     assert answer['reader'] is True
     assert answer['last_read_age'] is None
     assert answer['members'] == {'live': 1}
+    assert answer['instance'] == {
+        'slots': 6,
+        'limit': 6,
+        'waiting': 0,
+        'orders_held': 0,
+        'suspects': [],
+        'convicted': [],
+    }
 
 
 async def test_explain_names_row_version_and_reasons(parts, ask):
@@ -150,6 +163,21 @@
     assert (status, answer['name']) == (404, 'ROUTE_UNKNOWN')
 
 
+async def test_order_key_is_explained_by_its_owner(parts, ask):
+    """Guards against an owner that is not told from other daemons."""
+    own = parts.roster.own
+    issue = parts.orders.issuer.issue
+    key = issue(own.service, own.host, own.incarnation)
+    _, answer = await ask(f'/order?key={key.token}')
+    assert answer['is_owner'] is True
+    assert (answer['outcome'], answer['ran']) == ('ORDER_NOT_BEGUN', 'unknown')
+    other = issue(own.service, 'host-2', 7)
+    _, answer = await ask(f'/order?key={other.token}')
+    assert (answer['host'], answer['is_owner']) == ('host-2', False)
+    status, answer = await ask('/order?key=tb1.x.y')
+    assert (status, answer['name']) == (404, 'ORDER_KEY_INVALID')
+
+
 async def test_metrics_hold_hostile_names_without_breaking(parts, ask):
     """Guards against labels from outside that break the text format."""
     await start(parts)
