Retry for free when an instance could not be connected to

The codes of the lost calls were INSTANCE_UNREACHABLE and a few CONNECTION_LOST: a daemon that sends few calls had a retry budget of one, and attempts that reached no instance spent it. Ruled out: the balancer, which ejects the lost instance after the first failures.

Change: an attempt that could not connect does not count, since it added no load to any instance, and the budget starts with the 10 retries that it could also save up later. The test of the 10% spends these first and keeps its bound.

--- a/packages/daemon/tanagerbend_daemon/entry.py
+++ b/packages/daemon/tanagerbend_daemon/entry.py
@@ -146,7 +146,9 @@
         match member:
             case Refusal():
                 return None
-        if not self.budget.may_retry(call.service):
+        # An attempt that reached no instance has added no load to one.
+        is_free = outcome.code is ResultCode.INSTANCE_UNREACHABLE
+        if not is_free and not self.budget.may_retry(call.service):
             self.recorder.count('retries_beyond_budget', call.service)
             return None
         return member
--- a/packages/operator/tanagerbend_operator/drains.py
+++ b/packages/operator/tanagerbend_operator/drains.py
@@ -139,9 +139,10 @@
         write_json(outcome)
     else:
         reasons = ', '.join(outcome['not_ready'])
+        shown = f'; not ready: {reasons}' if reasons else ''
         write_line(
             f'{outcome["host"]} is {outcome["state"]}, '
             f'{outcome["running"]} calls are running'
-            f'{reasons and "; not ready: "}{reasons}',
+            f'{shown}',
         )
     return exits.FINE if outcome['state'] == expected else exits.PROBLEM
--- a/packages/routing/tanagerbend_routing/budget.py
+++ b/packages/routing/tanagerbend_routing/budget.py
@@ -3,8 +3,8 @@
 from typing import Final
 
 RETRY_SHARE: Final = 0.1
-# Lets a service with few calls retry at all.
-FIRST_RETRIES: Final = 1.0
+# Retries that a service may save up, and starts with: a daemon that sends
+# few calls could otherwise not retry the ones that a lost instance held.
 MOST_SAVED: Final = 10.0
 
 
@@ -15,8 +15,12 @@
     ========
 
     >>> budget = RetryBudget()
-    >>> budget.may_retry('order'), budget.may_retry('order')
-    (True, False)
+    >>> sum(budget.may_retry('order') for _ in range(50))
+    10
+    >>> for _ in range(55):
+    ...     budget.first_attempt('order')
+    >>> sum(budget.may_retry('order') for _ in range(50))
+    5
     """
 
     def __init__(self) -> None:
@@ -24,12 +28,12 @@
 
     def first_attempt(self, service: str) -> None:
         """Count a first attempt."""
-        saved = self.saved.get(service, FIRST_RETRIES)
+        saved = self.saved.get(service, MOST_SAVED)
         self.saved[service] = min(saved + RETRY_SHARE, MOST_SAVED)
 
     def may_retry(self, service: str) -> bool:
         """Spend a retry; False if none is left."""
-        saved = self.saved.get(service, FIRST_RETRIES)
+        saved = self.saved.get(service, MOST_SAVED)
         if saved < 1:
             return False
         self.saved[service] = saved - 1
