--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,330 @@
+"""CPU, memory and bytes of one real daemon that does control work alone.
+
+The other members live in this process: each has a loopback address of its
+own behind one listening socket, and all share one roster.  They ping and
+sync the daemon as often as a fleet of their number would.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import random
+import tempfile
+import time
+
+import attrs
+
+from bench.probe import (
+    Probe,
+    cpu_seconds,
+    last_line,
+    middle,
+    resident_mib,
+    slope,
+    spread,
+)
+from tanagerbend_distribution import Propagation, VersionStore
+from tanagerbend_interfaces import (
+    Ack,
+    Announce,
+    Member,
+    MemberState,
+    Ping,
+    Pong,
+    Sync,
+    Update,
+)
+from tanagerbend_membership import Roster
+from tanagerbend_metrics import Recorder
+from tanagerbend_standins import Fleet, Place
+from tanagerbend_standins.fleet import SHARED_KEY, free_ports
+from tanagerbend_timer import SystemTimer
+from tanagerbend_wire import Identity, PeerClient, PeerServer
+
+DEPLOYMENT = 'tas-south'
+DOMAINS, SERVICES = 19, 480
+RUNS, SECONDS, SETTLE_SECONDS = 3, 20.0, 10.0
+# 6,400 changes and 450 restarts with three new records each, per day.
+CHANGE_SECONDS, RECORD_SECONDS = 86400 / 6400, 86400 / (3 * 464)
+BUDGET = {'cpu': 1.8, 'memory': 128, 'bytes': 27000}
+
+
+def member(number, port):
+    """Return the record of a simulated member."""
+    address = f'127.1.{number // 250}.{number % 250 + 1}'
+    return Member(
+        f'member-{number}',
+        f'service-{number % SERVICES}',
+        f'domain-{number % DOMAINS}',
+        f'region-{number % 7}',
+        1_700_000_000_000_000_000 + number,
+        2,
+        MemberState.LIVE,
+        f'{address}:{port - 1}',
+        f'{address}:{port}',
+    )
+
+
+def sheet(change):
+    """Return a sheet with four rows for each service."""
+    lines = ['service,work,rank']
+    lines.extend(
+        f'service-{service},work-{row},{row + 1}'
+        for service in range(SERVICES)
+        for row in range(4)
+    )
+    lines.append(f'service-0,change-{change},3')
+    return '\n'.join(lines).encode() + b'\n'
+
+
+class World:
+    """The other members, in one process."""
+
+    def __init__(self, count, seed):
+        self.random = random.Random(seed)
+        self.port = free_ports(1)[0]
+        self.members = [member(number, self.port) for number in range(count)]
+        self.by_address = {
+            one.peer_address.partition(':')[0]: one for one in self.members
+        }
+        timer = SystemTimer()
+        self.recorder = Recorder(timer)
+        self.roster = Roster(self.members[0], self.recorder)
+        self.roster.merge(self.members)
+        self.store = VersionStore(self.recorder)
+        self.client = PeerClient(self._identity(self.members[0]), self.recorder)
+        self.propagation = Propagation(
+            self.store,
+            self.roster,
+            self.client,
+            self.random,
+            self.recorder,
+        )
+        self.store.listeners.clear()
+        self.server = None
+        self.target, self.tasks = '', []
+
+    def _identity(self, one):
+        return Identity(DEPLOYMENT, one.host, 1, SHARED_KEY.encode())
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self.serve,
+            '0.0.0.0',
+            self.port,
+            backlog=1024,
+        )
+
+    async def serve(self, reader, writer):
+        """Serve a connection as the member whose address it came to."""
+        address = writer.get_extra_info('sockname')[0]
+        one = self.by_address[address]
+        server = PeerServer(
+            self._identity(one),
+            Answers(self, one),
+            self.recorder,
+        )
+        await server.serve_connection(reader, writer)
+
+    def drive(self, target):
+        """Send what a fleet of this size sends to one daemon."""
+        self.target = target
+        periods = (
+            (1.0, self.ping),
+            (2.0, self.sync),
+            (CHANGE_SECONDS, self.publish),
+            (RECORD_SECONDS, self.change_record),
+        )
+        self.tasks = [
+            asyncio.create_task(self.repeat(seconds, work))
+            for seconds, work in periods
+        ]
+
+    async def repeat(self, seconds, work):
+        while True:
+            await asyncio.sleep(self.random.expovariate(1 / seconds))
+            # A fresh client, as most pings come from other members.
+            one = self.random.choice(self.members)
+            client = PeerClient(self._identity(one), self.recorder)
+            await work(client)
+            await client.close()
+
+    async def ping(self, client):
+        await client.request(self.target, Ping(), 1.0)
+
+    async def sync(self, client):
+        hashes = tuple(self.roster.index.hashes)
+        records = self.random.sample(self.members, 1)
+        current = self.store.current
+        message = Sync(current and current.version, hashes, tuple(records))
+        await client.request(self.target, message, 2.0)
+
+    async def publish(self, client):
+        revision = self.store.current.version.revision + 1
+        self.store.offer(revision, sheet(revision))
+        version = self.store.current.version
+        # A daemon receives as many announcements as it sends.
+        for _ in range(4):
+            await client.request(self.target, Announce(version), 2.0)
+
+    async def change_record(self, client):
+        number = self.random.randrange(1, len(self.members))
+        held = self.roster.members[self.members[number].host]
+        changed = attrs.evolve(held, sequence=held.sequence + 1)
+        self.roster.merge((changed,))
+        await client.request(self.target, Update((changed,)), 2.0)
+
+    async def close(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.server is not None:
+            self.server.close()
+        await self.client.close()
+
+
+@attrs.define
+class Answers:
+    """Answers of one simulated member."""
+
+    world: World
+    one: Member
+
+    async def answer(self, sender, message):
+        match message:
+            case Ping():
+                return Pong(self.one.host, self.one.incarnation)
+            case Update(members=members):
+                self.world.roster.merge(members)
+                return Ack()
+            case Announce():
+                return Ack()
+        return self.world.propagation.answer(sender, message)
+
+
+class Bench:
+    """A fleet of one real daemon and a world around it."""
+
+    def __init__(self, directory, count, seed):
+        self.world = World(count, seed)
+        self.fleet = Fleet(
+            pathlib.Path(directory),
+            [Place('host-real', 'service-1', 'domain-1', 'region-1')],
+            deployment=DEPLOYMENT,
+            overrides={'platform': {'expected_fleet_size': count}},
+            has_log_files=True,
+        )
+        self.probe = Probe()
+        self.count = count
+
+    async def start(self):
+        await self.world.start()
+        self.world.store.offer(1, sheet(1))
+        fleet = self.fleet
+        fleet.url = await fleet.platform.start()
+        node = fleet.nodes[0]
+        node.backend_address = await node.backend.start()
+        node.platform_url = await fleet.platform.start_for(node.place.host)
+        fields = ('host', 'service', 'failure_domain', 'region')
+        hosts = [
+            {name: getattr(one, name) for name in fields}
+            | {
+                'call_address': one.call_address,
+                'peer_address': one.peer_address,
+            }
+            for one in self.world.members
+        ]
+        await fleet.platform.publish_hosts('hosts', hosts)
+        await fleet.publish(sheet(1), 1)
+        await fleet.start_daemon(node)
+        await self.until_known(node)
+        self.world.drive(node.peer_address)
+
+    async def until_known(self, node):
+        """Wait until the daemon serves and has the records of all."""
+        end = time.monotonic() + 120
+        while time.monotonic() < end:
+            status = await self.probe.ask(node, 'status')
+            if status and not status['not_ready']:
+                if status['members'].get('live', 0) > self.count - 1:
+                    await asyncio.sleep(SETTLE_SECONDS)
+                    return
+            await asyncio.sleep(0.5)
+        raise TimeoutError(f'the daemon does not know all members: {status}')
+
+    async def traffic(self):
+        """Return the bytes that the daemon sent and received."""
+        nodes = self.fleet.nodes
+        sent = await self.probe.counters(nodes, 'control_bytes_sent')
+        received = await self.probe.counters(nodes, 'control_bytes_received')
+        # A handshake is received for each that is sent.
+        hello = sent.get('Hello', 0)
+        return sum(sent.values()) + sum(received.values()) + hello
+
+    async def window(self, seconds):
+        """Return CPU percent, resident MiB and bytes per second."""
+        pid = self.fleet.nodes[0].process.pid
+        traffic = await self.traffic()
+        cpu, started = cpu_seconds(pid), time.monotonic()
+        await asyncio.sleep(seconds)
+        passed = time.monotonic() - started
+        cpu = cpu_seconds(pid) - cpu
+        traffic = await self.traffic() - traffic
+        return 100 * cpu / passed, resident_mib(pid), traffic / passed
+
+    async def close(self):
+        await self.probe.close()
+        await self.world.close()
+        await self.fleet.close()
+
+
+async def measure(count, runs, seconds):
+    with tempfile.TemporaryDirectory() as directory:
+        bench = Bench(directory, count, count)
+        try:
+            await bench.start()
+            return [await bench.window(seconds) for _ in range(runs)]
+        finally:
+            await bench.close()
+
+
+async def main(sizes, runs, seconds):
+    """Print the table for all sizes and the slopes per member."""
+    print(
+        f'{runs} windows of {seconds:.0f} s; median (lowest-highest); a '
+        f'sheet of {len(sheet(1))} bytes changes every {CHANGE_SECONDS:.1f} s',
+    )
+    print('members   CPU %              resident MiB       bytes/s')
+    figures, points = {}, {'cpu': [], 'memory': [], 'bytes': []}
+    for count in sizes:
+        windows = await measure(count, runs, seconds)
+        columns = dict(zip(points, zip(*windows, strict=True), strict=True))
+        print(
+            f'{count:7}   {spread(columns["cpu"]):18} '
+            f'{spread(columns["memory"], 1):18} '
+            f'{spread(columns["bytes"], 0)}',
+            flush=True,
+        )
+        for name, found in columns.items():
+            figures[f'{name}_{count}'] = middle(found)
+            points[name].append((count, middle(found)))
+    for name, found in points.items():
+        figures[f'{name}_per_member'] = slope(found)
+        print(f'{name}: slope {slope(found):.6f} per member')
+        print(f'{name}: at most {BUDGET[name]} at the target size')
+    last_line(**figures)
+
+
+def run():
+    """Read the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--sizes', default='100,500,1000,2000,3700')
+    parser.add_argument('--runs', type=int, default=RUNS)
+    parser.add_argument('--seconds', type=float, default=SECONDS)
+    options = parser.parse_args()
+    sizes = [int(size) for size in options.sizes.split(',')]
+    asyncio.run(main(sizes, options.runs, options.seconds))
+
+
+if __name__ == '__main__':
+    run()
--- a/packages/daemon/tanagerbend_daemon/order_owner.py
+++ b/packages/daemon/tanagerbend_daemon/order_owner.py
@@ -61,7 +61,7 @@
     ==========
 
     own : Member
-        Record of this daemon at its start.
+        Record of this daemon.
     ledger : Ledger
     execute : callable
         Admits a call and sends it to the backend server.
@@ -74,6 +74,15 @@
     recorder: Recorder
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
+    def follow_own(self, member: Member) -> None:
+        """Take over a change of the own record.
+
+        The roster raises the own incarnation above that of an earlier
+        process whose clock was ahead; new keys name the new one.
+        """
+        if member.host == self.own.host:
+            self.own = member
+
     async def run(self, key: OrderKey, call: Call) -> Outcome:
         """Run an order, or return what came of its first attempt."""
         refusal = self._check(key, call)
--- a/packages/daemon/tanagerbend_daemon/safety.py
+++ b/packages/daemon/tanagerbend_daemon/safety.py
@@ -67,9 +67,16 @@
     """Wire the path of orders around the call handler."""
     gate = safety.gate
     calls.owner.forward = calls.forward
+    owner = OrderOwner(
+        roster.own,
+        gate.ledger,
+        calls.handle,
+        roster.recorder,
+    )
+    roster.listeners.append(owner.follow_own)
     return OrderPath(
         calls,
-        OrderOwner(roster.own, gate.ledger, calls.handle, roster.recorder),
+        owner,
         gate.issuer,
         HttpOrderHop(calls),
         roster,
--- a/packages/wire/tanagerbend_wire/client.py
+++ b/packages/wire/tanagerbend_wire/client.py
@@ -10,7 +10,7 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_wire.codec import decode, encode
-from tanagerbend_wire.frames import read_block, write_block
+from tanagerbend_wire.frames import count_received, read_block, write_block
 from tanagerbend_wire.handshake import Identity, Session, connect_session
 
 MAX_CONNECTIONS: Final = 64
@@ -54,6 +54,7 @@
             return self._refuse(
                 Refusal(ResultCode.FRAME_MALFORMED, str(error)),
             )
+        count_received(self.recorder, message, frame)
         waiting = self.waiting.pop(correlation, None)
         if waiting is not None and not waiting.done():
             waiting.set_result(message)
@@ -206,6 +207,7 @@
                 self.recorder.count('frames_refused', session.code.name)
                 return session
         self.recorder.count('peer_connections_opened')
+        self.recorder.count('control_bytes_sent', 'Hello', session.hello_bytes)
         return PeerConnection(session, self.recorder)
 
     def _remember(self, peer: str, connection: PeerConnection) -> None:
--- a/packages/wire/tanagerbend_wire/frames.py
+++ b/packages/wire/tanagerbend_wire/frames.py
@@ -7,6 +7,7 @@
 from collections import deque
 from typing import Final
 
+from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
 
 MAX_FRAME_BYTES: Final = 2 * 1024 * 1024
@@ -51,6 +52,12 @@
     return LENGTH.size + len(block)
 
 
+def count_received(recorder: Recorder, message: object, frame: bytes) -> None:
+    """Count the bytes of a frame that was received."""
+    size = LENGTH.size + len(frame)
+    recorder.count('control_bytes_received', type(message).__name__, size)
+
+
 class Sealer:
     """Authenticates the frames of one direction of a connection.
 
--- a/packages/wire/tanagerbend_wire/handshake.py
+++ b/packages/wire/tanagerbend_wire/handshake.py
@@ -46,13 +46,18 @@
 
 @attrs.frozen
 class Session:
-    """An authenticated connection."""
+    """An authenticated connection.
+
+    ``hello_bytes`` is the size of the own part of the handshake; that of
+    the peer is about the same.
+    """
 
     peer: str
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     incoming: Sealer
     outgoing: Sealer
+    hello_bytes: int
 
 
 async def connect_session(
@@ -61,7 +66,7 @@
     writer: asyncio.StreamWriter,
 ) -> Session | Refusal:
     """Run the handshake of the side that connected."""
-    nonce = _send_hello(identity, writer, CLIENT, b'')
+    nonce, sent = _send_hello(identity, writer, CLIENT, b'')
     hello = await _read_hello(identity, reader, SERVER, nonce)
     match hello:
         case Refusal():
@@ -73,6 +78,7 @@
         writer,
         Sealer(key, SERVER),
         Sealer(key, CLIENT),
+        sent,
     )
 
 
@@ -86,7 +92,7 @@
     match hello:
         case Refusal():
             return hello
-    nonce = _send_hello(identity, writer, SERVER, hello.nonce)
+    nonce, sent = _send_hello(identity, writer, SERVER, hello.nonce)
     key = _session_key(identity, hello.nonce, nonce)
     return Session(
         hello.host,
@@ -94,6 +100,7 @@
         writer,
         Sealer(key, CLIENT),
         Sealer(key, SERVER),
+        sent,
     )
 
 
@@ -106,7 +113,7 @@
     writer: asyncio.StreamWriter,
     direction: bytes,
     challenge: bytes,
-) -> bytes:
+) -> tuple[bytes, int]:
     nonce = secrets.token_bytes(NONCE_BYTES)
     payload = serialize(
         ttypes.Hello(
@@ -117,8 +124,7 @@
         )
     )
     tag = tag_of(identity.key, direction, challenge, payload)
-    write_block(writer, tag + payload)
-    return nonce
+    return nonce, write_block(writer, tag + payload)
 
 
 async def _read_hello(
--- a/packages/wire/tanagerbend_wire/server.py
+++ b/packages/wire/tanagerbend_wire/server.py
@@ -7,7 +7,7 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_wire.codec import decode, encode
-from tanagerbend_wire.frames import read_block, write_block
+from tanagerbend_wire.frames import count_received, read_block, write_block
 from tanagerbend_wire.handshake import Identity, Session, accept_session
 from tanagerbend_wire.limits import Rates
 
@@ -98,6 +98,7 @@
         match session:
             case Refusal():
                 return session
+        self.recorder.count('control_bytes_sent', 'Hello', session.hello_bytes)
         self._register(session)
         connection = _Connection(self, session)
         try:
@@ -176,6 +177,7 @@
         match message:
             case Refusal():
                 return Refusal(ResultCode.FRAME_MALFORMED, 'not a request')
+        count_received(self.recorder, message, frame)
         return correlation, message
 
     async def _answer(self, correlation: int, message: Message) -> None:
