--- a/packages/daemon/tanagerbend_daemon/services.py
+++ b/packages/daemon/tanagerbend_daemon/services.py
@@ -7,6 +7,7 @@
 
 from tanagerbend_daemon.assembly import Parts
 from tanagerbend_daemon.front import CallServer
+from tanagerbend_daemon.leaving import CHECK_SECONDS
 from tanagerbend_daemon.operators import OperatorService
 from tanagerbend_interfaces import MemberState
 
@@ -37,6 +38,7 @@
             (peers.ping_seconds, parts.detector.round),
             (peers.sync_seconds, parts.propagation.sync_round),
             (EXPIRY_SECONDS, self.expire),
+            (CHECK_SECONDS, parts.leaving.check),
         )
         for seconds, callback in periodic:
             # Daemons that start together do not send together.
@@ -51,7 +53,7 @@
         """Bring this daemon to a version, then watch if it is a reader."""
         parts = self.parts
         await self._keep_on(parts.bootstrap.run)
-        await parts.detector.notifier.announce_state(MemberState.LIVE)
+        await parts.drain.open()
         await asyncio.gather(
             self._keep_on(parts.reader.watch_sheet),
             self._keep_on(parts.reader.watch_host_list),
@@ -86,7 +88,7 @@
     def __init__(self, parts: Parts) -> None:
         super().__init__()
         self.parts = parts
-        self.server = CallServer(parts.calls, parts.orders)
+        self.server = CallServer(parts.calls, parts.drain)
 
     async def on_start(self) -> None:
         """Listen to callers."""
@@ -105,6 +107,18 @@
     def __init__(self, parts: Parts) -> None:
         super().__init__()
         self.parts = parts
+        self.calls = CallService(parts)
         self.add_dependency(OperatorService(parts))
         self.add_dependency(ControlService(parts))
-        self.add_dependency(CallService(parts))
+        self.add_dependency(self.calls)
+
+    def is_idle(self) -> bool:
+        """Whether no request is answered and no order runs."""
+        is_running = self.parts.orders.owner.running
+        return self.calls.server.is_idle and not is_running
+
+    async def stop_gracefully(self) -> None:
+        """Let calls finish, then stop."""
+        await self.parts.drain.stop(self.is_idle)
+        await self.calls.server.close()
+        await self.stop()
--- a/packages/operator/tanagerbend_operator/histograms.py
+++ b/packages/operator/tanagerbend_operator/histograms.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from tanagerbend_metrics import QUANTILES, Encoded, Histograms, seconds_at
+from tanagerbend_metrics import QUANTILES, Encoded, Histograms, quantiles_of
 from tanagerbend_model import Refusal
 from tanagerbend_operator import exits
 from tanagerbend_operator.access import Access, find_access
@@ -41,11 +41,11 @@
     Examples::
 
         tanagerbend histograms
-        tanagerbend histograms --name queue_time --tenant studio
+        tanagerbend histograms --name queue --tenant studio
         tanagerbend histograms --json
 
     :param tenant: only this tenant.
-    :param name: only this time, for example ``queue_time``.
+    :param name: only this time, for example ``queue``.
     :param daemon: operators' addresses.
     :param access: TOML file with daemons and token.
     :param json: write JSON, with the encoded histograms.
@@ -98,8 +98,8 @@
         **attrs.asdict(entry),
         'count': histogram.get_total_count(),
         'quantiles_ms': {
-            str(quantile): seconds_at(histogram, quantile) * MILLISECONDS
-            for quantile in QUANTILES
+            str(quantile): seconds * MILLISECONDS
+            for quantile, seconds in quantiles_of(histogram).items()
         },
     }
 
