--- a/packages/admission/tanagerbend_admission/ranked.py
+++ b/packages/admission/tanagerbend_admission/ranked.py
@@ -13,6 +13,7 @@
 from tanagerbend_admission.ticket import Outcome, Ticket
 from tanagerbend_admission.window import SlotUsage
 from tanagerbend_metrics import Recorder
+from tanagerbend_metrics.names import QUEUE_TIME
 from tanagerbend_model import Refusal, ResultCode
 
 DEFAULT_PLACES: Final = 256
@@ -236,7 +237,7 @@
         self.running += 1
         self.usage.start(ticket.rank)
         self.recorder.histograms.record(
-            'queue',
+            QUEUE_TIME,
             ticket.tenant,
             ticket.rank,
             waited,
--- a/packages/admission/tanagerbend_admission/tests/test_ranked.py
+++ b/packages/admission/tanagerbend_admission/tests/test_ranked.py
@@ -165,7 +165,7 @@
     """Guards against histograms that miss the time in the queue."""
     desk = make_desk()
     await desk.pass_through([desk.offer('a'), desk.offer('b')])
-    queued = desk.recorder.histograms.of('queue', 'studio', 3)
+    queued = desk.recorder.histograms.of('queue_time', 'studio', 3)
     assert queued.get_total_count() == 2
     assert queued.get_max_value() >= 900_000
 
--- a/packages/daemon/tanagerbend_daemon/owner.py
+++ b/packages/daemon/tanagerbend_daemon/owner.py
@@ -15,6 +15,7 @@
 )
 from tanagerbend_membership import Roster
 from tanagerbend_metrics import Recorder
+from tanagerbend_metrics.names import BACKEND_TIME
 from tanagerbend_model import Ran, Refusal, ResultCode, WorkClass, headers
 
 DRAINING = Refusal(ResultCode.DRAINING, 'instance takes no new work')
@@ -92,6 +93,12 @@
             self.owner.running -= 1
             used = self.owner.recorder.timer.now() - self.started
             self.owner.admission.leave(self.ticket, outcome, used)
+            self.owner.recorder.histograms.record(
+                BACKEND_TIME,
+                self.ticket.tenant,
+                self.ticket.rank,
+                used,
+            )
 
     async def end_of_body(self, error: BaseException | None) -> None:
         """Give the slot back at the end of the answer."""
--- a/packages/metrics/tanagerbend_metrics/events.py
+++ b/packages/metrics/tanagerbend_metrics/events.py
@@ -35,6 +35,7 @@
     FLOOD_ENDED = 'flood_ended'
     SHORTAGE_BEGAN = 'shortage_began'
     SHORTAGE_ENDED = 'shortage_ended'
+    INSTANCE_EJECTED = 'instance_ejected'
     REQUEST_CONVICTED = 'request_convicted'
     PAUSED = 'paused'
     CONTROL_FAULT = 'control_fault'
@@ -64,6 +65,7 @@
     Event.FLOOD_ENDED: 'the work of a rank fits its slots again',
     Event.SHORTAGE_BEGAN: 'other ranks leave a rank too few slots',
     Event.SHORTAGE_ENDED: 'a rank has enough slots again',
+    Event.INSTANCE_EJECTED: 'an instance failed calls and gets none now',
     Event.REQUEST_CONVICTED: 'a request crashed backend servers twice',
     Event.PAUSED: 'the process did not run for some seconds',
     Event.CONTROL_FAULT: 'control work ended by a fault and began again',
--- a/packages/routing/tanagerbend_routing/balancer.py
+++ b/packages/routing/tanagerbend_routing/balancer.py
@@ -5,7 +5,7 @@
 import attrs
 
 from tanagerbend_interfaces import Member, Randomness
-from tanagerbend_metrics import Recorder
+from tanagerbend_metrics import Event, Recorder
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_routing.stats import (
     SLOW_START_SECONDS,
@@ -212,7 +212,7 @@
         stats.eject(now)
         self.ejected[member.host] = member
         reason = f'for {stats.ejection_seconds:.0f} s'
-        self.recorder.note('instance_ejected', member.host, reason)
+        self.recorder.note(Event.INSTANCE_EJECTED, member.host, reason)
 
     def retain(self, services: dict[str, tuple[Route, ...]]) -> None:
         """Drop the statistics of hosts that no route names any more."""
