--- a/packages/daemon/tanagerbend_daemon/connections.py
+++ b/packages/daemon/tanagerbend_daemon/connections.py
@@ -9,6 +9,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+from tanagerbend_daemon.drain import mark_sent
+
 CONNECT_SECONDS: Final = 1.0
 KEEPALIVE_SECONDS: Final = 30
 AUTOMATIC_HEADERS: Final = (
@@ -45,12 +47,13 @@
     def connected(self) -> None:
         """Note that a connection was found."""
         self.is_connected = True
+        mark_sent()
         if self.patience and not self.is_new:
             now = asyncio.get_running_loop().time()
             self.limit.reschedule(now + self.patience)
 
 
-ATTEMPT: ContextVar[Attempt | None] = ContextVar('ATTEMPT', default=None)
+ATTEMPT: Final[ContextVar[Attempt | None]] = ContextVar('ATTEMPT', default=None)
 
 
 class Connector(aiohttp.TCPConnector):
--- a/packages/metrics/tanagerbend_metrics/events.py
+++ b/packages/metrics/tanagerbend_metrics/events.py
@@ -37,6 +37,7 @@
     SHORTAGE_ENDED = 'shortage_ended'
     INSTANCE_EJECTED = 'instance_ejected'
     REQUEST_CONVICTED = 'request_convicted'
+    ORDER_STARTED_AGAIN = 'order_started_again'
     PAUSED = 'paused'
     CONTROL_FAULT = 'control_fault'
 
@@ -67,6 +68,7 @@
     Event.SHORTAGE_ENDED: 'a rank has enough slots again',
     Event.INSTANCE_EJECTED: 'an instance failed calls and gets none now',
     Event.REQUEST_CONVICTED: 'a request crashed backend servers twice',
+    Event.ORDER_STARTED_AGAIN: 'an order was sent to the backend server twice',
     Event.PAUSED: 'the process did not run for some seconds',
     Event.CONTROL_FAULT: 'control work ended by a fault and began again',
 }
--- a/packages/settings/tanagerbend_settings/schema.py
+++ b/packages/settings/tanagerbend_settings/schema.py
@@ -163,12 +163,19 @@
         Calls that may wait for a slot.
     drain_seconds : float
         Longest time that a planned stop waits for running calls.
+    ready_path : str
+        Path that the backend server answers with status 503 while it
+        drains; empty if it reports no readiness.
     """
 
     slots: int = number(6, 1, 10_000)
     connections: int = number(130, 1, 100_000)
     queue: int = number(256, 1, 100_000)
     drain_seconds: float = number(30.0, 0.1, 3600)
+    ready_path: str = attrs.field(
+        default='',
+        validator=attrs.validators.matches_re('(/[!-~]*)?'),
+    )
 
 
 @attrs.frozen
