--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import time
 from typing import Any, Final
 
 import aiohttp
@@ -13,6 +12,7 @@
 from tanagerbend_daemon.control import ControlHandler
 from tanagerbend_daemon.drain import Drain
 from tanagerbend_daemon.entry import CallHandler
+from tanagerbend_daemon.identity import own_identity, own_member
 from tanagerbend_daemon.leaving import LeavingWatch
 from tanagerbend_daemon.order_path import OrderPath
 from tanagerbend_daemon.outbound import clients_of, make_session
@@ -36,14 +36,13 @@
     ReadTimes,
     VersionStore,
 )
-from tanagerbend_interfaces import Member, MemberState
 from tanagerbend_membership import Detector, Roster
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Sheet
 from tanagerbend_routing import Balancer, RouteTable
 from tanagerbend_settings import Settings
 from tanagerbend_timer import SystemTimer
-from tanagerbend_wire import Identity, PeerClient, PeerServer
+from tanagerbend_wire import PeerClient, PeerServer
 
 FULL_PERCENT = 100
 
@@ -114,32 +113,6 @@
     return floors
 
 
-def own_member(settings: Settings) -> Member:
-    """Return the record of a daemon that has just started."""
-    host = settings.host
-    return Member(
-        host=host.name,
-        service=host.service,
-        failure_domain=host.failure_domain,
-        region=host.region,
-        incarnation=time.time_ns(),
-        sequence=1,
-        state=MemberState.STARTING,
-        call_address=settings.addresses.calls,
-        peer_address=settings.addresses.peers,
-    )
-
-
-def own_identity(settings: Settings, roster: Roster) -> Identity:
-    """Return who this daemon is to its peers."""
-    return Identity(
-        settings.host.deployment,
-        roster.own.host,
-        roster.own.incarnation,
-        settings.peers.shared_key.encode(),
-    )
-
-
 def assemble(settings: Settings) -> Parts:
     """Wire the parts of a daemon; needs a running event loop."""
     timer = SystemTimer()
--- a/packages/metrics/tanagerbend_metrics/events.py
+++ b/packages/metrics/tanagerbend_metrics/events.py
@@ -23,6 +23,7 @@
     READER_ROLE_LEFT = 'reader_role_left'
     SERVICE_LOST = 'service_lost'
     SERVICE_AVAILABLE = 'service_available'
+    INSTANCE_EJECTED = 'instance_ejected'
     MEMBER_SUSPECTED = 'member_suspected'
     MEMBER_GONE = 'member_gone'
     CLAIM_REFUTED = 'claim_refuted'
@@ -35,7 +36,6 @@
     FLOOD_ENDED = 'flood_ended'
     SHORTAGE_BEGAN = 'shortage_began'
     SHORTAGE_ENDED = 'shortage_ended'
-    INSTANCE_EJECTED = 'instance_ejected'
     REQUEST_CONVICTED = 'request_convicted'
     ORDER_STARTED_AGAIN = 'order_started_again'
     PAUSED = 'paused'
@@ -54,6 +54,7 @@
     Event.READER_ROLE_LEFT: 'another daemon of the domain reads',
     Event.SERVICE_LOST: 'the configuration service does not answer',
     Event.SERVICE_AVAILABLE: 'the configuration service answers again',
+    Event.INSTANCE_EJECTED: 'an instance gets no calls from here for a while',
     Event.MEMBER_SUSPECTED: 'no daemon that was asked reaches a member',
     Event.MEMBER_GONE: 'a suspected member was given up',
     Event.CLAIM_REFUTED: 'this daemon refuted that it is unreachable',
@@ -66,7 +67,6 @@
     Event.FLOOD_ENDED: 'the work of a rank fits its slots again',
     Event.SHORTAGE_BEGAN: 'other ranks leave a rank too few slots',
     Event.SHORTAGE_ENDED: 'a rank has enough slots again',
-    Event.INSTANCE_EJECTED: 'an instance failed calls and gets none now',
     Event.REQUEST_CONVICTED: 'a request crashed backend servers twice',
     Event.ORDER_STARTED_AGAIN: 'an order was sent to the backend server twice',
     Event.PAUSED: 'the process did not run for some seconds',
