Keep a stopping daemon for one second so that it can refuse orders

Cause: a stop ended as soon as no call ran, 20 ms after the announcement. Order keys issued for it until then led to "outcome unknown", although a moment more lets it void them.

--- a/packages/daemon/tanagerbend_daemon/drain.py
+++ b/packages/daemon/tanagerbend_daemon/drain.py
@@ -17,6 +17,9 @@
 # Calls that are refused or interrupted at the end of a drain need a moment
 # for their answers to be written.
 ANSWER_SECONDS: Final = 1.0
+# Daemons that have not yet heard of the stop still send work and issue order
+# keys for this one; it has to be there to refuse them as "not run".
+NOTICE_SECONDS: Final = 1.0
 
 
 @attrs.define
@@ -155,7 +158,8 @@
         """
         self.is_stopping = True
         await self.drain('stop')
-        await self._wait(is_idle, self.seconds)
+        await self._wait(_never, min(NOTICE_SECONDS, self.seconds))
+        await self._wait(is_idle, self.seconds - NOTICE_SECONDS)
         self.end_unsent_orders()
         self._end_calls(are_sent=False)
         self.is_hurried = False
@@ -176,6 +180,10 @@
                 task.cancel()
 
 
+def _never() -> bool:
+    return False
+
+
 def _is_about_order(call: Call) -> bool:
     return bool(call.order_key) or call.path.startswith('/.tanagerbend/')
 
--- a/packages/daemon/tanagerbend_daemon/tests/test_orders_in_memory.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_orders_in_memory.py
@@ -7,7 +7,8 @@
 
 from tanagerbend_daemon.call import Answer
 from tanagerbend_daemon.tests.memory_fleet import MemoryFleet
-from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_interfaces import BackendRequest
+from tanagerbend_model import Ran, Refusal, ResultCode, headers
 from tanagerbend_orders import Recorded
 from tanagerbend_timer import ManualTimer
 
@@ -138,6 +139,20 @@
     assert Ran.NO in {refusal.ran for refusal in refusals}
 
 
+async def test_gate_refuses_what_was_delayed_after_its_slot(fleet):
+    """Guards against sending late after a wait behind a suspect."""
+    node = fleet.nodes['host-0']
+    key = node.path.issuer.read(key_for(fleet, 'host-0'))
+    begun = node.ledger.begin(key, b'request')
+    gate = node.path.calls.owner.backend.backend
+    pairs = ((headers.ORDER_KEY, key.token),)
+    request = BackendRequest('POST', '/print', pairs, b'one', 'id')
+    (refusal,) = await fleet.run(gate.exchange(request, fleet.timer.now()))
+    assert refusal.ran is Ran.NO
+    assert not begun.record.starts
+    assert not fleet.runs
+
+
 async def test_sent_order_outlives_its_caller(fleet):
     """Guards against an order that is cut when its caller hangs up."""
     key = key_for(fleet, 'host-0')
--- a/packages/orders/tanagerbend_orders/tests/test_ledger.py
+++ b/packages/orders/tanagerbend_orders/tests/test_ledger.py
@@ -73,6 +73,13 @@
     assert ledger.begin(key, b'request').code is ResultCode.ORDER_KEY_VOID
 
 
+def test_refused_order_never_begins(ledger, key):
+    """Guards against a late duplicate of an order that was not admitted."""
+    ledger.refuse(begin(ledger, key), UNREACHABLE)
+    assert ledger.begin(key, b'request').code is ResultCode.ORDER_KEY_VOID
+    assert ledger.status(key).ran is Ran.NO
+
+
 def test_begun_order_cannot_be_voided(ledger, key):
     """Guards against "not run" for an order that is running."""
     begin(ledger, key)
