--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-import time
+from functools import lru_cache
 from typing import Any, Final
 
 import aiohttp
@@ -13,6 +13,7 @@
 from tanagerbend_daemon.control import ControlHandler
 from tanagerbend_daemon.drain import Drain
 from tanagerbend_daemon.entry import CallHandler
+from tanagerbend_daemon.identity import own_identity, own_member
 from tanagerbend_daemon.leaving import LeavingWatch
 from tanagerbend_daemon.order_path import OrderPath
 from tanagerbend_daemon.outbound import HttpServer, make_session
@@ -36,20 +37,20 @@
     ReadTimes,
     VersionStore,
 )
-from tanagerbend_interfaces import Member, MemberState
 from tanagerbend_membership import Detector, Roster
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Sheet
 from tanagerbend_routing import Balancer, RouteTable
 from tanagerbend_settings import Settings
 from tanagerbend_timer import SystemTimer
-from tanagerbend_wire import Identity, PeerClient, PeerServer
+from tanagerbend_wire import PeerClient, PeerServer
 
 FULL_PERCENT = 100
 
 
 # A restart of the fleet changes thousands of records in a few seconds.
 REBUILD_SECONDS: Final = 0.1
+MAX_CLIENTS: Final = 1024
 
 
 @attrs.define
@@ -91,10 +92,12 @@
             service = self.settings.host.service
             floors = floors_of(current.sheet, service)
             self.calls.owner.admission.configure(floors)
-            self.calls.table = RouteTable.build(
-                current.version,
-                current.sheet,
-                self.roster.instances,
+            self.calls.adopt(
+                RouteTable.build(
+                    current.version,
+                    current.sheet,
+                    self.roster.instances,
+                )
             )
 
 
@@ -112,32 +115,6 @@
     return floors
 
 
-def own_member(settings: Settings) -> Member:
-    """Return the record of a daemon that has just started."""
-    host = settings.host
-    return Member(
-        host=host.name,
-        service=host.service,
-        failure_domain=host.failure_domain,
-        region=host.region,
-        incarnation=time.time_ns(),
-        sequence=1,
-        state=MemberState.STARTING,
-        call_address=settings.addresses.calls,
-        peer_address=settings.addresses.peers,
-    )
-
-
-def own_identity(settings: Settings, roster: Roster) -> Identity:
-    """Return who this daemon is to its peers."""
-    return Identity(
-        settings.host.deployment,
-        roster.own.host,
-        roster.own.incarnation,
-        settings.peers.shared_key.encode(),
-    )
-
-
 def assemble(settings: Settings) -> Parts:
     """Wire the parts of a daemon; needs a running event loop."""
     timer = SystemTimer()
@@ -268,7 +245,9 @@
         settings.host.name,
         settings.peers.shared_key.encode(),
         owner,
-        Balancer(settings.host.failure_domain, chance),
-        lambda address: HttpServer(peers, address, recorder.timer),
+        Balancer(settings.host.failure_domain, chance, recorder),
+        lru_cache(MAX_CLIENTS)(
+            lambda address: HttpServer(peers, address, recorder.timer),
+        ),
         recorder,
     )
--- a/packages/daemon/tanagerbend_daemon/operators.py
+++ b/packages/daemon/tanagerbend_daemon/operators.py
@@ -21,9 +21,8 @@
 # The only path that needs no token: it says nothing but that the process
 # answers, and load balancers that ask it hold no secrets.
 OPEN_PATH: Final = '/health'
-
-# Reason of a drain in the journal.
-OPERATOR: Final = 'asked by an operator'
+# Reason to drain, beside the host list and the backend server itself.
+OPERATOR: Final = 'operator'
 
 
 class OperatorServer:
@@ -142,7 +141,7 @@
     async def metrics(self, _request: web.Request) -> web.Response:
         """Answer with the Prometheus text."""
         return web.Response(
-            body=expose(self.parts.recorder, views.gauges(self.parts)),
+            body=await expose(self.parts.recorder, views.gauges(self.parts)),
             headers={'Content-Type': CONTENT_TYPE_LATEST},
         )
 
@@ -210,7 +209,7 @@
         return web.json_response(views.status(self.parts))
 
     async def undrain(self, _request: web.Request) -> web.Response:
-        """Withdraw a drain; another reason for it keeps its effect."""
+        """Take new work again, unless another reason to drain holds."""
         await self.parts.drain.undrain(OPERATOR)
         return web.json_response(views.status(self.parts))
 
--- a/packages/daemon/tanagerbend_daemon/services.py
+++ b/packages/daemon/tanagerbend_daemon/services.py
@@ -107,8 +107,8 @@
     def __init__(self, parts: Parts) -> None:
         super().__init__()
         self.parts = parts
-        self.add_dependency(OperatorService(parts))
         self.calls = CallService(parts)
+        self.add_dependency(OperatorService(parts))
         self.add_dependency(ControlService(parts))
         self.add_dependency(self.calls)
 
@@ -118,7 +118,7 @@
         return self.calls.server.is_idle and not is_running
 
     async def stop_gracefully(self) -> None:
-        """Let calls finish, tell the peers, then stop."""
+        """Let calls finish, then stop."""
         await self.parts.drain.stop(self.is_idle)
         await self.calls.server.close()
         await self.stop()
--- a/packages/daemon/tanagerbend_daemon/tests/memory_fleet.py
+++ b/packages/daemon/tanagerbend_daemon/tests/memory_fleet.py
@@ -161,7 +161,7 @@
             own.host,
             b'shared key of a fleet',
             owner,
-            Balancer(own.failure_domain, fleet.random),
+            Balancer(own.failure_domain, fleet.random, self.recorder),
             lambda address: FakeDaemon(fleet, own.host, host_at(address)),
             self.recorder,
         )
