--- a/packages/daemon/tanagerbend_daemon/connections.py
+++ b/packages/daemon/tanagerbend_daemon/connections.py
@@ -31,6 +31,8 @@
     patience : float
         Seconds after which a kept connection without an answer counts as
         silent; 0 to wait for the deadline.
+    send_before : float
+        Monotonic seconds; nothing is written later.
     is_connected : bool
         Whether a connection was found.  Nothing is written before.
     is_new : bool
@@ -39,9 +41,14 @@
 
     limit: asyncio.Timeout
     patience: float = 0.0
+    send_before: float = float('inf')
     is_connected: bool = False
     is_new: bool = False
 
+    def is_too_late(self) -> bool:
+        """Tell whether the request must not be written any more."""
+        return asyncio.get_running_loop().time() >= self.send_before
+
     def connected(self) -> None:
         """Note that a connection was found."""
         self.is_connected = True
@@ -65,6 +72,9 @@
         connection = await super().connect(*args, **options)
         attempt = ATTEMPT.get()
         if attempt is not None:
+            if attempt.is_too_late():
+                connection.release()
+                raise TimeoutError('connected too late')
             attempt.connected()
         return connection
 
--- a/packages/daemon/tanagerbend_daemon/order_owner.py
+++ b/packages/daemon/tanagerbend_daemon/order_owner.py
@@ -243,7 +243,8 @@
             reason = 'the order may not be sent now'
             return Refusal(ResultCode.ORDER_KEY_INVALID, reason, Ran.UNKNOWN)
         response = await self.backend.exchange(
-            request,
+            # Connecting takes time as well, in which a process may pause.
+            attrs.evolve(request, send_before=deadline),
             deadline + GRACE_SECONDS,
         )
         return response
--- a/packages/daemon/tanagerbend_daemon/outbound.py
+++ b/packages/daemon/tanagerbend_daemon/outbound.py
@@ -82,7 +82,7 @@
             return Refusal(ResultCode.DEADLINE_PASSED, 'before it was sent')
         limit = asyncio.timeout(None)
         patience = remaining / 2 if _may_repeat(request) else 0
-        attempt = Attempt(limit, patience)
+        attempt = Attempt(limit, patience, request.send_before)
         mark_sent()
         try:
             async with limit:
--- a/packages/interfaces/tanagerbend_interfaces/backend.py
+++ b/packages/interfaces/tanagerbend_interfaces/backend.py
@@ -20,6 +20,8 @@
     headers : tuple of pairs of str
     body : asynchronous iterator of bytes
     request_id : str
+    send_before : float
+        Monotonic seconds; later the request must not be written any more.
     """
 
     method: str
@@ -27,6 +29,7 @@
     headers: tuple[tuple[str, str], ...]
     body: AsyncIterator[bytes]
     request_id: str
+    send_before: float = float('inf')
 
 
 @attrs.frozen
