--- a/packages/operator/tanagerbend_operator/drains.py
+++ b/packages/operator/tanagerbend_operator/drains.py
@@ -138,10 +138,10 @@
     if as_json:
         write_json(outcome)
     else:
-        reasons = ', '.join(outcome['not_ready'])
         write_line(
             f'{outcome["host"]} is {outcome["state"]}, '
-            f'{outcome["running"]} calls are running'
-            f'{reasons and "; not ready: "}{reasons}',
+            f'{outcome["running"]} calls are running',
         )
+        for reason in outcome['not_ready']:
+            write_line(f'not ready: {reason}')
     return exits.FINE if outcome['state'] == expected else exits.PROBLEM
--- a/packages/operator/tanagerbend_operator/tests/test_fleet.py
+++ b/packages/operator/tanagerbend_operator/tests/test_fleet.py
@@ -136,7 +136,7 @@
     daemons.show(1, **changes)
     daemons.answers[1, '/undrain'] = daemons.answers[1, '/status']
     status, text, _ = run('undrain', 'host-1')
-    assert (status, text.split('; ')[1]) == (1, 'not ready: drain: stop\n')
+    assert (status, text.splitlines()[1:]) == (1, ['not ready: drain: stop'])
 
 
 def test_drain_reaches_the_named_host_alone(run, daemons):
