Tell refusals to callers from refusals to entry daemons

A call that its owner refused counted at both daemons, so the report showed it twice, and also when another instance served it. Explain now names instances that this daemon has ejected or starts slowly.

--- a/packages/daemon/tanagerbend_daemon/explanations.py
+++ b/packages/daemon/tanagerbend_daemon/explanations.py
@@ -11,6 +11,7 @@
 from tanagerbend_model.spreadsheet import read_rows
 from tanagerbend_orders import OrderKey
 from tanagerbend_routing import Route
+from tanagerbend_routing.stats import InstanceStats
 
 STATE_REASONS: Final = {
     MemberState.STARTING: 'not used: starting, holds no sheet yet',
@@ -58,11 +59,19 @@
     hosts = {instance.host for instance in route.instances}
     if member.host not in hosts:
         return STATE_REASONS[member.state]
+    now = parts.timer.now()
+    stats = parts.calls.balancer.stats.get(member.host, InstanceStats(0))
+    if now < stats.ejected_until:
+        seconds = stats.ejected_until - now
+        return f'used last: failed calls from here, for {seconds:.0f} s more'
     if member.is_claimed:
         return 'used: unreachable, but too few others are live'
+    why = 'used: live, in another failure domain'
     if member.failure_domain == parts.roster.own.failure_domain:
-        return 'used first: live, in the own failure domain'
-    return 'used: live, in another failure domain'
+        why = 'used first: live, in the own failure domain'
+    if now < stats.warm_at:
+        return f'{why}; slow start with {stats.weight(now):.0%} of its share'
+    return f'{why}; {stats.outstanding} calls from here'
 
 
 def sheet_row(content: bytes, work: WorkClass) -> int:
--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -19,6 +19,7 @@
 from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_daemon.peer_hop import peer_proof
 from tanagerbend_daemon.statuses import status_of
+from tanagerbend_metrics.names import REFUSALS, REFUSALS_TO_PEERS
 from tanagerbend_model import Ran, Refusal, ResultCode, headers
 
 # Bodies up to this size are held, so that they can be sent again.
@@ -122,7 +123,9 @@
         outcome = await (self.drain or self.handler).handle(call)
         match outcome:
             case Refusal():
-                return self._refuse(outcome, named or call.request_id)
+                counter = REFUSALS_TO_PEERS if call.instance else REFUSALS
+                shown = named or call.request_id
+                return self._refuse(outcome, shown, counter)
         return await self._pass_on(request, call, outcome)
 
     async def read_call(self, request: web.BaseRequest) -> Call | Refusal:
@@ -183,8 +186,13 @@
             expected.encode(),
         )
 
-    def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
-        self.recorder.count('refusals', refusal.code.name)
+    def _refuse(
+        self,
+        refusal: Refusal,
+        request_id: str,
+        counter: str = REFUSALS,
+    ) -> web.Response:
+        self.recorder.count(counter, refusal.code.name)
         response = web.json_response(
             {
                 'code': int(refusal.code),
--- a/packages/daemon/tanagerbend_daemon/tests/test_operators.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_operators.py
@@ -159,6 +159,12 @@
     assert why['host-1'].startswith('used first')
     assert why['host-2'].startswith('used: live')
     assert why['host-3'].startswith('not used: unreachable')
+    route = parts.calls.table.match('pattern', 'GET', '/swatches')
+    parts.calls.balancer.choose(route)
+    parts.calls.balancer.stats['host-2'].eject(parts.timer.now())
+    _, answer = await ask('/explain?service=pattern&path=/swatches/8')
+    why = {entry['host']: entry['why'] for entry in answer['instances']}
+    assert why['host-2'].startswith('used last: failed calls')
     status, answer = await ask('/explain?service=pattern&path=/other')
     assert (status, answer['name']) == (404, 'ROUTE_UNKNOWN')
 
--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -8,7 +8,10 @@
 # Time of a call in this daemon without queue, backend server and peers.
 ADDED_TIME: Final = 'added'
 
+# A call that the owner refuses to its entry daemon may be served by another
+# instance, so these are counted apart from what callers see.
 REFUSALS: Final = 'refusals'
+REFUSALS_TO_PEERS: Final = 'refusals_to_peers'
 EVENTS: Final = 'events'
 CONTROL_BYTES_SENT: Final = 'control_bytes_sent'
 CONTROL_MESSAGES: Final = 'control_messages'
@@ -22,6 +25,7 @@
 # Name of the label of each counter that has one.
 LABELS: Final = {
     REFUSALS: 'code',
+    REFUSALS_TO_PEERS: 'code',
     EVENTS: 'event',
     CONTROL_BYTES_SENT: 'message',
     CONTROL_MESSAGES: 'message',
--- a/packages/operator/tanagerbend_operator/explain.py
+++ b/packages/operator/tanagerbend_operator/explain.py
@@ -2,7 +2,7 @@
 
 import pathlib
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, Final
 
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_model.advice import ADVICE
@@ -20,6 +20,10 @@
 )
 from tanagerbend_operator.times import clock
 
+UNANSWERED: Final = frozenset(
+    (ResultCode.PEER_UNREACHABLE, ResultCode.TOKEN_REQUIRED),
+)
+
 
 def explain(
     subject: str,
@@ -139,8 +143,7 @@
     match answer:
         case Refusal(code=code):
             write_error(describe(answer))
-            is_route = code is ResultCode.ROUTE_UNKNOWN
-            return exits.PROBLEM if is_route else exits.NO_ANSWER
+            return exits.NO_ANSWER if code in UNANSWERED else exits.PROBLEM
     if as_json:
         write_json(answer)
         return exits.FINE
--- a/packages/operator/tanagerbend_operator/tests/test_fleet.py
+++ b/packages/operator/tanagerbend_operator/tests/test_fleet.py
@@ -203,6 +203,9 @@
 
 def test_unknown_route_is_status_1(run, daemons):
     """Guards against a missing row that reads like a lost daemon."""
+    refusal = {'code': 306, 'reason': 'relative segments'}
+    daemons.answers[0, '/explain'] = refusal
+    assert run('explain', 'artwork', '/../x')[0] == 1
     refusal = {'code': 301, 'reason': 'no work covers it'}
     daemons.answers[0, '/explain'] = refusal
     status, _, errors = run('explain', 'artwork', '/x')
