Ask large fleets in turns without timing out those that wait

The time to answer began when a request waited for one of 64 connections, so in a fleet of thousands the last ones would have looked unreachable.

A restart within the time of a report now counts as something to look at, because a part of the story is lost with it.

--- a/packages/daemon/tanagerbend_daemon/logs.py
+++ b/packages/daemon/tanagerbend_daemon/logs.py
@@ -22,6 +22,7 @@
         Event.VERSION_CONFLICT,
         Event.SERVICE_LOST,
         Event.MEMBER_SUSPECTED,
+        Event.INSTANCE_EJECTED,
         Event.REFUSALS_BEGAN,
         Event.FLOOD_BEGAN,
         Event.SHORTAGE_BEGAN,
--- a/packages/operator/tanagerbend_operator/client.py
+++ b/packages/operator/tanagerbend_operator/client.py
@@ -29,6 +29,9 @@
     """
 
     session: aiohttp.ClientSession
+    turns: asyncio.Semaphore = attrs.field(
+        factory=lambda: asyncio.Semaphore(CONNECTIONS),
+    )
 
     async def ask(
         self,
@@ -39,12 +42,7 @@
     ) -> Any:
         """Return the JSON or text of an answer, or a refusal."""
         try:
-            async with self.session.request(
-                method,
-                f'http://{address}{path}',
-                params=query or {},
-            ) as response:
-                return await _read(response)
+            return await self._request(method, address, path, query)
         except TimeoutError:
             reason = f'{address}: no answer within {ANSWER_SECONDS:.0f} s'
         except (aiohttp.ClientConnectorError, ConnectionError):
@@ -53,6 +51,24 @@
             reason = f'{address}: {type(error).__name__}'
         return Refusal(ResultCode.PEER_UNREACHABLE, reason)
 
+    async def _request(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        query: Mapping[str, str] | None,
+    ) -> Any:
+        # Waiting for a turn must not count against the time to answer.
+        async with (
+            self.turns,
+            self.session.request(
+                method,
+                f'http://{address}{path}',
+                params=query or {},
+            ) as response,
+        ):
+            return await _read(response)
+
     async def ask_all(
         self,
         addresses: tuple[str, ...],
@@ -93,7 +109,7 @@
         async with aiohttp.ClientSession(
             headers={'Authorization': f'Bearer {access.token}'},
             timeout=aiohttp.ClientTimeout(total=ANSWER_SECONDS),
-            connector=aiohttp.TCPConnector(limit=CONNECTIONS),
+            connector=aiohttp.TCPConnector(limit=0),
         ) as session:
             return await work(DaemonClient(session))
 
--- a/packages/operator/tanagerbend_operator/story.py
+++ b/packages/operator/tanagerbend_operator/story.py
@@ -117,8 +117,16 @@
 
     @property
     def needs_attention(self) -> bool:
-        """Tell whether the page has anything that people should look at."""
-        counts = self.unreachable, self.crashes, self.orders_started_again
+        """Tell whether the page has anything that people should look at.
+
+        A restart counts, because a part of the story is lost with it.
+        """
+        counts = (
+            self.unreachable,
+            self.restarted,
+            self.crashes,
+            self.orders_started_again,
+        )
         return any(counts) or any(
             happening.event not in QUIET for happening in self.happenings
         )
