--- a/packages/daemon/tanagerbend_daemon/safety.py
+++ b/packages/daemon/tanagerbend_daemon/safety.py
@@ -91,5 +91,6 @@
         detector.roster,
         detector.notifier.announce_state,
         orders.owner.end_unsent,
+        detector.notifier.senders.note,
         settings.instance.drain_seconds,
     )
