--- a/packages/operator/tanagerbend_operator/drains.py
+++ b/packages/operator/tanagerbend_operator/drains.py
@@ -138,11 +138,10 @@
     if as_json:
         write_json(outcome)
     else:
-        reasons = ', '.join(outcome['not_ready'])
-        shown = f'; not ready: {reasons}' if reasons else ''
         write_line(
             f'{outcome["host"]} is {outcome["state"]}, '
-            f'{outcome["running"]} calls are running'
-            f'{shown}',
+            f'{outcome["running"]} calls are running',
         )
+        for reason in outcome['not_ready']:
+            write_line(f'not ready: {reason}')
     return exits.FINE if outcome['state'] == expected else exits.PROBLEM
