Replay traces through the decision packages

tanagerbend_replay reads a documented line format and feeds its calls, orders, publications, host lists and faults through VersionStore, Roster, RouteTable, Balancer, RankAdmission and Ledger under ManualTimer and a seed.

A call that waited in the queue of one owner and was refused there starts again with its whole target at the next owner.

--- a/packages/model/tanagerbend_model/work.py
+++ b/packages/model/tanagerbend_model/work.py
@@ -7,6 +7,7 @@
 
 URGENT_RANK: Final = 0
 LOWEST_RANK: Final = 9
+FULL_PERCENT: Final = 100
 
 
 @attrs.frozen
@@ -92,3 +93,15 @@
     def of_service(self, service: str) -> tuple[WorkClass, ...]:
         """Return the work classes of one service."""
         return self.by_service.get(service, ())
+
+    def floors_of(self, service: str) -> dict[int, float]:
+        """Return the floor of each effective rank as a share, 0 to 1.
+
+        A rank has the highest floor of its work classes.
+        """
+        floors: dict[int, float] = {}
+        for entry in self.of_service(service):
+            rank = entry.effective_rank
+            share = entry.floor_percent / FULL_PERCENT
+            floors[rank] = max(floors.get(rank, 0), share)
+        return floors
--- /dev/null
+++ b/packages/replay/tanagerbend_replay/calls.py
@@ -0,0 +1,242 @@
+"""Calls and orders of a trace on their way through the nodes."""
+
+import itertools
+from http import HTTPStatus
+
+from tanagerbend_admission import Outcome, Ticket
+from tanagerbend_interfaces import Member
+from tanagerbend_model import Ran, Refusal, ResultCode, WorkClass
+from tanagerbend_orders import (
+    Begin,
+    OrderKey,
+    PermitIssuer,
+    Recorded,
+    Repeat,
+    State,
+    request_digest,
+)
+from tanagerbend_replay.events import CallEvent
+from tanagerbend_replay.fleet import ReplayFleet
+from tanagerbend_replay.node import ReplayNode
+from tanagerbend_routing import Route
+
+MILLISECONDS = 1000
+MAX_ATTEMPTS = 3
+LEAVING_SECONDS = 3.0
+ANSWERED = Recorded(HTTPStatus.OK, (), b'')
+
+
+class CallPath:
+    """Sends the calls of a trace from entry to owner.
+
+    Parameters
+    ==========
+
+    fleet : ReplayFleet
+    """
+
+    def __init__(self, fleet: ReplayFleet) -> None:
+        self.fleet = fleet
+        self.timer = fleet.timer
+        self.tally = fleet.tally
+        nonces = itertools.count(1)
+        self.issuer = PermitIssuer(
+            b'key of a replay',
+            self.timer,
+            make_nonce=lambda: f'nonce-{next(nonces)}',
+        )
+        self.keys: dict[str, OrderKey] = {}
+
+    async def send(self, event: CallEvent) -> None:
+        """Send one call and count how it ends."""
+        begun = self.timer.now()
+        entry = self.fleet.entry(event.via)
+        work = None
+        outcome: Refusal | None = _none_up(event)
+        if entry is not None:
+            await entry.running.wait()
+            route = self._match(entry, event)
+            match route:
+                case Refusal():
+                    outcome = route
+                case Route():
+                    work = route.work
+                    outcome = await self._run(entry, route, event)
+        self._count(event, work, outcome, self.timer.now() - begun)
+
+    def _match(self, entry: ReplayNode, event: CallEvent) -> Route | Refusal:
+        if not entry.is_up:
+            return _none_up(event)
+        if entry.table is None:
+            reason = 'no sheet is in force'
+            return Refusal(ResultCode.NO_CONFIGURATION, reason)
+        return entry.table.match(event.service, event.method, event.path)
+
+    def _count(
+        self,
+        event: CallEvent,
+        work: WorkClass | None,
+        outcome: Refusal | None,
+        seconds: float,
+    ) -> None:
+        ran = Ran.YES
+        if outcome is not None:
+            ran = outcome.ran
+            self.tally.refusals[outcome.code.name] += 1
+        target = work.target_ms / MILLISECONDS if work else 0.0
+        tally = self.tally.of(f'{event.service}/{event.work}')
+        tally.count(ran, seconds <= target)
+        if event.order:
+            self.tally.order_ends[event.order] = ran
+
+    async def _run(
+        self,
+        entry: ReplayNode,
+        route: Route,
+        event: CallEvent,
+    ) -> Refusal | None:
+        if route.work.order:
+            return await self._run_order(entry, route, event)
+        tried: frozenset[str] = frozenset()
+        outcome: Refusal | None = None
+        while len(tried) < MAX_ATTEMPTS:
+            member = entry.balancer.choose(route, tried)
+            match member:
+                case Refusal():
+                    return outcome or member
+            outcome = await self._at_owner(entry, member, route, event)
+            if outcome is None or outcome.ran is Ran.YES:
+                return outcome
+            tried |= {member.host}
+        return outcome
+
+    async def _at_owner(
+        self,
+        entry: ReplayNode,
+        member: Member,
+        route: Route,
+        event: CallEvent,
+    ) -> Refusal | None:
+        if member.host not in entry.roster.members:
+            self.tally.breaches['I2'] += 1
+        entry.balancer.started(member.host)
+        try:
+            return await self._admit(member.host, route.work, event)
+        finally:
+            entry.balancer.finished(member.host)
+
+    async def _admit(
+        self,
+        host: str,
+        work: WorkClass,
+        event: CallEvent,
+    ) -> Refusal | None:
+        deadline = self.timer.now() + work.deadline_ms / MILLISECONDS
+        owner = self.fleet.nodes[host]
+        await owner.running.wait()
+        if not owner.is_up:
+            return Refusal(ResultCode.INSTANCE_UNREACHABLE, host)
+        if owner.stopped_at is not None:
+            return Refusal(ResultCode.DRAINING, host)
+        ticket = Ticket(
+            work.work,
+            work.effective_rank,
+            event.tenant,
+            deadline,
+            work.target_ms / MILLISECONDS,
+        )
+        refusal = await owner.admission.enter(ticket)
+        if refusal is not None:
+            return refusal
+        return await self._work(owner, ticket, event)
+
+    async def _work(
+        self,
+        owner: ReplayNode,
+        ticket: Ticket,
+        event: CallEvent,
+    ) -> Refusal | None:
+        now = self.timer.now()
+        if owner.stopped_at is not None:
+            late = now - owner.stopped_at > LEAVING_SECONDS
+            self.tally.breaches['I7'] += late
+        if event.order:
+            self.tally.order_runs[event.order] += 1
+        await self.timer.sleep(event.seconds)
+        await owner.running.wait()
+        used = self.timer.now() - now
+        owner.admission.leave(ticket, Outcome.SERVED, used)
+        if owner.is_up:
+            return None
+        if owner.stopped_at is not None:
+            self.tally.breaches['I8'] += 1
+        return Refusal(ResultCode.OUTCOME_UNKNOWN, owner.host, Ran.UNKNOWN)
+
+    async def _run_order(
+        self,
+        entry: ReplayNode,
+        route: Route,
+        event: CallEvent,
+    ) -> Refusal | None:
+        key = self.keys.get(event.order) or self._issue(entry, route)
+        match key:
+            case Refusal():
+                return key
+        self.keys[event.order] = key
+        owner = self.fleet.nodes[key.host]
+        await owner.running.wait()
+        if owner.incarnation != key.incarnation or not owner.is_up:
+            reason = f'{key.host} that issued the key is gone'
+            return Refusal(ResultCode.ORDER_OWNER_GONE, reason, Ran.UNKNOWN)
+        digest = request_digest(event.method, event.path, event.order.encode())
+        begun = owner.ledger.begin(key, digest)
+        match begun:
+            case Refusal():
+                return begun
+            case Repeat(record=record):
+                return await _wait_for(record)
+        return await self._begin(owner, begun, route.work, event)
+
+    def _issue(self, entry: ReplayNode, route: Route) -> OrderKey | Refusal:
+        member = entry.balancer.choose(route)
+        match member:
+            case Refusal():
+                return member
+        node = self.fleet.nodes[member.host]
+        return self.issuer.issue(
+            member.service,
+            member.host,
+            node.incarnation,
+        )
+
+    async def _begin(
+        self,
+        owner: ReplayNode,
+        begun: Begin,
+        work: WorkClass,
+        event: CallEvent,
+    ) -> Refusal | None:
+        record = begun.record
+        refusal = await self._admit(owner.host, work, event)
+        if refusal is None:
+            owner.ledger.start(record)
+            owner.ledger.finish(record, ANSWERED)
+        elif refusal.ran is Ran.NO:
+            owner.ledger.refuse(record, refusal)
+            # The refusal carries a fresh key for another attempt.
+            self.keys.pop(event.order, None)
+        else:
+            owner.ledger.fail(record, refusal)
+        return refusal
+
+
+async def _wait_for(record: object) -> Refusal | None:
+    await record.ended.wait()
+    if record.state in {State.DONE, State.DONE_BODY_DROPPED}:
+        return None
+    return record.refusal
+
+
+def _none_up(event: CallEvent) -> Refusal:
+    reason = f'no daemon for {event.service!r} is up'
+    return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
--- /dev/null
+++ b/packages/replay/tanagerbend_replay/node.py
@@ -0,0 +1,153 @@
+"""The decision packages of one daemon, as a replay drives them."""
+
+import asyncio
+import random
+import zlib
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from tanagerbend_admission import RankAdmission
+from tanagerbend_distribution import Conflict, Declined, VersionStore
+from tanagerbend_interfaces import Member, MemberState
+from tanagerbend_membership import Roster
+from tanagerbend_metrics import Recorder
+from tanagerbend_orders import Ledger
+from tanagerbend_replay.events import Instance
+from tanagerbend_replay.tally import Tally
+from tanagerbend_routing import Balancer, RouteTable
+from tanagerbend_timer import ManualTimer
+
+LOWEST_PORT: Final = 1024
+PORTS: Final = 60_000
+
+
+def address_of(host: str) -> str:
+    """Return an address for records; nothing listens there."""
+    port = LOWEST_PORT + zlib.crc32(host.encode()) % PORTS
+    return f'127.0.0.1:{port}'
+
+
+def member_of(instance: Instance, incarnation: int) -> Member:
+    """Return the record of a daemon that has just become live."""
+    return Member(
+        host=instance.host,
+        service=instance.service,
+        failure_domain=instance.failure_domain,
+        region='replay',
+        incarnation=incarnation,
+        sequence=1,
+        state=MemberState.LIVE,
+        call_address=address_of(instance.host),
+        peer_address=address_of(instance.host),
+    )
+
+
+class ReplayNode:
+    """One incarnation of a daemon and the instance beside it.
+
+    Parameters
+    ==========
+
+    instance : Instance
+    incarnation : int
+    slots : int
+    timer : ManualTimer
+    seed : str
+        For the choice of instances.
+    tally : Tally
+        Gets the breaches of invariants.
+    """
+
+    def __init__(
+        self,
+        instance: Instance,
+        incarnation: int,
+        slots: int,
+        timer: ManualTimer,
+        seed: str,
+        tally: Tally,
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.timer = timer
+        self.tally = tally
+        self.recorder = Recorder(timer)
+        self.roster = Roster(member_of(instance, incarnation), self.recorder)
+        self.store = VersionStore(self.recorder)
+        self.balancer = Balancer(
+            instance.failure_domain,
+            random.Random(seed),  # noqa: S311
+        )
+        self.admission = RankAdmission(self.recorder, slots)
+        self.ledger = Ledger(self.recorder)
+        self.table: RouteTable | None = None
+        self.is_up = True
+        self.stopped_at: float | None = None
+        self.running = asyncio.Event()
+        self.running.set()
+        self.position: tuple = ()
+        self.store.listeners.append(self.adopted)
+        self.roster.listeners.append(self.rebuild)
+
+    @property
+    def host(self) -> str:
+        """Host of the daemon."""
+        return self.instance.host
+
+    @property
+    def takes_calls(self) -> bool:
+        """Whether callers reach this daemon."""
+        return self.is_up and self.stopped_at is None
+
+    def adopted(self, in_force: object) -> None:
+        """Check that versions only go up, and switch the routes."""
+        position = self.store.current.version.position
+        if position <= self.position:
+            self.tally.breaches['I1'] += 1
+        self.position = position
+        self.rebuild(in_force)
+
+    def rebuild(self, _event: object = None) -> None:
+        """Build the routes of the version in force."""
+        current = self.store.current
+        if current is None:
+            return
+        self.table = RouteTable.build(
+            current.version,
+            current.sheet,
+            self.roster.instances,
+        )
+        self.admission.configure(
+            current.sheet.floors_of(self.instance.service),
+        )
+
+    def offer(self, revision: int, content: bytes) -> None:
+        """Offer a published value to the version store."""
+        before = self.store.current
+        match self.store.offer(revision, content):
+            case Declined():
+                self.tally.rejected += 1
+                self._expect_unchanged(before)
+            case Conflict():
+                self.tally.conflicts += 1
+                self._expect_unchanged(before)
+
+    def _expect_unchanged(self, before: object) -> None:
+        if self.store.current is not before:
+            self.tally.breaches['I3'] += 1
+
+    async def when_running(self, action: Callable[[], object]) -> None:
+        """Do something once the daemon is not paused, if it is up."""
+        await self.running.wait()
+        if self.is_up:
+            action()
+
+
+@attrs.frozen
+class Value:
+    """A published value."""
+
+    revision: int
+    content: bytes
--- /dev/null
+++ b/packages/replay/tanagerbend_replay/reading.py
@@ -0,0 +1,105 @@
+"""Reading of traces, with a full check of each line."""
+
+import json
+import pathlib
+from typing import Any, Final
+
+import attrs
+
+from tanagerbend_replay.events import (
+    DEFAULT_SLOTS,
+    FORMAT_VERSION,
+    CallEvent,
+    Event,
+    FaultEvent,
+    FaultKind,
+    HostsEvent,
+    Instance,
+    Publication,
+    Trace,
+    TraceFault,
+)
+
+CLASSES: Final = {
+    'publication': Publication,
+    'hosts': HostsEvent,
+    'fault': FaultEvent,
+    'call': CallEvent,
+}
+CONVERSIONS: Final = {
+    'at': float,
+    'hosts': tuple,
+    'leaving': tuple,
+    'fault': FaultKind,
+}
+
+
+def load_trace(path: pathlib.Path) -> Trace | TraceFault:
+    """Read the trace of a file."""
+    try:
+        return read_trace(path.read_text(encoding='utf-8'))
+    except (OSError, UnicodeDecodeError) as error:
+        return TraceFault(0, str(error))
+
+
+def read_trace(text: str) -> Trace | TraceFault:
+    """Read a trace.
+
+    Examples
+    ========
+
+    >>> read_trace('{"trace":9}')
+    TraceFault(line=1, reason='version 9 of the format, expected 1')
+    """
+    trace: Trace | None = None
+    events: list[Event] = []
+    for number, line in enumerate(text.splitlines(), start=1):
+        try:
+            fields = json.loads(line)
+            if trace is None:
+                trace = _header(fields)
+            else:
+                events.append(_event(fields, events))
+        except (ValueError, TypeError, KeyError) as error:
+            return TraceFault(number, _reason(error))
+    if trace is None:
+        return TraceFault(1, 'the trace is empty')
+    return attrs.evolve(trace, events=tuple(events))
+
+
+def _reason(error: Exception) -> str:
+    match error:
+        case KeyError():
+            return f'{error} is missing'
+    return str(error)
+
+
+def _header(fields: dict[str, Any]) -> Trace:
+    version = fields['trace']
+    if version != FORMAT_VERSION:
+        reason = f'version {version} of the format, expected {FORMAT_VERSION}'
+        raise ValueError(reason)
+    return Trace(
+        deployment=str(fields['deployment']),
+        origin=str(fields['origin']),
+        instances=tuple(Instance(**entry) for entry in fields['instances']),
+        slots=int(fields.get('slots', DEFAULT_SLOTS)),
+        events=(),
+    )
+
+
+def _event(fields: dict[str, Any], earlier: list[Event]) -> Event:
+    event = _build(fields.pop('kind'), fields)
+    if earlier and event.at < earlier[-1].at:
+        raise ValueError('the event is earlier than the one before')
+    return event
+
+
+def _build(kind: str, fields: dict[str, Any]) -> Event:
+    if kind not in CLASSES:
+        raise ValueError(f'kind {kind!r} is unknown')
+    converted = {
+        name: CONVERSIONS[name](fields[name])
+        for name in CONVERSIONS.keys() & fields.keys()
+    }
+    return CLASSES[kind](**{**fields, **converted})
--- /dev/null
+++ b/packages/replay/tanagerbend_replay/stated.py
@@ -0,0 +1,57 @@
+"""Outcomes stated beside a trace, in TOML."""
+
+import pathlib
+import tomllib
+from typing import Any, Final
+
+import attrs
+
+from tanagerbend_replay.events import TraceFault
+
+BOUNDS: Final = frozenset(
+    (
+        'in_target_percent',
+        'accepted_in_target_percent',
+        'answered_percent',
+        'answered',
+        'unknown_at_most',
+    ),
+)
+
+
+@attrs.frozen
+class StatedOutcomes:
+    """What must come out of a replay.
+
+    Parameters
+    ==========
+
+    work : dict of str to dict
+        Bounds by ``service/work``; ``BOUNDS`` holds their names.
+        Accepted calls are those not refused as "not run".
+    rejected, conflicts : bool
+        Whether daemons must decline or report a publication.
+    """
+
+    work: dict[str, dict[str, float]]
+    rejected: bool = False
+    conflicts: bool = False
+
+
+def load_stated(path: pathlib.Path) -> StatedOutcomes | TraceFault:
+    """Read the outcomes of a file; all keys must be known."""
+    try:
+        fields = tomllib.loads(path.read_text(encoding='utf-8'))
+    except (OSError, ValueError) as error:
+        return TraceFault(0, str(error))
+    unknown = set(fields) - {'work', 'rejected', 'conflicts'}
+    work: dict[str, Any] = fields.get('work', {})
+    for bounds in work.values():
+        unknown |= set(bounds) - BOUNDS
+    if unknown:
+        return TraceFault(0, f'unknown keys: {sorted(unknown)}')
+    return StatedOutcomes(
+        work,
+        bool(fields.get('rejected', False)),
+        bool(fields.get('conflicts', False)),
+    )
--- a/packages/standins/tanagerbend_standins/caller.py
+++ b/packages/standins/tanagerbend_standins/caller.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -34,6 +35,7 @@
         Number of the result code; -1 if there was none.
     ran : Ran
     body : bytes
+        Name of the exception if no whole answer arrived.
     seconds : float
     via : str
         Host of the entry daemon.
@@ -69,6 +71,18 @@
         return is_known and self.code != ResultCode.ORDER_IN_PROGRESS
 
 
+@attrs.frozen
+class Sent:
+    """A call that is sent; ``order`` is the name of the order, if any."""
+
+    service: str
+    path: str
+    method: str
+    tenant: str
+    via: str
+    order: str
+
+
 class Caller:
     """Sends calls and orders to the daemons of a fleet.
 
@@ -83,6 +97,9 @@
     def __init__(self, fleet: Fleet, seed: int = 1) -> None:
         self.fleet = fleet
         self.random = random.Random(seed)  # noqa: S311
+        # Called with ``Sent`` for each call and each sending of an order,
+        # but not for requests of order keys.
+        self.observers: list[Callable[[Sent], None]] = []
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
         )
@@ -103,6 +120,7 @@
         method: str = '',
         order_key: str = '',
         tenant: str = 'caller',
+        is_observed: bool = True,
     ) -> Reply:
         """Send one call; never raises for a failure of the network.
 
@@ -115,16 +133,23 @@
         node : Node or None
             A random one if None.
         method, order_key, tenant : str
+        is_observed : bool
         """
         entry = node or self.pick()
-        usual = 'POST' if body else 'GET'
+        if not method:
+            method = 'POST' if body else 'GET'
+        if is_observed:
+            host = entry.place.host
+            sent = Sent(service, path, method, tenant, host, body.decode())
+            for observer in self.observers:
+                observer(sent)
         own = {headers.SERVICE: service, headers.TENANT: tenant}
         if order_key:
             own[headers.ORDER_KEY] = order_key
         begun = time.monotonic()
         try:
             async with self.session.request(
-                method or usual,
+                method,
                 f'http://{entry.call_address}{path}',
                 headers=own,
                 data=body or None,
@@ -135,7 +160,8 @@
             unsent = isinstance(error, aiohttp.ClientConnectorError)
             ran = Ran.NO if unsent else Ran.UNKNOWN
             seconds = time.monotonic() - begun
-            return Reply(0, -1, ran, b'', seconds, entry.place.host)
+            name = type(error).__name__.encode()
+            return Reply(0, -1, ran, name, seconds, entry.place.host)
         return _read(response, text, time.monotonic() - begun, entry)
 
     async def order(self, service: str, path: str, body: bytes) -> Reply:
@@ -147,7 +173,7 @@
         Each attempt goes through a random daemon.  The key is the one that
         a daemon hands out; without a key an order is sent once only.
         """
-        reply = await self.call(service, path, body)
+        reply = await self.call(service, path, body, is_observed=False)
         key = reply.order_key
         begun = time.monotonic()
         while key and not reply.is_final:
@@ -161,7 +187,7 @@
 
     async def version_at(self, node: Node) -> str:
         """Return the version in force at a daemon; empty if it has none."""
-        reply = await self.call(NO_SERVICE, '/', node=node)
+        reply = await self.call(NO_SERVICE, '/', node=node, is_observed=False)
         return reply.version
 
     async def status(self, node: Node, path: str = '/status') -> Any:
--- a/packages/standins/tanagerbend_standins/demo.py
+++ b/packages/standins/tanagerbend_standins/demo.py
@@ -1,5 +1,6 @@
 """Demo: both deployments, stated outcomes against what happened."""
 
+import argparse
 import asyncio
 import pathlib
 import sys
@@ -41,7 +42,11 @@
 )
 
 
-async def show(script: Script, directory: pathlib.Path) -> list[Outcome]:
+async def show(
+    script: Script,
+    directory: pathlib.Path,
+    traces: pathlib.Path | None,
+) -> list[Outcome]:
     """Run the script of one deployment and end all its processes."""
     deployment = script.deployment
     home = directory / deployment.name
@@ -54,7 +59,7 @@
         has_log_files=True,
     )
     content = (EXAMPLES / f'{deployment.name}.csv').read_bytes()
-    scenario = Scenario(script, fleet, content)
+    scenario = Scenario(script, fleet, content, traces)
     try:
         return await scenario.run()
     finally:
@@ -87,19 +92,26 @@
     Console(width=WIDTH).print(table)
 
 
-async def demo() -> list[Outcome]:
+async def demo(traces: pathlib.Path | None) -> list[Outcome]:
     """Run both deployments one after the other."""
     outcomes: list[Outcome] = []
     with tempfile.TemporaryDirectory() as directory:
         for script in SCRIPTS:
-            outcomes.extend(await show(script, pathlib.Path(directory)))
+            outcomes.extend(await show(script, pathlib.Path(directory), traces))
     return outcomes
 
 
 def main() -> int:
     """Run the demo; 1 if an outcome is not met."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        '--record',
+        type=pathlib.Path,
+        help='directory for the traces of this run',
+    )
+    traces = parser.parse_args().record
     begun = time.monotonic()
-    outcomes = asyncio.run(demo())
+    outcomes = asyncio.run(demo(traces))
     print_table(outcomes, time.monotonic() - begun)
     return 0 if all(outcome.is_met for outcome in outcomes) else 1
 
--- a/packages/standins/tanagerbend_standins/judging.py
+++ b/packages/standins/tanagerbend_standins/judging.py
@@ -55,15 +55,33 @@
         happened = f'{answered} of {sent} answered'
         self.judge(requirement, stated, happened, answered == sent)
 
-    def judge_urgent(self, name: str, tally: Tally, is_flood: bool) -> None:
-        """State that urgent work is answered in time during a flood."""
+    def judge_urgent(
+        self,
+        name: str,
+        tally: Tally,
+        is_flood: bool,
+        own_lag_ms: float,
+    ) -> None:
+        """State that urgent work is answered in time during a flood.
+
+        Parameters
+        ==========
+
+        name : str
+            Of the flood.
+        tally : Tally
+        is_flood : bool
+            The urgent work itself floods.
+        own_lag_ms : float
+            How late the caller's process was, which counts as latency.
+        """
         # A flood of the judged work itself can only be answered in part.
         whole = tally.accepted if is_flood else len(tally.replies)
         share = percent(tally.in_target, whole)
         self.judge(
             'F3',
             f'{name}: {tally.work.work} at least {TIMELY_PERCENT:g}% in target',
-            f'{share:.1f}% of {whole}',
+            f'{share:.1f}% of {whole}; caller late by {own_lag_ms:.0f} ms',
             whole > 0 and share >= TIMELY_PERCENT,
         )
 
@@ -128,6 +146,13 @@
             not untrue and not unrun,
         )
 
+    def judge_whole_run(self, orders: list[Tally]) -> list[Outcome]:
+        """Judge what holds for the whole run; return all outcomes."""
+        self.judge_orders(orders)
+        self.judge_platform()
+        self.judge_processes()
+        return self.outcomes
+
     def judge_platform(self) -> None:
         """State the limit of calls to the configuration service."""
         peak = self.fleet.platform.meter.peak
--- a/packages/standins/tanagerbend_standins/load.py
+++ b/packages/standins/tanagerbend_standins/load.py
@@ -11,6 +11,9 @@
 
 MILLISECONDS: Final = 1000
 FULL_PERCENT: Final = 100
+SHOWN_BYTES: Final = 100
+WATCH_SECONDS: Final = 0.01
+SLOW_PERCENT: Final = 99
 
 
 @attrs.frozen
@@ -56,6 +59,15 @@
         """Calls begun whose answer did not arrive."""
         return self.accepted - self.answered
 
+    @property
+    def first_interrupted(self) -> str:
+        """Describes the first call begun whose answer did not arrive."""
+        for reply in self.replies:
+            if not reply.is_answer and reply.ran is not Ran.NO:
+                shown = reply.body[:SHOWN_BYTES].decode(errors='replace')
+                return f'{self.work.work} via {reply.via}: {shown}'
+        return ''
+
     def without(self, host: str) -> 'Tally':
         """Return the tally without calls through one entry daemon."""
         kept = tuple(reply for reply in self.replies if reply.via != host)
@@ -92,6 +104,7 @@
     def __init__(self, caller: Caller) -> None:
         self.caller = caller
         self.serial = itertools.count(1)
+        self.lags: list[float] = []
 
     async def stream(
         self,
@@ -134,7 +147,26 @@
         seconds: float,
     ) -> dict[str, Tally]:
         """Send several streams at once; the tallies by name of the work."""
+        watch = asyncio.create_task(self._watch())
         tallies = await asyncio.gather(
             *(self.stream(work, rates[work], seconds) for work in rates),
         )
+        watch.cancel()
         return {tally.work.work: tally for tally in tallies}
+
+    async def _watch(self) -> None:
+        """Measure how late this process itself is, in seconds."""
+        loop = asyncio.get_running_loop()
+        self.lags = []
+        while True:
+            due = loop.time() + WATCH_SECONDS
+            await asyncio.sleep(WATCH_SECONDS)
+            self.lags.append(loop.time() - due)
+
+    @property
+    def own_lag_ms(self) -> float:
+        """99th percentile of how late this process was, in milliseconds."""
+        if not self.lags:
+            return 0.0
+        position = len(self.lags) * SLOW_PERCENT // FULL_PERCENT
+        return sorted(self.lags)[position] * MILLISECONDS
