--- a/packages/daemon/tanagerbend_daemon/tests/control_fleet.py
+++ b/packages/daemon/tanagerbend_daemon/tests/control_fleet.py
@@ -4,6 +4,7 @@
 import random
 
 from tanagerbend_daemon.control import ControlHandler
+from tanagerbend_daemon.suspect_notices import SuspectNotices
 from tanagerbend_distribution import (
     Bootstrap,
     CallBudget,
@@ -25,6 +26,7 @@
 from tanagerbend_membership import Detector, Roster
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_quarantine import Quarantine
 from tanagerbend_timer import ManualTimer
 from tanagerbend_wire import decode, encode
 
@@ -126,7 +128,11 @@
         self.detector = Detector(self.roster, self, chance, self.recorder)
         self.timer.on_pause(self.detector.paused)
         self.handler = ControlHandler(
-            self.roster, self.detector, self.propagation, self.recorder
+            self.roster,
+            self.detector,
+            self.propagation,
+            SuspectNotices(Quarantine(self.recorder), self.roster, self),
+            self.recorder,
         )
         self.reader = PlatformReader(
             fleet.service,
--- a/packages/daemon/tanagerbend_daemon/tests/test_operators.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_operators.py
@@ -66,9 +66,9 @@
     await server.close()
 
 
-def start(parts):
+async def start(parts):
     parts.store.offer(7, SHEET)
-    parts.roster.set_own_state(MemberState.LIVE)
+    await parts.drain.open()
 
 
 @pytest.mark.parametrize(
@@ -86,7 +86,7 @@
 
 async def test_refused_drain_leaves_the_state(parts, ask):
     """Guards against a drain that runs before the token is checked."""
-    start(parts)
+    await start(parts)
     assert (await ask('/drain', 'wrong', 'POST'))[0] == 401
     assert parts.roster.own.state is MemberState.LIVE
 
@@ -101,13 +101,13 @@
     status, answer = await ask('/ready')
     assert status == 503
     assert answer['reasons'] == ['no configuration', 'starting']
-    start(parts)
+    await start(parts)
     assert await ask('/ready') == (200, {'ready': True, 'reasons': []})
 
 
 async def test_drain_and_undrain_change_state_once(parts, ask):
     """Guards against repeated requests that raise the record each time."""
-    start(parts)
+    await start(parts)
     await ask('/drain', method='POST')
     sequence = parts.roster.own.sequence
     status, answer = await ask('/drain', method='POST')
@@ -120,7 +120,7 @@
 
 async def test_status_says_what_is_in_force(parts, ask):
     """Guards against a status that lacks what operators decide by."""
-    start(parts)
+    await start(parts)
     _, answer = await ask('/status')
     assert answer['host'] == 'host-1'
     assert answer['version'] == str(parts.store.current.version)
@@ -134,7 +134,7 @@
     """Guards against explanations that differ from the routes in use."""
     away = Host('host-2', 'pattern', 'hobart-a', 'tas-south', *ADDRESSES)
     gone = Host('host-3', 'pattern', 'kingston', 'tas-south', *ADDRESSES)
-    start(parts)
+    await start(parts)
     parts.roster.merge((placeholder(away), placeholder(gone)))
     parts.roster.suspect('host-3')
     parts.rebuild_routes()
@@ -152,7 +152,7 @@
 
 async def test_metrics_hold_hostile_names_without_breaking(parts, ask):
     """Guards against labels from outside that break the text format."""
-    start(parts)
+    await start(parts)
     parts.recorder.count('refusals', 'x"} 9\ny{z="')
     parts.recorder.histograms.record('queue_time', 'a"\n', 1, 0.25)
     _, text = await ask('/metrics')
@@ -193,7 +193,7 @@
 
 async def test_no_answer_holds_a_secret(parts, ask):
     """Guards against secrets in what operators paste into reports."""
-    start(parts)
+    await start(parts)
     paths = (
         '/status',
         '/roster',
