--- a/packages/replay/tanagerbend_replay/calls.py
+++ b/packages/replay/tanagerbend_replay/calls.py
@@ -18,7 +18,7 @@
 from tanagerbend_replay.events import CallEvent
 from tanagerbend_replay.fleet import ReplayFleet
 from tanagerbend_replay.node import ReplayNode
-from tanagerbend_routing import Route
+from tanagerbend_routing import Result, Route
 
 MILLISECONDS = 1000
 MAX_ATTEMPTS = 3
@@ -97,16 +97,19 @@
     ) -> Refusal | None:
         if route.work.order:
             return await self._run_order(entry, route, event)
+        entry.budget.first_attempt(event.service)
         tried: frozenset[str] = frozenset()
         outcome: Refusal | None = None
-        while len(tried) < MAX_ATTEMPTS:
+        for attempt in range(MAX_ATTEMPTS):
             member = entry.balancer.choose(route, tried)
             match member:
                 case Refusal():
                     return outcome or member
-            outcome = await self._at_owner(entry, member, route, event)
-            if outcome is None or outcome.ran is Ran.YES:
+            if attempt and not entry.budget.may_retry(event.service):
                 return outcome
+            outcome = await self._at_owner(entry, member, route, event)
+            if outcome is None:
+                return None
             tried |= {member.host}
         return outcome
 
@@ -119,11 +122,16 @@
     ) -> Refusal | None:
         if member.host not in entry.roster.members:
             self.tally.breaches['I2'] += 1
-        entry.balancer.started(member.host)
-        try:
-            return await self._admit(member.host, route.work, event)
-        finally:
-            entry.balancer.finished(member.host)
+        begun = self.timer.now()
+        stats = entry.balancer.started(member)
+        refusal = await self._admit(member.host, route.work, event)
+        entry.balancer.finished(
+            member,
+            stats,
+            _result(refusal),
+            self.timer.now() - begun,
+        )
+        return refusal
 
     async def _admit(
         self,
@@ -230,6 +238,15 @@
         return refusal
 
 
+def _result(refusal: Refusal | None) -> Result:
+    if refusal is None:
+        return Result.ANSWERED
+    is_failure = refusal.ran is Ran.UNKNOWN
+    if is_failure or refusal.code is ResultCode.INSTANCE_UNREACHABLE:
+        return Result.FAILED
+    return Result.REFUSED
+
+
 async def _wait_for(record: object) -> Refusal | None:
     await record.ended.wait()
     if record.state in {State.DONE, State.DONE_BODY_DROPPED}:
--- a/packages/replay/tanagerbend_replay/node.py
+++ b/packages/replay/tanagerbend_replay/node.py
@@ -16,7 +16,7 @@
 from tanagerbend_orders import Ledger
 from tanagerbend_replay.events import Instance
 from tanagerbend_replay.tally import Tally
-from tanagerbend_routing import Balancer, RouteTable
+from tanagerbend_routing import Balancer, RetryBudget, RouteTable
 from tanagerbend_timer import ManualTimer
 
 LOWEST_PORT: Final = 1024
@@ -79,7 +79,9 @@
         self.balancer = Balancer(
             instance.failure_domain,
             random.Random(seed),  # noqa: S311
+            self.recorder,
         )
+        self.budget = RetryBudget()
         self.admission = RankAdmission(self.recorder, slots)
         self.ledger = Ledger(self.recorder)
         self.table: RouteTable | None = None
@@ -119,6 +121,7 @@
             current.sheet,
             self.roster.instances,
         )
+        self.balancer.retain(self.table.services)
         self.admission.configure(
             current.sheet.floors_of(self.instance.service),
         )
