--- a/packages/daemon/tanagerbend_daemon/drain.py
+++ b/packages/daemon/tanagerbend_daemon/drain.py
@@ -10,6 +10,7 @@
 from tanagerbend_daemon.call import Answer, Call
 from tanagerbend_interfaces import Member, MemberState
 from tanagerbend_membership import Roster
+from tanagerbend_metrics import Event
 from tanagerbend_model import Ran, Refusal, ResultCode
 
 POLL_SECONDS: Final = 0.02
@@ -64,6 +65,8 @@
         Changes the own state and tells other daemons.
     end_unsent_orders : callable
         Voids the keys of orders that wait for a slot.
+    note_sender : callable
+        Notes the host of a daemon that sent work, to be told of a stop.
     seconds : float
         Longest time that a stop waits for calls.
     """
@@ -74,6 +77,7 @@
         roster: Roster,
         announce: Callable[[MemberState], Awaitable[object]],
         end_unsent_orders: Callable[[], None],
+        note_sender: Callable[[str], None],
         seconds: float,
     ) -> None:
         self.path = path
@@ -82,6 +86,7 @@
         self.timer = roster.timer
         self.announce = announce
         self.end_unsent_orders = end_unsent_orders
+        self.note_sender = note_sender
         self.seconds = seconds
         self.reasons: set[str] = set()
         self.is_started = False
@@ -99,9 +104,13 @@
     async def drain(self, reason: str) -> Member:
         """Stop to take new work for the instance; running calls finish."""
         is_first = not self.reasons
+        if self.roster.own.state is MemberState.LIVE:
+            self.is_started = True
         self.reasons.add(reason)
         if is_first:
-            self.recorder.note('drain_started', self.roster.own_host, reason)
+            self.recorder.note(
+                Event.DRAIN_STARTED, self.roster.own_host, reason
+            )
             await self.announce(MemberState.DRAINING)
         return self.roster.own
 
@@ -110,7 +119,9 @@
         if reason in self.reasons:
             self.reasons.discard(reason)
             if not self.reasons:
-                self.recorder.note('drain_ended', self.roster.own_host, reason)
+                self.recorder.note(
+                    Event.DRAIN_ENDED, self.roster.own_host, reason
+                )
                 live, starting = MemberState.LIVE, MemberState.STARTING
                 await self.announce(live if self.is_started else starting)
         return self.roster.own
