Do not repeat member records that come in bulk

Cause: after its start a daemon replaced the records of the host list by those of the members, and repeated each of them in its next 8 syncs, although all other members knew them.

Change: changes of one message that are more than 16 are not repeated.

--- a/packages/membership/tanagerbend_membership/comparison.py
+++ b/packages/membership/tanagerbend_membership/comparison.py
@@ -117,9 +117,10 @@
         self.repeats.pop(host, None)
         self.repeats[host] = REPEATS
 
-    def drop(self, host: str) -> None:
-        """Repeat a host's record no more."""
-        self.repeats.pop(host, None)
+    def drop(self, *hosts: str) -> None:
+        """Repeat the records of hosts no more."""
+        for host in hosts:
+            self.repeats.pop(host, None)
 
     def take(self) -> tuple[str, ...]:
         """Return the hosts of the next exchange, the latest ones."""
--- a/packages/membership/tanagerbend_membership/roster.py
+++ b/packages/membership/tanagerbend_membership/roster.py
@@ -13,6 +13,9 @@
 from tanagerbend_metrics import Recorder
 
 GONE_SECONDS: Final = 600.0
+# Ordinary failures and restarts change a record about once a minute in a
+# fleet of the target size.
+BULK_CHANGES: Final = 16
 
 
 @attrs.frozen
@@ -90,21 +93,28 @@
         """Take the records that are fresher than the ones held.
 
         Returns the changes.  A claim about this daemon is refuted;
-        records that are not valid are counted and passed over.
+        records that are not valid are counted and passed over.  Changes
+        that come in bulk are not repeated to other members: they show
+        that this daemon lacked what the others know, as after a restart.
         """
-        changes = []
-        for record in records:
-            held = self.members.get(record.host)
-            if held is not None and record.freshness <= held.freshness:
-                continue
-            if fault_of(record):
-                self.recorder.count('records_refused', 'invalid')
-            elif record.host == self.own_host:
-                self._refute(record)
-            elif self._is_welcome(record, held):
-                self._replace(record)
-                changes.append(Change(held, record))
-        return tuple(changes)
+        taken = [self._take(record) for record in records]
+        changes = tuple(change for change in taken if change is not None)
+        if len(changes) > BULK_CHANGES:
+            self.recent.drop(*(change.after.host for change in changes))
+        return changes
+
+    def _take(self, record: Member) -> Change | None:
+        held = self.members.get(record.host)
+        if held is not None and record.freshness <= held.freshness:
+            return None
+        if fault_of(record):
+            self.recorder.count('records_refused', 'invalid')
+        elif record.host == self.own_host:
+            self._refute(record)
+        elif self._is_welcome(record, held):
+            self._replace(record)
+            return Change(held, record)
+        return None
 
     def _is_welcome(self, record: Member, held: Member | None) -> bool:
         if held is None and record.state is MemberState.GONE:
--- a/packages/membership/tanagerbend_membership/tests/test_roster.py
+++ b/packages/membership/tanagerbend_membership/tests/test_roster.py
@@ -147,3 +147,16 @@
     assert here.index.hashes == there.index.hashes
     there.merge((gone,))
     assert 'host-2' not in there.members
+
+
+def test_records_that_come_in_bulk_are_not_repeated(make_roster):
+    """Guards against a restart after which each record is sent 8 times.
+
+    A daemon of the target size would repeat 3,700 records that all other
+    members know already.
+    """
+    roster = make_roster(0)
+    roster.merge(record(number) for number in range(1, 200))
+    assert tuple(roster.recent.take()) == ('host-0',)
+    roster.merge([record(200)])
+    assert 'host-200' in roster.recent.take()
