--- a/packages/operator/tanagerbend_operator/story.py
+++ b/packages/operator/tanagerbend_operator/story.py
@@ -155,25 +155,13 @@
         for seen in view.answered
         if seen.status is not None
     }
-    entries = sorted(
-        (
-            {'host': journal['host'], **entry}
-            for journal in journals
-            for entry in journal['entries']
-            if begin <= entry[WALL]
-        ),
-        key=lambda entry: entry[WALL],
-    )
+    entries = _entries(journals, begin)
     refusals, hours = _refusals(counters, begin)
     return Story(
         begin=begin,
         end=end,
         asked=len(view.answered),
-        unreachable=tuple(
-            seen.host or seen.address
-            for seen in view.daemons
-            if seen.status is None and not seen.is_gone
-        ),
+        unreachable=_unreachable(view),
         restarted=tuple(host for host, at in started.items() if at > begin),
         spreads=_spreads(entries, started),
         happenings=_happenings(entries),
@@ -184,6 +172,25 @@
     )
 
 
+def _entries(journals: list[Record], begin: float) -> list[Record]:
+    """Return the entries of all journals in the order of their time."""
+    entries = [
+        {'host': journal['host'], **entry}
+        for journal in journals
+        for entry in journal['entries']
+        if begin <= entry[WALL]
+    ]
+    return sorted(entries, key=lambda entry: entry[WALL])
+
+
+def _unreachable(view: FleetView) -> tuple[str, ...]:
+    return tuple(
+        seen.host or seen.address
+        for seen in view.daemons
+        if seen.status is None and not seen.is_gone
+    )
+
+
 def _spreads(
     entries: list[Record],
     started: dict[str, float],
