--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-from functools import lru_cache
 from typing import Any, Final
 
 import aiohttp
@@ -16,7 +15,7 @@
 from tanagerbend_daemon.identity import own_identity, own_member
 from tanagerbend_daemon.leaving import LeavingWatch
 from tanagerbend_daemon.order_path import OrderPath
-from tanagerbend_daemon.outbound import HttpServer, make_session
+from tanagerbend_daemon.outbound import clients_of, make_session
 from tanagerbend_daemon.platform_client import (
     HttpConfigurationService,
     HttpHostList,
@@ -50,7 +49,6 @@
 
 # A restart of the fleet changes thousands of records in a few seconds.
 REBUILD_SECONDS: Final = 0.1
-MAX_CLIENTS: Final = 1024
 
 
 @attrs.define
@@ -246,8 +244,6 @@
         settings.peers.shared_key.encode(),
         owner,
         Balancer(settings.host.failure_domain, chance, recorder),
-        lru_cache(MAX_CLIENTS)(
-            lambda address: HttpServer(peers, address, recorder.timer),
-        ),
+        clients_of(peers, recorder.timer),
         recorder,
     )
