Name the label of each counter

Counters of other packages were exposed with a label called 'label'. A test reads all counters with labels from the code and compares them with the table.

--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -27,10 +27,19 @@
     REFUSALS: 'code',
     REFUSALS_TO_PEERS: 'code',
     EVENTS: 'event',
+    'not_admitted': 'code',
+    'fetches_refused': 'code',
     CONTROL_BYTES_SENT: 'message',
+    'control_bytes_received': 'message',
     CONTROL_MESSAGES: 'message',
     FRAMES_REFUSED: 'code',
     SERVICE_CALLS: 'key',
+    'ejections_withheld': 'service',
+    'retries': 'service',
+    'retries_beyond_budget': 'service',
+    'hosts_refused': 'reason',
+    'records_refused': 'reason',
+    'orders_ended': 'state',
 }
 # Exposed from the start, so that an alert on them never lacks a series.
 ALWAYS_EXPOSED: Final = (
--- a/packages/operator/tanagerbend_operator/tests/test_docs.py
+++ b/packages/operator/tanagerbend_operator/tests/test_docs.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tanagerbend_metrics import MEANINGS, Event
+from tanagerbend_metrics.names import LABELS
 from tanagerbend_model import Ran, ResultCode
 from tanagerbend_model.advice import ADVICE
 from tanagerbend_operator import command, reference
@@ -31,6 +32,26 @@
     assert set(MEANINGS) == set(Event)
 
 
+def calls_of(name):
+    """Yield each call of a method of this name, with its file."""
+    for path in (ROOT / 'packages').rglob('*.py'):
+        if 'tests' not in path.parts:
+            for node in ast.walk(ast.parse(path.read_text())):
+                if getattr(getattr(node, 'func', None), 'attr', '') == name:
+                    yield node, path.name
+
+
+def test_every_label_of_a_counter_has_a_name():
+    """Guards against series whose label says nothing but "label"."""
+    labelled = {
+        node.args[0].value
+        for node, _ in calls_of('count')
+        if len(node.args) > 1 and isinstance(node.args[0], ast.Constant)
+    }
+    assert 'retries' in labelled
+    assert labelled <= set(LABELS)
+
+
 def refusals():
     """Yield code, literal ``ran`` and file of each refusal of the code."""
     for path in (ROOT / 'packages').rglob('*.py'):
@@ -59,19 +80,14 @@
 
 
 def noted():
-    """Return the event literals of all calls of ``note``."""
-    found = {}
-    for path in (ROOT / 'packages').rglob('*.py'):
-        if 'tests' in path.parts or path.name in {'journal.py', 'logs.py'}:
-            continue
-        for node in ast.walk(ast.parse(path.read_text())):
-            if isinstance(node, ast.Call) and (
-                getattr(node.func, 'attr', '') == 'note'
-            ):
-                for part in ast.walk(node.args[0]):
-                    if isinstance(part, ast.Constant):
-                        found[part.value] = path.name
-    return found
+    """Return the event literals of all calls of ``note``, with files."""
+    return {
+        part.value: name
+        for node, name in calls_of('note')
+        if name not in {'journal.py', 'logs.py'} and node.args
+        for part in ast.walk(node.args[0])
+        if isinstance(part, ast.Constant)
+    }
 
 
 def test_every_event_of_the_code_is_in_the_table():
