--- a/packages/daemon/tanagerbend_daemon/views.py
+++ b/packages/daemon/tanagerbend_daemon/views.py
@@ -129,10 +129,8 @@
     current = parts.store.current
     if current is None:
         return None
-    times = [
-        entry.wall
-        for entry in parts.recorder.journal.entries
-        if entry.event == Event.VERSION_ADOPTED
-        and entry.subject == str(current.version)
-    ]
-    return times[-1] if times else None
+    entry = parts.recorder.journal.latest(
+        Event.VERSION_ADOPTED,
+        str(current.version),
+    )
+    return None if entry is None else entry.wall
--- a/packages/metrics/tanagerbend_metrics/tests/test_metrics.py
+++ b/packages/metrics/tanagerbend_metrics/tests/test_metrics.py
@@ -39,13 +39,17 @@
 
 
 def test_journal_is_bounded_in_entries_and_text():
-    """Guards against a journal that grows with the length of a night."""
+    """Guards against a journal that grows with the length of a night, and
+    against frequent events that push out the rare ones."""
     journal = Journal()
-    for index in range(3000):
+    journal.note(0.0, 'request_convicted', 'a1')
+    for index in range(8000):
         journal.note(float(index), 'version_rejected', 'x' * 9999, 'y' * 9999)
-    assert len(journal.entries) == 2000
-    assert journal.entries[0].wall == 1000
-    assert len(journal.entries[0].subject + journal.entries[0].reason) == 1000
+    rare, first, *others = journal.entries
+    assert rare.event == 'request_convicted'
+    assert first.wall == 3001
+    assert len(others) == 4998
+    assert len(first.subject + first.reason) == 1000
 
 
 @pytest.mark.parametrize(
--- a/packages/operator/tanagerbend_operator/reference.py
+++ b/packages/operator/tanagerbend_operator/reference.py
@@ -143,8 +143,9 @@
     rows = [
         '# Decision journal',
         '',
-        'Each daemon keeps its latest 2,000 changes of state in memory, with',
-        'time, event, subject and reason; a restart discards them. `GET',
+        'Each daemon keeps 5,000 changes of state in memory, with time, event,',
+        'subject and reason; when it is full, the oldest entry of the most',
+        'frequent event goes. A restart discards all of them. `GET',
         '/journal?since=SECONDS` returns them, `tanagerbend report` puts those',
         'of the fleet on one page, and each becomes a log line on standard',
         'error, at most 10 a minute for each event.',
