Show the state in the roster of a daemon that does not answer

After a SIGKILL on a fleet on one IP number, status named the address that did not answer and, apart from it, the member whose operators' address is unknown, but not that the fleet suspects it.

--- a/packages/operator/tanagerbend_operator/fleet.py
+++ b/packages/operator/tanagerbend_operator/fleet.py
@@ -30,8 +30,8 @@
         Answer of the daemon itself.
     trouble : str
         Why there is no answer.
-    is_gone : bool
-        The fleet has given the host up.
+    roster_state : str
+        State in the roster of the daemon that gave it.
     """
 
     host: str
@@ -40,7 +40,12 @@
     address: str
     status: Record | None = None
     trouble: str = ''
-    is_gone: bool = False
+    roster_state: str = ''
+
+    @property
+    def is_gone(self) -> bool:
+        """Whether the fleet has given the host up."""
+        return self.roster_state == GONE
 
     @property
     def version(self) -> str | None:
@@ -178,7 +183,7 @@
                     member['failure_domain'],
                     member['service'],
                     f'{ip_number}:{port}',
-                    is_gone=member['state'] == GONE,
+                    roster_state=member['state'],
                 ),
             )
     return others
--- a/packages/operator/tanagerbend_operator/status.py
+++ b/packages/operator/tanagerbend_operator/status.py
@@ -161,6 +161,7 @@
         'last_read_age': own.get('last_read_age'),
         'not_ready': own.get('not_ready', []),
         'trouble': seen.trouble,
+        'roster_state': seen.roster_state,
     }
 
 
@@ -181,6 +182,8 @@
     own = seen.status or {}
     age = own.get('last_read_age')
     remarks = [seen.trouble, *own.get('not_ready', [])]
+    if seen.roster_state and not own:
+        remarks.append(f'{seen.roster_state} in the roster')
     if own.get('provisional'):
         remarks.append('provisional')
     return (
--- a/packages/operator/tanagerbend_operator/tests/test_fleet.py
+++ b/packages/operator/tanagerbend_operator/tests/test_fleet.py
@@ -56,13 +56,15 @@
 def test_members_of_the_roster_are_asked(run, daemons):
     """Guards against a fleet view that ends at the addresses given."""
     port = daemons.addresses[0].rpartition(':')[2]
-    members = [member(0, 1), member(8, 1), member(9, 1, 'gone')]
+    members = [member(0, 1), member(8, 1, 'suspected'), member(9, 1, 'gone')]
     daemons.answers[0, '/roster'] = {'members': members}
     status, found, _ = run('status', '--json', '--daemon', daemons.addresses[0])
     assert status == 1
     trouble = {one['host']: one['trouble'] for one in found['daemons']}
     assert trouble['host-8'] == f'127.0.0.1:{port} is the daemon of host-0'
     assert trouble['host-9'] == 'gone'
+    states = {one['host']: one['roster_state'] for one in found['daemons']}
+    assert states == {'host-0': '', 'host-8': 'suspected', 'host-9': 'gone'}
 
 
 def test_wrong_token_is_status_3(run, tmp_path):
