--- a/packages/operator/tanagerbend_operator/command.py
+++ b/packages/operator/tanagerbend_operator/command.py
@@ -10,6 +10,7 @@
 from tanagerbend_operator.drains import drain, undrain
 from tanagerbend_operator.explain import explain
 from tanagerbend_operator.histograms import histograms
+from tanagerbend_operator.replaying import replay
 from tanagerbend_operator.report import report
 from tanagerbend_operator.status import status
 
@@ -22,6 +23,7 @@
     'histograms': histograms,
     'drain': drain,
     'undrain': undrain,
+    'replay': replay,
     'report': report,
 }
 
--- a/packages/standins/tanagerbend_standins/judging.py
+++ b/packages/standins/tanagerbend_standins/judging.py
@@ -7,7 +7,7 @@
 
 from tanagerbend_model import Ran
 from tanagerbend_standins.fleet import Fleet
-from tanagerbend_standins.load import FULL_PERCENT, Tally, percent
+from tanagerbend_standins.load import FULL_PERCENT, Tally, percent, unanswered
 from tanagerbend_standins.script import Outcome
 
 TIMELY_PERCENT: Final = 99.0
@@ -52,9 +52,24 @@
         """State that all calls are answered."""
         sent = sum(len(tally.replies) for tally in tallies)
         answered = sum(tally.answered for tally in tallies)
-        happened = f'{answered} of {sent} answered'
+        happened = f'{answered} of {sent} answered {unanswered(tallies)}'
         self.judge(requirement, stated, happened, answered == sent)
 
+    def judge_survival(self, tallies: list[Tally]) -> None:
+        """State that repeatable calls survive a killed daemon.
+
+        Retries are limited to 10% of the first attempts, so a call may be
+        refused; but it is not left with an unknown outcome.
+        """
+        cut = sum(tally.interrupted for tally in tallies)
+        sent = sum(len(tally.replies) for tally in tallies)
+        self.judge(
+            'F1',
+            'killed daemon: calls through others are answered or "not run"',
+            f'{cut} of {sent} are neither; {unanswered(tallies)}',
+            not cut and sent > 0,
+        )
+
     def judge_urgent(
         self,
         name: str,
--- /dev/null
+++ b/packages/standins/tanagerbend_standins/tests/test_answers_real.py
@@ -0,0 +1,103 @@
+"""Faulty backend servers behind real daemons: what callers get."""
+
+import asyncio
+
+import pytest
+
+from tanagerbend_standins import Caller, Fleet, Place, eventually
+
+SHEET = (
+    b'service,work,rank,method,path,deadline_ms\n'
+    b'artwork,plates,3,,/plates,3000\n'
+)
+PLACES = [
+    Place('artwork-1', 'artwork', 'hobart-a', 'tas-south'),
+    Place('artwork-2', 'artwork', 'kingston', 'tas-south'),
+    Place('artwork-3', 'artwork', 'kingston', 'tas-south'),
+]
+CALLS = 120
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    fleet = Fleet(tmp_path, PLACES, has_log_files=True)
+    await fleet.start(SHEET)
+    yield fleet
+    await fleet.close()
+
+
+@pytest.fixture
+async def caller(fleet):
+    """A caller of a fleet that serves at every daemon."""
+    caller = Caller(fleet)
+
+    async def served():
+        replies = await asyncio.gather(
+            *(
+                caller.call('artwork', '/plates', node=node)
+                for node in fleet.nodes
+            )
+        )
+        return all(reply.is_answer for reply in replies)
+
+    assert await eventually(served, 30)
+    yield caller
+    await caller.close()
+
+
+async def test_every_answer_is_whole_and_belongs_to_its_request(fleet, caller):
+    """Guards against mismatched or cut answers that callers take for theirs.
+
+    Brings about late, crossed, truncated and lost answers (I4).
+    """
+    for node in fleet.nodes:
+        node.backend.behave(
+            work_seconds=0.01, crossed=0.2, truncated=0.2, lost=0.1
+        )
+    bodies = [f'plate number {number}'.encode() for number in range(CALLS)]
+    answered = 0
+    for start in range(0, CALLS, 10):
+        group = bodies[start : start + 10]
+        replies = await asyncio.gather(
+            *(caller.call('artwork', '/plates', body) for body in group)
+        )
+        for body, reply in zip(group, replies, strict=True):
+            if reply.is_answer:
+                answered += 1
+                assert reply.body.endswith(b' ran ' + body)
+    assert answered > CALLS / 4
+
+
+async def test_silent_connections_are_left_behind(fleet, caller):
+    """Guards against a daemon that keeps to connections gone silent (F7)."""
+    for node in fleet.nodes:
+        node.backend.silence_connections()
+
+    async def served():
+        replies = await asyncio.gather(
+            *(
+                caller.call('artwork', '/plates', node=node)
+                for node in fleet.nodes
+                for _ in range(4)
+            )
+        )
+        return all(reply.is_answer for reply in replies)
+
+    assert await eventually(served, 30)
+
+
+async def test_paused_daemon_follows_the_newest_sheet(fleet, caller):
+    """Guards against a resumed daemon that keeps its old sheet (F4)."""
+    paused = fleet.nodes[0]
+    fleet.pause(paused)
+    await fleet.publish(SHEET + b'artwork,proofs,4,,/proofs,3000\n')
+
+    async def changed_elsewhere():
+        reply = await caller.call('artwork', '/proofs', node=fleet.nodes[1])
+        return reply.is_answer
+
+    assert await eventually(changed_elsewhere, 30)
+    await asyncio.sleep(3)
+    fleet.resume(paused)
+    reply = await caller.call('artwork', '/proofs', node=paused)
+    assert reply.is_answer, reply
