--- a/packages/daemon/tanagerbend_daemon/connections.py
+++ b/packages/daemon/tanagerbend_daemon/connections.py
@@ -9,6 +9,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
+from tanagerbend_daemon.drain import mark_sent
+
 CONNECT_SECONDS: Final = 1.0
 KEEPALIVE_SECONDS: Final = 30
 AUTOMATIC_HEADERS: Final = (
@@ -31,6 +33,8 @@
     patience : float
         Seconds after which a kept connection without an answer counts as
         silent; 0 to wait for the deadline.
+    send_before : float
+        Monotonic seconds; nothing is written later.
     is_connected : bool
         Whether a connection was found.  Nothing is written before.
     is_new : bool
@@ -39,18 +43,24 @@
 
     limit: asyncio.Timeout
     patience: float = 0.0
+    send_before: float = float('inf')
     is_connected: bool = False
     is_new: bool = False
 
+    def is_too_late(self) -> bool:
+        """Tell whether the request must not be written any more."""
+        return asyncio.get_running_loop().time() >= self.send_before
+
     def connected(self) -> None:
         """Note that a connection was found."""
         self.is_connected = True
+        mark_sent()
         if self.patience and not self.is_new:
             now = asyncio.get_running_loop().time()
             self.limit.reschedule(now + self.patience)
 
 
-ATTEMPT: ContextVar[Attempt | None] = ContextVar('ATTEMPT', default=None)
+ATTEMPT: Final[ContextVar[Attempt | None]] = ContextVar('ATTEMPT', default=None)
 
 
 class Connector(aiohttp.TCPConnector):
@@ -65,6 +75,9 @@
         connection = await super().connect(*args, **options)
         attempt = ATTEMPT.get()
         if attempt is not None:
+            if attempt.is_too_late():
+                connection.release()
+                raise TimeoutError('connected too late')
             attempt.connected()
         return connection
 
--- a/packages/daemon/tanagerbend_daemon/outbound.py
+++ b/packages/daemon/tanagerbend_daemon/outbound.py
@@ -1,6 +1,8 @@
 """Outgoing HTTP: to the backend server beside and to other daemons."""
 
 import asyncio
+from collections.abc import Callable
+from functools import lru_cache
 from typing import Final
 
 import aiohttp
@@ -12,12 +14,11 @@
     Attempt,
     make_session,
 )
-from tanagerbend_daemon.drain import mark_sent
 from tanagerbend_interfaces import BackendRequest, BackendResponse
 from tanagerbend_model import Ran, Refusal, ResultCode, headers
 from tanagerbend_timer import Timer
 
-__all__ = ('HOP_BY_HOP', 'HttpServer', 'make_session')
+__all__ = ('HOP_BY_HOP', 'HttpServer', 'clients_of', 'make_session')
 
 HOP_BY_HOP: Final = frozenset(
     (
@@ -39,6 +40,7 @@
     aiohttp.ClientConnectorError,
     aiohttp.ConnectionTimeoutError,
 )
+MAX_CLIENTS: Final = 1024
 ORDER_KEY: Final = headers.ORDER_KEY.lower()
 
 
@@ -82,8 +84,7 @@
             return Refusal(ResultCode.DEADLINE_PASSED, 'before it was sent')
         limit = asyncio.timeout(None)
         patience = remaining / 2 if _may_repeat(request) else 0
-        attempt = Attempt(limit, patience)
-        mark_sent()
+        attempt = Attempt(limit, patience, request.send_before)
         try:
             async with limit:
                 response = await self._send(request, remaining, attempt)
@@ -100,7 +101,6 @@
         """Return what is known of a request that got no answer."""
         reason = f'{self.address}: {type(error).__name__}'
         if isinstance(error, NOT_SENT) or not attempt.is_connected:
-            mark_sent(is_sent=False)
             return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
         if attempt.limit.expired():
             self.session.connector.drop_idle(self.address)
@@ -134,6 +134,23 @@
             ATTEMPT.reset(token)
 
 
+def clients_of(
+    session: aiohttp.ClientSession,
+    timer: Timer,
+) -> Callable[[str], HttpServer]:
+    """Return a function that returns the client of an address.
+
+    The least recently used of ``MAX_CLIENTS`` clients is dropped, since
+    addresses change for as long as the daemon runs.
+    """
+
+    @lru_cache(MAX_CLIENTS)
+    def client_of(address: str) -> HttpServer:  # noqa: WPS430
+        return HttpServer(session, address, timer)
+
+    return client_of
+
+
 class ResponseBody:
     """Body of an answer; raises ``ConnectionError`` if it ends early."""
 
