--- a/packages/standins/tanagerbend_standins/judging.py
+++ b/packages/standins/tanagerbend_standins/judging.py
@@ -96,7 +96,8 @@
         self.judge(
             'F3',
             f'{name}: {tally.work.work} at least {TIMELY_PERCENT:g}% in target',
-            f'{share:.1f}% of {whole}; caller late by {own_lag_ms:.0f} ms',
+            f'{share:.1f}% of {whole}, slowest {tally.slowest:.2f} s; caller '
+            f'late by {own_lag_ms:.0f} ms; {unanswered([tally])}',
             whole > 0 and share >= TIMELY_PERCENT,
         )
 
--- a/packages/standins/tanagerbend_standins/load.py
+++ b/packages/standins/tanagerbend_standins/load.py
@@ -60,6 +60,12 @@
         """Calls begun whose answer did not arrive."""
         return self.accepted - self.answered
 
+    @property
+    def slowest(self) -> float:
+        """Seconds of the slowest answer; 0 if there is none."""
+        answers = [one.seconds for one in self.replies if one.is_answer]
+        return max(answers, default=0)
+
     @property
     def unanswered(self) -> Counter[str]:
         """What the other calls got: a result code or an exception."""
