--- a/packages/standins/tanagerbend_standins/tests/test_answers_real.py
+++ b/packages/standins/tanagerbend_standins/tests/test_answers_real.py
@@ -7,8 +7,9 @@
 from tanagerbend_standins import Caller, Fleet, Place, eventually
 
 SHEET = (
-    b'service,work,rank,method,path,deadline_ms\n'
-    b'artwork,plates,3,,/plates,3000\n'
+    b'service,work,rank,method,path,deadline_ms,order\n'
+    b'artwork,plates,3,,/plates,3000,no\n'
+    b'artwork,prints,1,POST,/prints,9000,yes\n'
 )
 PLACES = [
     Place('artwork-1', 'artwork', 'hobart-a', 'tas-south'),
@@ -90,7 +91,7 @@
     """Guards against a resumed daemon that keeps its old sheet (F4)."""
     paused = fleet.nodes[0]
     fleet.pause(paused)
-    await fleet.publish(SHEET + b'artwork,proofs,4,,/proofs,3000\n')
+    await fleet.publish(SHEET + b'artwork,proofs,4,,/proofs,3000,no\n')
 
     async def changed_elsewhere():
         reply = await caller.call('artwork', '/proofs', node=fleet.nodes[1])
@@ -101,3 +102,38 @@
     fleet.resume(paused)
     reply = await caller.call('artwork', '/proofs', node=paused)
     assert reply.is_answer, reply
+
+
+async def test_orders_are_sent_again_and_run_once(fleet, caller):
+    """Guards against orders that run twice when answers are lost (I6)."""
+    for node in fleet.nodes:
+        node.backend.behave(lost=0.3)
+    bodies = [f'order {number}'.encode() for number in range(30)]
+    replies = await asyncio.gather(
+        *(caller.order('artwork', '/prints', body) for body in bodies)
+    )
+    runs = [
+        sum(node.backend.bodies[body] for node in fleet.nodes)
+        for body in bodies
+    ]
+    assert max(runs) == 1
+    assert all(reply.is_final for reply in replies)
+    assert 0 < sum(reply.is_answer for reply in replies) < len(replies)
+
+
+async def test_status_shows_a_host_cut_off_from_the_service(fleet, caller):
+    """Guards against a status that the stand-ins cannot read, and against
+    a host without the service that misses a sheet (F2).
+    """
+    host = fleet.nodes[0].place.host
+    before = await caller.version_at(fleet.nodes[0])
+    fleet.platform.switch(cut_off=frozenset((host,)))
+    await fleet.publish(SHEET + b'artwork,proofs,4,,/proofs,3000,no\n')
+
+    async def changed():
+        versions = [await caller.version_at(node) for node in fleet.nodes]
+        return len(set(versions)) == 1 and versions[0] != before
+
+    assert await eventually(changed, 30)
+    status = await caller.status(fleet.nodes[0])
+    assert status['host'] == host
