Announce along a ring as well, and let calls bring newer versions

Cause: of 4 random targets each adoption misses members, which a sync repairs about a second later. One of the four is now the next member of the domain in an order that all daemons compute alike.

Also, a call whose Tanagerbend-Version is newer now makes the daemon fetch first, or is refused with VERSION_BEHIND; calls with an order key are not refused for this, because "not run" about them may only come from the owner of the key.

--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -144,6 +144,7 @@
     safety = make_safety(settings, sessions[1], roster, client)
     calls = _calls(settings, sessions[0], safety, roster, chance)
     calls.ready = guard.ready
+    calls.catch_up = CatchUp(propagation, recorder)
     drain = make_drain(
         settings,
         make_orders(calls, safety, roster),
@@ -189,7 +190,7 @@
         ),
         sessions,
         guard,
-        CatchUp(propagation, recorder),
+        calls.catch_up,
     )
     store.listeners.append(parts.rebuild_routes)
     roster.listeners.append(parts.rebuild_routes_soon)
--- a/packages/daemon/tanagerbend_daemon/entry.py
+++ b/packages/daemon/tanagerbend_daemon/entry.py
@@ -9,6 +9,7 @@
 from tanagerbend_daemon.call import MAX_HOPS, MILLISECONDS, Answer, Call
 from tanagerbend_daemon.owner import Owner
 from tanagerbend_daemon.peer_hop import peer_proof, read_answer, result_of
+from tanagerbend_distribution import CatchUp
 from tanagerbend_interfaces import BackendRequest, BackendServer, Member
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode, WorkClass, headers
@@ -53,6 +54,8 @@
     ready : callable or None
         Awaited before a call is looked at; waits after a pause.
     budget : RetryBudget
+    catch_up : CatchUp or None
+        Brings the daemon to a newer version that a call carries.
     """
 
     own_host: str
@@ -63,6 +66,7 @@
     recorder: Recorder
     table: RouteTable | None = None
     ready: Callable[[], Awaitable[None]] | None = None
+    catch_up: CatchUp | None = None
     budget: RetryBudget = attrs.field(factory=RetryBudget)
 
     async def handle(self, call: Call) -> Answer | Refusal:
--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -119,12 +119,31 @@
         match call:
             case Refusal():
                 return self._refuse(call, named)
+        behind = await self._catch_up(request, call)
+        if behind is not None:
+            return self._refuse(behind, named or call.request_id)
         outcome = await (self.drain or self.handler).handle(call)
         match outcome:
             case Refusal():
                 return self._refuse(outcome, named or call.request_id)
         return await self._pass_on(request, call, outcome)
 
+    async def _catch_up(
+        self,
+        request: web.BaseRequest,
+        call: Call,
+    ) -> Refusal | None:
+        text = request.headers.get(headers.VERSION)
+        if text is None or self.handler.catch_up is None:
+            return None
+        sender = request.headers.get(headers.SENDER, '')
+        refusal = await self.handler.catch_up.await_text(
+            text,
+            sender if call.instance else '',
+        )
+        # "Not run" about an order may only come from the owner of its key.
+        return None if call.order_key else refusal
+
     async def read_call(self, request: web.BaseRequest) -> Call | Refusal:
         """Read the headers, and the body if it is small."""
         limits = read_limits(request.headers, self.recorder.timer.now())
--- a/packages/distribution/tanagerbend_distribution/catching_up.py
+++ b/packages/distribution/tanagerbend_distribution/catching_up.py
@@ -1,6 +1,7 @@
 """Versions that calls carry, and what a pause leaves unverified."""
 
 import asyncio
+import functools
 from typing import Final
 
 from tanagerbend_distribution.propagation import Propagation
@@ -14,12 +15,14 @@
 ATTEMPT_SECONDS: Final = 0.5
 PEERS_AFTER_PAUSE: Final = 3
 VERSION_PARTS: Final = 3
+CACHED_TEXTS: Final = 64
 MAX_VERSION_TEXT: Final = 100
 MAX_REVISION_DIGITS: Final = 18
 
 Position = tuple[tuple[int, ...], int]
 
 
+@functools.lru_cache(maxsize=CACHED_TEXTS)
 def read_position(text: str) -> Position | None:
     """Return the position that the text of a version names, if any.
 
@@ -67,6 +70,13 @@
         version = self.propagation.version
         return version is None or position > version.position
 
+    async def await_text(self, text: str, sender: str) -> Refusal | None:
+        """Await the version of a header; a text that names none is fine."""
+        position = read_position(text)
+        if position is None:
+            return None
+        return await self.await_version(position, sender)
+
     async def await_version(
         self,
         position: Position,
--- a/packages/distribution/tanagerbend_distribution/propagation.py
+++ b/packages/distribution/tanagerbend_distribution/propagation.py
@@ -18,12 +18,19 @@
     Sync,
     Update,
 )
-from tanagerbend_membership import Comparison, Roster, compare, lacking
+from tanagerbend_membership import (
+    Comparison,
+    Roster,
+    compare,
+    lacking,
+    weight,
+)
 from tanagerbend_membership.records import BUCKETS
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, Version
 
 FANOUT: Final = 4
+RING: Final = 'ring'
 ANNOUNCE_TIMEOUT_SECONDS: Final = 2.0
 SYNC_TIMEOUT_SECONDS: Final = 2.0
 OWN_DOMAIN_SHARE: Final = 0.5
@@ -119,13 +126,16 @@
         )
 
     def announce_targets(self) -> list[Member]:
-        """Return random members of the own domain and, for a reader,
-        one of each other domain.
+        """Return members of the own domain, one of them the next in the
+        ring and the others random, and for a reader one of each other
+        domain.
         """
         if not self.roster.readers_per_domain:
             return []
         near = self._near()
         targets = self.random.sample(near, min(FANOUT, len(near)))
+        if len(near) > FANOUT:
+            targets[0] = self._next_in_ring(near)
         if self.roster.is_reader:
             domains: dict[str, list[Member]] = {}
             for member in self.roster.reachable():
@@ -134,6 +144,14 @@
             targets.extend(map(self.random.choice, domains.values()))
         return targets
 
+    def _next_in_ring(self, near: tuple[Member, ...]) -> Member:
+        # Of 4 random targets alone, each adoption misses 2% of the domain,
+        # which a sync repairs a second later.  If every member announces
+        # to its successor too, nobody alive is left out.
+        own = weight(self.roster.own_host, RING)
+        later = [one for one in near if weight(one.host, RING) > own]
+        return min(later or near, key=lambda one: weight(one.host, RING))
+
     def _near(self) -> tuple[Member, ...]:
         own_domain = self.roster.own.failure_domain
         return self.roster.index.view(
--- a/packages/membership/tanagerbend_membership/readers.py
+++ b/packages/membership/tanagerbend_membership/readers.py
@@ -8,6 +8,7 @@
 from tanagerbend_interfaces import Member
 
 READERS_PER_DOMAIN: Final = 2
+# Two purposes for each member of the target size.
 CACHED_WEIGHTS: Final = 16384
 
 
