Send small answers in one write

The headers of an answer left in a write of their own, and each chunk had its own timeout. Small answers now leave with their headers, and only streams are guarded against callers that take nothing.

--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -5,12 +5,13 @@
 import re
 import secrets
 from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, nullcontext
 from typing import Any, Final
 
 from aiohttp import web
 
 from tanagerbend_daemon.body import close_body
-from tanagerbend_daemon.call import Answer, Call, read_limits
+from tanagerbend_daemon.call import Answer, Call, header_of, read_limits
 from tanagerbend_daemon.cutting import cut
 from tanagerbend_daemon.drain import Drain
 from tanagerbend_daemon.entry import CallHandler
@@ -226,7 +227,9 @@
         answer: Answer,
     ) -> web.StreamResponse:
         named = request.headers.get(headers.REQUEST_ID) or call.request_id
-        response = web.StreamResponse(status=answer.status)
+        is_small = _is_small(answer)
+        make_response = CoalescedResponse if is_small else web.StreamResponse
+        response = make_response(status=answer.status)
         self._close_at_stop(response)
         for name, text in answer.header_pairs:
             if name.lower() not in NOT_PASSED_ON:
@@ -236,7 +239,11 @@
             own[headers.LOAD] = answer.load
         response.headers.update(own)
         try:
-            await _write(request, response, answer.chunks)
+            await response.prepare(request)
+            async for chunk in answer.chunks:
+                async with _stall_limit(is_small=is_small):
+                    await response.write(chunk)
+            await response.write_eof()
         except (ConnectionError, TimeoutError):
             self.recorder.count('answers_cut')
             cut(request.transport)
@@ -245,16 +252,21 @@
         return response
 
 
-async def _write(
-    request: web.BaseRequest,
-    response: web.StreamResponse,
-    chunks: AsyncIterator[bytes],
-) -> None:
-    await response.prepare(request)
-    async for chunk in chunks:
-        async with asyncio.timeout(STALL_SECONDS):
-            await response.write(chunk)
-    await response.write_eof()
+class CoalescedResponse(web.StreamResponse):
+    """Response whose headers are sent together with the first chunk."""
+
+    _send_headers_immediately = False
+
+
+def _is_small(answer: Answer) -> bool:
+    length = header_of(answer.header_pairs, 'Content-Length')
+    is_number = length.isascii() and length.isdecimal() and len(length) < 9
+    return is_number and int(length) <= MAX_HELD_BYTES
+
+
+def _stall_limit(*, is_small: bool) -> AbstractAsyncContextManager[Any]:
+    # The write buffer takes a small answer without waiting.
+    return nullcontext() if is_small else asyncio.timeout(STALL_SECONDS)
 
 
 async def _continue(request: web.BaseRequest) -> None:
