Grant free slots with less work, and try old estimates

A class with a wrong estimate was refused for as long as other work of its rank ran, since only calls that run correct an estimate. After 2 s without an observation one call of the class is now tried. The estimates are bounded in number.

A free slot is granted without the prediction of a wait, and headers that are missing are not matched.

--- a/packages/admission/tanagerbend_admission/estimate.py
+++ b/packages/admission/tanagerbend_admission/estimate.py
@@ -14,6 +14,11 @@
 # lognormal times.
 SLOW_DEVIATIONS: Final = 6
 
+# Sheets of later days name other classes; the oldest are dropped.
+MAX_CLASSES: Final = 1024
+# A class whose calls were all refused for this time may try one.
+TRY_SECONDS: Final = 2.0
+
 
 @attrs.define
 class ServiceTime:
@@ -28,19 +33,23 @@
         Of the last few hundred calls.
     deviation : float
         Mean absolute deviation of the last twenty or so calls.
+    seen : float
+        Monotonic seconds of the last observation or try.
     """
 
     mean: float
     normal: float
     deviation: float
+    seen: float
 
     @property
     def slow(self) -> float:
         """Time within which nearly all calls end."""
         return self.normal + SLOW_DEVIATIONS * self.deviation
 
-    def observe(self, used: float) -> None:
+    def observe(self, used: float, now: float) -> None:
         """Add the time of one call."""
+        self.seen = now
         self.mean += RECENT_WEIGHT * (used - self.mean)
         self.normal += NORMAL_WEIGHT * (used - self.normal)
         distance = abs(used - self.normal)
@@ -56,7 +65,7 @@
     >>> times = ServiceTimes()
     >>> times.mean('plates')
     0.0
-    >>> times.observe('plates', 0.05)
+    >>> times.observe('plates', 0.05, 7.0)
     1.0
     >>> times.mean('plates')
     0.05
@@ -65,15 +74,17 @@
     def __init__(self) -> None:
         self.classes: dict[str, ServiceTime] = {}
 
-    def observe(self, work: str, used: float) -> float:
+    def observe(self, work: str, used: float, now: float) -> float:
         """Add a time; return its ratio to the normal time of the class."""
         known = self.classes.get(work)
         if known is None:
+            if len(self.classes) >= MAX_CLASSES:
+                self.classes.pop(next(iter(self.classes)))
             deviation = used * FIRST_DEVIATION
-            self.classes[work] = ServiceTime(used, used, deviation)
+            self.classes[work] = ServiceTime(used, used, deviation, now)
             return 1.0
         ratio = used / known.normal if known.normal else 1.0
-        known.observe(used)
+        known.observe(used, now)
         return ratio
 
     def mean(self, work: str) -> float:
@@ -86,7 +97,10 @@
         known = self.classes.get(work)
         return 0.0 if known is None else known.slow
 
-    def retain(self, works: frozenset[str]) -> None:
-        """Drop the classes that the sheet in force no longer lists."""
-        for work in self.classes.keys() - works:
-            self.classes.pop(work)
+    def may_try(self, work: str, now: float) -> bool:
+        """Return whether a call may test an estimate that is old."""
+        known = self.classes.get(work)
+        if known is None or now - known.seen < TRY_SECONDS:
+            return False
+        known.seen = now
+        return True
--- a/packages/admission/tanagerbend_admission/ranked.py
+++ b/packages/admission/tanagerbend_admission/ranked.py
@@ -102,11 +102,15 @@
         """Wait for a slot; None means that the caller holds one."""
         now = self.timer.now()
         self.usage.advance(now)
-        queue = self.queues.setdefault(ticket.rank, RankQueue())
-        refusal = self._judge(ticket, queue, now)
+        queue = self.queues.get(ticket.rank)
+        if queue is None:
+            queue = RankQueue()
+            self.queues[ticket.rank] = queue
+        is_free = self.running < self.limit.calls and not self.waiting
+        refusal = self._judge(ticket, queue, now, is_free=is_free)
         if refusal is not None:
             return refusal
-        if self.running < self.limit.calls and not self.waiting:
+        if is_free:
             queue.charge(ticket.tenant, self.times.mean(ticket.work))
             self._grant(ticket, 0.0)
             return None
@@ -144,7 +148,7 @@
         self.queues[ticket.rank].correct(ticket.tenant, used - expected)
         ratio = 1.0
         if outcome in {Outcome.SERVED, Outcome.FAILED}:
-            ratio = self.times.observe(ticket.work, used)
+            ratio = self.times.observe(ticket.work, used, now)
         self.limit.observe(now, outcome, ratio)
         self.floods.expire(now)
         self._serve(now)
@@ -154,36 +158,47 @@
         ticket: Ticket,
         queue: RankQueue,
         now: float,
+        *,
+        is_free: bool,
     ) -> Refusal | None:
         """Refuse a call that is predicted to be too late."""
-        own = self.times.mean(ticket.work)
         if now >= ticket.deadline:
             return TOO_LATE
-        pace = self._pace(ticket.rank, own)
-        wait = pace * (queue.ahead_of(ticket) + 1)
+        own = self.times.mean(ticket.work)
+        if is_free:
+            self.floods.clear(ticket.rank)
+            is_late = now + own > ticket.deadline
+        else:
+            is_late = self._is_late(ticket, queue, now, own)
+        if not is_late or not (queue.count or self._is_running(ticket.rank)):
+            return None
+        # Only a call that runs can correct a wrong estimate.
+        return None if self.times.may_try(ticket.work, now) else UNREACHABLE
+
+    def _is_late(
+        self,
+        ticket: Ticket,
+        queue: RankQueue,
+        now: float,
+        own: float,
+    ) -> bool:
+        """Predict the end of a call that has to wait."""
+        slots = self.limit.calls
+        pace = own / (slots * self.shares.available(ticket.rank, slots))
         in_time = ticket.target - self._margin(ticket)
         # The state of the rank is judged by its whole queue, because a
         # tenant that waits little would hide the flood of another one.
         if pace * (queue.count + 1) > in_time:
-            self.floods.press(now, ticket.rank, own, self.limit.calls)
+            self.floods.press(now, ticket.rank, own, slots)
         else:
             self.floods.clear(ticket.rank)
-        if not self.usage.running.get(ticket.rank) and not queue.count:
-            # Only a call that runs can correct a wrong estimate.
-            return None
-        is_pressed = self.floods.is_pressed(ticket.rank)
-        if now + wait + own > ticket.deadline or (
-            is_pressed and wait > in_time
-        ):
-            return UNREACHABLE
-        return None
+        wait = pace * (queue.ahead_of(ticket) + 1)
+        if now + wait + own > ticket.deadline:
+            return True
+        return wait > in_time and self.floods.is_pressed(ticket.rank)
 
-    def _pace(self, rank: int, own: float) -> float:
-        """Return the seconds between two slots that a rank gets."""
-        slots = self.limit.calls
-        if self.running < slots and not self.waiting:
-            return 0.0
-        return own / (slots * self.shares.available(rank, slots))
+    def _is_running(self, rank: int) -> bool:
+        return bool(self.usage.running.get(rank))
 
     def _margin(self, ticket: Ticket) -> float:
         """Time kept for running, so that accepted calls are on time."""
--- a/packages/admission/tanagerbend_admission/tests/test_ranked.py
+++ b/packages/admission/tanagerbend_admission/tests/test_ranked.py
@@ -66,6 +66,24 @@
     assert desk.done == [('probe', None)]
 
 
+async def test_wrong_estimate_is_tried_while_its_rank_is_busy(make_desk):
+    """Guards against a class refused for ever behind other work."""
+    desk = make_desk(slots=2)
+    await desk.learn(60.0)
+    busy = desk.offer('busy', seconds=1000, within=2000)
+    await desk.timer.settle()
+    await desk.timer.advance(1)
+    await desk.pass_through([desk.offer('early', seconds=0.1, within=9)])
+    await desk.timer.advance(2)
+    await desk.pass_through([desk.offer('later', seconds=0.1, within=9)])
+    assert desk.done == [
+        ('busy', None),
+        ('early', 'DEADLINE_UNREACHABLE'),
+        ('later', None),
+    ]
+    busy.cancel()
+
+
 async def test_waiting_call_is_refused_when_its_deadline_passes(make_desk):
     """Guards against calls that wait for ever behind a stuck slot."""
     desk = make_desk()
--- a/packages/daemon/tanagerbend_daemon/call.py
+++ b/packages/daemon/tanagerbend_daemon/call.py
@@ -13,6 +13,7 @@
 TENANT: Final = re.compile('[A-Za-z0-9._-]{1,64}')
 MAX_DEADLINE_MS: Final = 3_600_000
 MILLISECONDS: Final = 1000
+MAX_DIGITS: Final = 9
 
 HeaderPairs = tuple[tuple[str, str], ...]
 
@@ -140,8 +141,10 @@
     now : float
         Monotonic seconds.
     """
-    tenant = received.get(headers.TENANT, DEFAULT_TENANT)
-    if TENANT.fullmatch(tenant) is None:
+    tenant = received.get(headers.TENANT)
+    if tenant is None:
+        tenant = DEFAULT_TENANT
+    elif TENANT.fullmatch(tenant) is None:
         return _invalid(headers.TENANT, tenant)
     rank = _number(received, headers.RANK, 9)
     if rank is None:
@@ -163,8 +166,11 @@
     name: str,
     highest: int,
 ) -> int | None:
-    text = received.get(name, '0')
-    if re.fullmatch('[0-9]{1,9}', text) and int(text) <= highest:
+    text = received.get(name)
+    if text is None:
+        return 0
+    is_number = text.isascii() and text.isdecimal()
+    if is_number and len(text) <= MAX_DIGITS and int(text) <= highest:
         return int(text)
     return None
 
--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -166,6 +166,8 @@
         then look right.  Its id is kept as the beginning.
         """
         unique = f'{self.prefix}-{next(self.numbers):x}'
+        if not named:
+            return unique
         named = named.partition('.')[0]
         if NAMED_ID.fullmatch(named) is None:
             return unique
@@ -214,7 +216,7 @@
         request_id: str,
     ) -> dict[str, str]:
         own = {headers.RESULT: str(int(code)), headers.RAN: ran.value}
-        if request_id.isprintable() and request_id.isascii():
+        if request_id.isascii() and request_id.isprintable():
             own[headers.REQUEST_ID] = request_id
         if self.handler.table is not None:
             own[headers.VERSION] = self.handler.table.version_text
