--- a/packages/daemon/tanagerbend_daemon/operators.py
+++ b/packages/daemon/tanagerbend_daemon/operators.py
@@ -11,7 +11,7 @@
 from mode import Service
 from prometheus_client import CONTENT_TYPE_LATEST
 
-from tanagerbend_daemon import views
+from tanagerbend_daemon import explanations, views
 from tanagerbend_daemon.assembly import Parts
 from tanagerbend_daemon.floods import PERIOD_SECONDS, FloodWatch
 from tanagerbend_metrics import expose
@@ -21,6 +21,8 @@
 # The only path that needs no token: it says nothing but that the process
 # answers, and load balancers that ask it hold no secrets.
 OPEN_PATH: Final = '/health'
+# Reason of a drain that an operator asked for.
+OPERATOR: Final = 'operator'
 # Reason to drain, beside the host list and the backend server itself.
 OPERATOR: Final = 'operator'
 
@@ -63,6 +65,7 @@
                 web.get('/counters', self.counters),
                 web.get('/journal', self.journal),
                 web.get('/explain', self.explain),
+                web.get('/order', self.order),
                 web.get('/sheet', self.sheet),
                 web.post('/drain', self.drain),
                 web.post('/undrain', self.undrain),
@@ -163,7 +166,8 @@
         text = request.query.get('since', '0')
         since = _finite(text)
         if since is None:
-            return self._invalid('since', text)
+            refusal = Refusal(ResultCode.QUERY_INVALID, f'since: {text!r}')
+            return self.refuse(refusal, HTTPStatus.BAD_REQUEST)
         return web.json_response(
             {
                 'host': self.parts.roster.own_host,
@@ -177,7 +181,7 @@
 
     async def explain(self, request: web.Request) -> web.Response:
         """Answer which row and instances a request is routed to."""
-        found = views.explain(
+        found = explanations.explain(
             self.parts,
             request.query.get('service', ''),
             request.query.get('method', 'GET'),
@@ -188,6 +192,17 @@
                 return self.refuse(found, HTTPStatus.NOT_FOUND)
         return web.json_response(found)
 
+    async def order(self, request: web.Request) -> web.Response:
+        """Answer who owns the order key ``?key=`` and what it knows."""
+        found = explanations.explain_order(
+            self.parts,
+            request.query.get('key', ''),
+        )
+        match found:
+            case Refusal():
+                return self.refuse(found, HTTPStatus.NOT_FOUND)
+        return web.json_response(found)
+
     async def sheet(self, _request: web.Request) -> web.Response:
         """Answer with the bytes of the sheet in force."""
         current = self.parts.store.current
@@ -209,14 +224,10 @@
         return web.json_response(views.status(self.parts))
 
     async def undrain(self, _request: web.Request) -> web.Response:
-        """Take new work again, unless another reason to drain holds."""
+        """Take new work again, unless there are other reasons."""
         await self.parts.drain.undrain(OPERATOR)
         return web.json_response(views.status(self.parts))
 
-    def _invalid(self, name: str, text: str) -> web.Response:
-        refusal = Refusal(ResultCode.QUERY_INVALID, f'{name}: {text!r}')
-        return self.refuse(refusal, HTTPStatus.BAD_REQUEST)
-
 
 def _finite(text: str) -> float | None:
     try:
--- a/packages/daemon/tanagerbend_daemon/outbound.py
+++ b/packages/daemon/tanagerbend_daemon/outbound.py
@@ -84,7 +84,7 @@
             return Refusal(ResultCode.DEADLINE_PASSED, 'before it was sent')
         limit = asyncio.timeout(None)
         patience = remaining / 2 if _may_repeat(request) else 0
-        attempt = Attempt(limit, patience)
+        attempt = Attempt(limit, patience, request.send_before)
         try:
             async with limit:
                 response = await self._send(request, remaining, attempt)
--- a/packages/quarantine/tanagerbend_quarantine/quarantine.py
+++ b/packages/quarantine/tanagerbend_quarantine/quarantine.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from tanagerbend_metrics import Recorder
+from tanagerbend_metrics import Event, Recorder
 
 QUARANTINE_SECONDS: Final = 600.0
 MAX_FINGERPRINTS: Final = 10_000
@@ -156,7 +156,7 @@
         for convict in notice.convicted:
             self.suspects.pop(convict, None)
             self._add(self.convicts, convict)
-            self.recorder.note('request_convicted', convict.hex())
+            self.recorder.note(Event.REQUEST_CONVICTED, convict.hex())
 
     def snapshot(self) -> Notice:
         """Return everything, for a daemon that has just started."""
