Let readers tell a host that the host list says it is leaving

Cause: only readers watch the host list; other daemons read it every 300 s, so that a leaving instance could take new work for minutes. A hint changes no roster: it is the receiver's own record without a new sequence.

--- a/packages/daemon/tanagerbend_daemon/control.py
+++ b/packages/daemon/tanagerbend_daemon/control.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from tanagerbend_daemon.leaving import LeavingHints
 from tanagerbend_daemon.suspect_notices import SuspectNotices
 from tanagerbend_distribution import Propagation
 from tanagerbend_interfaces import Ack, Message, Ping, Suspects, Update
@@ -21,6 +22,7 @@
     detector : Detector
     propagation : Propagation
     suspects : SuspectNotices
+    hints : LeavingHints
     recorder : Recorder
     """
 
@@ -28,6 +30,7 @@
     detector: Detector
     propagation: Propagation
     suspects: SuspectNotices
+    hints: LeavingHints
     recorder: Recorder
 
     async def answer(self, sender: str, message: Message) -> Message | Refusal:
@@ -37,6 +40,7 @@
             case Ping(target=target):
                 return await self.detector.answer_ping(target)
             case Update(members=members):
+                self.hints.take(members)
                 changes = self.roster.merge(members)
                 self.detector.notifier.forward(changes)
                 return Ack()
--- a/packages/daemon/tanagerbend_daemon/leaving.py
+++ b/packages/daemon/tanagerbend_daemon/leaving.py
@@ -1,5 +1,7 @@
 """Watch for signs that the backend server beside is leaving."""
 
+import asyncio
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Final
 
@@ -10,12 +12,85 @@
     BackendRequest,
     BackendResponse,
     BackendServer,
+    Member,
+    MemberState,
+    PeerTransport,
+    Update,
 )
 from tanagerbend_membership import Roster
 
 # Two periods and a probe stay within the 3 s in which new work must stop.
 CHECK_SECONDS: Final = 1.0
 PROBE_SECONDS: Final = 0.8
+REPEAT_SECONDS: Final = 10.0
+# A hint holds for three repetitions, since some may be lost.
+HINT_SECONDS: Final = 35.0
+
+
+class LeavingHints:
+    """Readers tell a host that the host list says it is leaving.
+
+    Explanation
+    ===========
+
+    Only readers watch the host list.  A hint is the receiver's own record
+    with the state ``DRAINING`` and without a new sequence, so that it
+    changes no roster.
+
+    Parameters
+    ==========
+
+    roster : Roster
+    transport : PeerTransport
+    """
+
+    def __init__(self, roster: Roster, transport: PeerTransport) -> None:
+        self.roster = roster
+        self.timer = roster.timer
+        self.transport = transport
+        self.taken = float('-inf')
+        self.told: dict[str, float] = {}
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether a reader gave a hint a short time ago."""
+        return self.timer.now() - self.taken < HINT_SECONDS
+
+    def take(self, members: Iterable[Member]) -> None:
+        """Note a hint among the records of an update."""
+        own = self.roster.own
+        for member in members:
+            if (member.host, member.incarnation) == (own.host, own.incarnation):
+                if member.state is MemberState.DRAINING:
+                    self.taken = self.timer.now()
+
+    async def tell(self) -> None:
+        """Send hints to the listed hosts that are leaving."""
+        now = self.timer.now()
+        leaving = {
+            host.host for host in self.roster.listed.values() if host.leaving
+        }
+        members = [
+            member for member in self.roster.others() if member.host in leaving
+        ]
+        due = [
+            member
+            for member in members
+            if now - self.told.get(member.host, float('-inf')) >= REPEAT_SECONDS
+        ]
+        self.told = {
+            host: when for host, when in self.told.items() if host in leaving
+        }
+        self.told.update((member.host, now) for member in due)
+        await asyncio.gather(*(self._tell(member) for member in due))
+
+    async def _tell(self, member: Member) -> None:
+        hint = attrs.evolve(member, state=MemberState.DRAINING)
+        await self.transport.request(
+            member.peer_address,
+            Update((hint,)),
+            PROBE_SECONDS,
+        )
 
 
 @attrs.define
@@ -28,6 +103,9 @@
     drain : Drain
     roster : Roster
     backend : BackendServer
+    hints : LeavingHints
+    is_reader : callable
+        Whether this daemon watches the host list.
     ready_path : str
         Answered with status 503 while the backend server drains; empty if
         it reports no readiness.
@@ -36,13 +114,18 @@
     drain: Drain
     roster: Roster
     backend: BackendServer
+    hints: LeavingHints
+    is_reader: Callable[[], bool]
     ready_path: str = ''
 
     async def check(self) -> None:
         """Look at the host list and at the readiness once."""
         listed = self.roster.listed.get(self.roster.own_host)
-        is_leaving = listed is not None and listed.leaving
+        is_listed = listed is not None and listed.leaving
+        is_leaving = is_listed or self.hints.is_leaving
         await self._note('host list', is_leaving=is_leaving)
+        if self.is_reader():
+            await self.hints.tell()
         if self.ready_path:
             await self._probe()
 
--- a/packages/daemon/tanagerbend_daemon/safety.py
+++ b/packages/daemon/tanagerbend_daemon/safety.py
@@ -6,6 +6,7 @@
 from tanagerbend_daemon.containment import GuardedBackend
 from tanagerbend_daemon.drain import Drain
 from tanagerbend_daemon.entry import CallHandler
+from tanagerbend_daemon.leaving import LeavingHints
 from tanagerbend_daemon.order_hop import HttpOrderHop
 from tanagerbend_daemon.order_owner import OrderGate, OrderOwner
 from tanagerbend_daemon.order_path import OrderPath
@@ -31,11 +32,13 @@
     notices : SuspectNotices
     backend : GuardedBackend
         Contains the gate.
+    hints : LeavingHints
     """
 
     gate: OrderGate
     notices: SuspectNotices
     backend: GuardedBackend
+    hints: LeavingHints
 
     @property
     def quarantine(self) -> Quarantine:
@@ -61,7 +64,8 @@
     quarantine = Quarantine(recorder)
     notices = SuspectNotices(quarantine, roster, transport)
     guarded = GuardedBackend(gate, settings.host.service, quarantine, notices)
-    return Safety(gate, notices, guarded)
+    hints = LeavingHints(roster, transport)
+    return Safety(gate, notices, guarded, hints)
 
 
 def make_orders(
