--- a/packages/daemon/tanagerbend_daemon/tests/control_fleet.py
+++ b/packages/daemon/tanagerbend_daemon/tests/control_fleet.py
@@ -4,6 +4,7 @@
 import random
 
 from tanagerbend_daemon.control import ControlHandler
+from tanagerbend_daemon.leaving import LeavingHints
 from tanagerbend_daemon.suspect_notices import SuspectNotices
 from tanagerbend_distribution import (
     Bootstrap,
@@ -132,6 +133,7 @@
             self.detector,
             self.propagation,
             SuspectNotices(Quarantine(self.recorder), self.roster, self),
+            LeavingHints(self.roster, self),
             self.recorder,
         )
         self.reader = PlatformReader(
