--- a/packages/daemon/tanagerbend_daemon/listener.py
+++ b/packages/daemon/tanagerbend_daemon/listener.py
@@ -8,6 +8,7 @@
 
 BACKLOG: Final = 1024
 POLL_SECONDS: Final = 0.02
+SETTLE_ROUNDS: Final = 5
 # Time in which an idle connection may still send a request at a stop.
 LINGER_SECONDS: Final = 1.0
 
@@ -45,13 +46,18 @@
         """
         if self.socket is None:
             return
+        loop = asyncio.get_running_loop()
+        loop.remove_reader(self.socket.fileno())
+        # Connections that asyncio has accepted, but not yet set up, would
+        # be dropped with the server that accepted them.
+        for _ in range(SETTLE_ROUNDS):
+            await asyncio.sleep(0)
         duplicate = self.socket.dup()
         for site in list(self.runner.sites):
             await site.stop()
         accepted = _accept_all(duplicate)
         duplicate.close()
         self.socket = None
-        loop = asyncio.get_running_loop()
         for connection in accepted:
             await loop.connect_accepted_socket(self.runner.server, connection)
         await self._linger()
