Do not run an order that waited in a socket of a paused process

Cause: the time left in the header of a call counts from its sending. While the owner was stopped by SIGSTOP an order waited in its socket buffer, and after SIGCONT it ran although its deadline had long passed. The daemon now measures gaps of its event loop and takes the last gap off the time left of orders that it reads soon after.

--- a/packages/daemon/tanagerbend_daemon/order_path.py
+++ b/packages/daemon/tanagerbend_daemon/order_path.py
@@ -15,6 +15,7 @@
 )
 from tanagerbend_daemon.order_hop import Lost, OrderHop
 from tanagerbend_daemon.order_owner import Outcome, OrderOwner
+from tanagerbend_daemon.stalls import Stalls
 from tanagerbend_interfaces import Member, MemberState
 from tanagerbend_membership import Roster
 from tanagerbend_metrics import Recorder
@@ -49,6 +50,7 @@
     hop : OrderHop
     roster : Roster
     recorder : Recorder
+    stalls : Stalls or None
     """
 
     calls: CallHandler
@@ -57,6 +59,7 @@
     hop: OrderHop
     roster: Roster
     recorder: Recorder
+    stalls: Stalls | None = None
 
     async def handle(self, call: Call) -> Outcome:
         """Answer a call or a request to the orders resource."""
@@ -101,7 +104,8 @@
         if route is not None:
             longest = route.work.deadline_ms / MILLISECONDS
         latest = self.recorder.timer.now() + longest
-        return attrs.evolve(call, deadline=min(call.deadline, latest))
+        waited = 0.0 if self.stalls is None else self.stalls.seconds()
+        return attrs.evolve(call, deadline=min(call.deadline, latest) - waited)
 
     async def _send(self, key: OrderKey, call: Call) -> Outcome:
         if call.instance or key.host == self.roster.own_host:
--- a/packages/daemon/tanagerbend_daemon/safety.py
+++ b/packages/daemon/tanagerbend_daemon/safety.py
@@ -12,6 +12,7 @@
 from tanagerbend_daemon.order_path import OrderPath
 from tanagerbend_daemon.order_watch import OrderWatch
 from tanagerbend_daemon.outbound import HttpServer
+from tanagerbend_daemon.stalls import Stalls
 from tanagerbend_daemon.suspect_notices import SuspectNotices
 from tanagerbend_interfaces import PeerTransport
 from tanagerbend_membership import Detector, Roster
@@ -88,6 +89,7 @@
         HttpOrderHop(calls),
         roster,
         roster.recorder,
+        Stalls(roster.timer),
     )
 
 
--- a/packages/daemon/tanagerbend_daemon/services.py
+++ b/packages/daemon/tanagerbend_daemon/services.py
@@ -9,6 +9,7 @@
 from tanagerbend_daemon.front import CallServer
 from tanagerbend_daemon.leaving import CHECK_SECONDS
 from tanagerbend_daemon.operators import OperatorService
+from tanagerbend_daemon.stalls import BEAT_SECONDS
 from tanagerbend_interfaces import MemberState
 
 EXPIRY_SECONDS = 5.0
@@ -39,6 +40,7 @@
             (peers.sync_seconds, parts.propagation.sync_round),
             (EXPIRY_SECONDS, self.expire),
             (CHECK_SECONDS, parts.leaving.check),
+            (BEAT_SECONDS, parts.orders.stalls.beat),
         )
         for seconds, callback in periodic:
             # Daemons that start together do not send together.
