--- a/packages/daemon/tanagerbend_daemon/safety.py
+++ b/packages/daemon/tanagerbend_daemon/safety.py
@@ -6,11 +6,13 @@
 from tanagerbend_daemon.containment import GuardedBackend
 from tanagerbend_daemon.drain import Drain
 from tanagerbend_daemon.entry import CallHandler
+from tanagerbend_daemon.leaving import LeavingHints
 from tanagerbend_daemon.order_hop import HttpOrderHop
 from tanagerbend_daemon.order_owner import OrderGate, OrderOwner
 from tanagerbend_daemon.order_path import OrderPath
 from tanagerbend_daemon.order_watch import OrderWatch
 from tanagerbend_daemon.outbound import HttpServer
+from tanagerbend_daemon.stalls import Stalls
 from tanagerbend_daemon.suspect_notices import SuspectNotices
 from tanagerbend_interfaces import PeerTransport
 from tanagerbend_membership import Detector, Roster
@@ -31,11 +33,13 @@
     notices : SuspectNotices
     backend : GuardedBackend
         Contains the gate.
+    hints : LeavingHints
     """
 
     gate: OrderGate
     notices: SuspectNotices
     backend: GuardedBackend
+    hints: LeavingHints
 
     @property
     def quarantine(self) -> Quarantine:
@@ -61,7 +65,8 @@
     quarantine = Quarantine(recorder)
     notices = SuspectNotices(quarantine, roster, transport)
     guarded = GuardedBackend(gate, settings.host.service, quarantine, notices)
-    return Safety(gate, notices, guarded)
+    hints = LeavingHints(roster, transport)
+    return Safety(gate, notices, guarded, hints)
 
 
 def make_orders(
@@ -84,6 +89,7 @@
         HttpOrderHop(calls),
         roster,
         roster.recorder,
+        Stalls(roster.timer),
     )
 
 
