Tell a hint of a reader from an echo; make the bounds of orders settings

Cause: a drain asked for by an operator could not be withdrawn for 35 s, because the own announcement, passed on by other daemons, came back and was taken for a hint that the host list says leaving.

--- a/packages/daemon/tanagerbend_daemon/leaving.py
+++ b/packages/daemon/tanagerbend_daemon/leaving.py
@@ -22,6 +22,7 @@
 # Two periods and a probe stay within the 3 s in which new work must stop.
 CHECK_SECONDS: Final = 1.0
 PROBE_SECONDS: Final = 0.8
+HINT_SEQUENCE: Final = 0
 REPEAT_SECONDS: Final = 10.0
 # A hint holds for three repetitions, since some may be lost.
 HINT_SECONDS: Final = 35.0
@@ -34,8 +35,8 @@
     ===========
 
     Only readers watch the host list.  A hint is the receiver's own record
-    with the state ``DRAINING`` and without a new sequence, so that it
-    changes no roster.
+    with the state ``DRAINING`` and the sequence 0, so that it changes no
+    roster and differs from an echo of the receiver's own announcement.
 
     Parameters
     ==========
@@ -61,7 +62,7 @@
         own = self.roster.own
         for member in members:
             if (member.host, member.incarnation) == (own.host, own.incarnation):
-                if member.state is MemberState.DRAINING:
+                if member.sequence == HINT_SEQUENCE:
                     self.taken = self.timer.now()
 
     async def tell(self) -> None:
@@ -85,7 +86,11 @@
         await asyncio.gather(*(self._tell(member) for member in due))
 
     async def _tell(self, member: Member) -> None:
-        hint = attrs.evolve(member, state=MemberState.DRAINING)
+        hint = attrs.evolve(
+            member,
+            state=MemberState.DRAINING,
+            sequence=HINT_SEQUENCE,
+        )
         await self.transport.request(
             member.peer_address,
             Update((hint,)),
--- a/packages/daemon/tanagerbend_daemon/safety.py
+++ b/packages/daemon/tanagerbend_daemon/safety.py
@@ -16,7 +16,7 @@
 from tanagerbend_daemon.suspect_notices import SuspectNotices
 from tanagerbend_interfaces import PeerTransport
 from tanagerbend_membership import Detector, Roster
-from tanagerbend_orders import Ledger, PermitIssuer
+from tanagerbend_orders import Ledger, LedgerLimits, PermitIssuer
 from tanagerbend_quarantine import Quarantine
 from tanagerbend_settings import Settings
 
@@ -56,10 +56,21 @@
     """Wire the steps between admission and the backend server."""
     recorder = roster.recorder
     server = HttpServer(session, settings.addresses.backend, recorder.timer)
-    issuer = PermitIssuer(settings.peers.shared_key.encode(), recorder.timer)
+    limits = settings.orders
+    issuer = PermitIssuer(
+        settings.peers.shared_key.encode(),
+        recorder.timer,
+        limits.key_seconds,
+    )
+    ledger_limits = LedgerLimits(
+        limits.records,
+        limits.voids,
+        limits.answer_bytes,
+        limits.body_bytes,
+    )
     gate = OrderGate(
         OrderWatch(server, issuer, recorder),
-        Ledger(recorder),
+        Ledger(recorder, ledger_limits),
         issuer,
     )
     quarantine = Quarantine(recorder)
--- a/packages/daemon/tanagerbend_daemon/tests/test_drain.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_drain.py
@@ -120,6 +120,16 @@
     assert host.roster.own.state is MemberState.LIVE
 
 
+async def test_echo_of_an_own_announcement_is_no_hint(fleet):
+    """Guards against a drain that an operator cannot end."""
+    node = fleet.nodes['host-0']
+    hints = LeavingHints(node.roster, Peers(fleet.timer))
+    drain = drain_of(node)
+    await drain.drain('operator')
+    hints.take((node.roster.own,))
+    assert not hints.is_leaving
+
+
 async def test_operator_does_not_end_the_drain_of_a_leaving_host(fleet):
     """Guards against new work for a leaving backend server."""
     drain = drain_of(fleet.nodes['host-0'])
--- a/packages/settings/tanagerbend_settings/schema.py
+++ b/packages/settings/tanagerbend_settings/schema.py
@@ -198,6 +198,32 @@
     )
 
 
+@attrs.frozen
+class OrderSettings:
+    """Table ``[orders]``: order keys and the ledger of the instance.
+
+    Parameters
+    ==========
+
+    key_seconds : float
+        Time until a new order key expires.
+    records : int
+        Begun orders that are remembered until their keys expire.
+    voids : int
+        Void keys that are remembered until they expire.
+    answer_bytes : int
+        Bytes of all recorded answers.
+    body_bytes : int
+        Bytes of the largest recorded answer.
+    """
+
+    key_seconds: float = number(900.0, 1, 86400)
+    records: int = number(20_000, 1, 1_000_000)
+    voids: int = number(100_000, 1, 1_000_000)
+    answer_bytes: int = number(16_777_216, 0, 1_073_741_824)
+    body_bytes: int = number(262_144, 0, 16_777_216)
+
+
 @attrs.frozen
 class Settings:
     """All settings of a daemon."""
@@ -208,6 +234,7 @@
     peers: PeerSettings
     operators: OperatorSettings
     instance: InstanceSettings = attrs.field(factory=InstanceSettings)
+    orders: OrderSettings = attrs.field(factory=OrderSettings)
 
 
 @attrs.frozen
