Let the state machine of the ledger reach refused orders

Cause: with refused orders no longer voided, as a trial, the test of any order of operations still passed: in 150 examples it refused 7 orders, since most steps met expired keys. With recent keys and shorter waits it finds that fault.

--- a/packages/orders/tanagerbend_orders/tests/test_ledger.py
+++ b/packages/orders/tanagerbend_orders/tests/test_ledger.py
@@ -124,26 +124,25 @@
         super().__init__()
         self.timer = ManualTimer()
         self.issuer = PermitIssuer(b'a shared key', self.timer, lifetime=30.0)
-        limits = LedgerLimits(2, 2, 20, 15)
+        limits = LedgerLimits(3, 3, 20, 15)
         self.ledger = Ledger(Recorder(self.timer), limits)
-        self.keys = [self.issuer.issue('print', 'host-1', 7)]
+        self.keys = []
         self.running = []
         self.starts = {}
         self.not_run = set()
 
     def pick(self, index):
-        return self.keys[index % len(self.keys)]
+        """Return a recent key, or a new one for index 0."""
+        if not index or not self.keys:
+            self.keys.append(self.issuer.issue('print', 'host-1', 7))
+        return self.keys[-min(max(index, 1), len(self.keys))]
 
     def note(self, key, outcome):
         match outcome:
             case Refusal(ran=Ran.NO):
                 self.not_run.add(key.nonce)
 
-    @rule()
-    def issue(self):
-        self.keys.append(self.issuer.issue('print', 'host-1', 7))
-
-    @rule(index=strategies.integers(0, 5))
+    @rule(index=strategies.integers(0, 3))
     def begin(self, index):
         key = self.pick(index)
         begun = self.ledger.begin(key, b'request')
@@ -152,12 +151,12 @@
             case Begin(record=record):
                 self.running.append(record)
 
-    @rule(index=strategies.integers(0, 5))
+    @rule(index=strategies.integers(0, 3))
     def void(self, index):
         key = self.pick(index)
         self.note(key, self.ledger.void(key))
 
-    @rule(index=strategies.integers(0, 5))
+    @rule(index=strategies.integers(0, 3))
     def start(self, index):
         if self.running:
             record = self.running[index % len(self.running)]
@@ -178,7 +177,7 @@
         else:
             self.ledger.fail(record, UNREACHABLE)
 
-    @rule(seconds=strategies.floats(0.0, 40.0))
+    @rule(seconds=strategies.sampled_from([1.0, 5.0, 31.0]))
     def wait(self, seconds):
         self.timer.time += seconds
 
@@ -192,14 +191,14 @@
 
     @invariant()
     def memory_is_bounded(self):
-        assert len(self.ledger.records) <= 4
+        assert len(self.ledger.records) <= 6
         assert self.ledger.answer_bytes <= 20
 
 
 LedgerMachine.TestCase.settings = settings(
     derandomize=True,
     deadline=None,
-    max_examples=150,
+    max_examples=300,
     stateful_step_count=40,
     database=None,
 )
