--- a/packages/distribution/tanagerbend_distribution/bootstrap.py
+++ b/packages/distribution/tanagerbend_distribution/bootstrap.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Final
 
+from tanagerbend_distribution.budget import Backoff
 from tanagerbend_distribution.propagation import Propagation
 from tanagerbend_distribution.reading import PlatformReader
 from tanagerbend_interfaces import Randomness
@@ -11,6 +12,8 @@
 
 PEERS_TO_HEAR: Final = 3
 ROUND_SECONDS: Final = 0.5
+# Short, because a daemon that waits for its first sheet serves nothing.
+LONGEST_BACKOFF_SECONDS: Final = 5.0
 # Members that are not readers leave the service to the readers for this
 # many times ``wait``.
 PATIENCE_FACTOR: Final = 3
@@ -58,6 +61,8 @@
         self.recorder = recorder
         self.timer = recorder.timer
         self.serving: set[str] = set()
+        self.backoff = self._backoff()
+        self.next_read = 0.0
 
     async def run(self) -> None:
         """Return when a version is in force."""
@@ -75,8 +80,12 @@
         )
 
     async def _read_host_list(self) -> None:
+        backoff = self._backoff()
         while not await self.reader.read_hosts():
-            await self.timer.sleep(self.random.uniform(0, self.wait))
+            await self.timer.sleep(backoff.next_delay())
+
+    def _backoff(self) -> Backoff:
+        return Backoff(self.random, ROUND_SECONDS, LONGEST_BACKOFF_SECONDS)
 
     def _is_done(self, elapsed: float) -> bool:
         if self.propagation.version is None:
@@ -88,13 +97,20 @@
     async def _round(self, elapsed: float) -> None:
         await asyncio.gather(*(self._ask(peer) for peer in self._peers()))
         if self._may_read_service(elapsed):
-            await self.reader.read_sheet()
+            await self._read_service()
         if not self._is_done(elapsed):
             await self.timer.sleep(ROUND_SECONDS)
 
+    async def _read_service(self) -> None:
+        if not await self.reader.read_sheet():
+            delay = self.backoff.next_delay()
+            self.next_read = self.timer.now() + delay
+
     def _may_read_service(self, elapsed: float) -> bool:
         if self.propagation.version is not None or elapsed < self.wait:
             return False
+        if self.timer.now() < self.next_read:
+            return False
         patience = self.wait * PATIENCE_FACTOR
         return self.reader.is_reader or elapsed > patience
 
