--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -5,12 +5,13 @@
 import re
 import secrets
 from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, nullcontext
 from typing import Any, Final
 
 from aiohttp import web
 
 from tanagerbend_daemon.body import close_body
-from tanagerbend_daemon.call import Answer, Call, read_limits
+from tanagerbend_daemon.call import Answer, Call, header_of, read_limits
 from tanagerbend_daemon.cutting import cut
 from tanagerbend_daemon.drain import Drain
 from tanagerbend_daemon.entry import CallHandler
@@ -19,6 +20,7 @@
 from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_daemon.peer_hop import peer_proof
 from tanagerbend_daemon.statuses import status_of
+from tanagerbend_metrics.names import REFUSALS, REFUSALS_TO_PEERS
 from tanagerbend_model import Ran, Refusal, ResultCode, headers
 
 # Bodies up to this size are held, so that they can be sent again.
@@ -125,7 +127,9 @@
         outcome = await (self.drain or self.handler).handle(call)
         match outcome:
             case Refusal():
-                return self._refuse(outcome, named or call.request_id)
+                counter = REFUSALS_TO_PEERS if call.instance else REFUSALS
+                shown = named or call.request_id
+                return self._refuse(outcome, shown, counter)
         return await self._pass_on(request, call, outcome)
 
     async def _catch_up(
@@ -186,6 +190,8 @@
         then look right.  Its id is kept as the beginning.
         """
         unique = f'{self.prefix}-{next(self.numbers):x}'
+        if not named:
+            return unique
         named = named.partition('.')[0]
         if NAMED_ID.fullmatch(named) is None:
             return unique
@@ -204,8 +210,13 @@
             expected.encode(),
         )
 
-    def _refuse(self, refusal: Refusal, request_id: str) -> web.Response:
-        self.recorder.count('refusals', refusal.code.name)
+    def _refuse(
+        self,
+        refusal: Refusal,
+        request_id: str,
+        counter: str = REFUSALS,
+    ) -> web.Response:
+        self.recorder.count(counter, refusal.code.name)
         response = web.json_response(
             {
                 'code': int(refusal.code),
@@ -234,7 +245,7 @@
         request_id: str,
     ) -> dict[str, str]:
         own = {headers.RESULT: str(int(code)), headers.RAN: ran.value}
-        if request_id.isprintable() and request_id.isascii():
+        if request_id.isascii() and request_id.isprintable():
             own[headers.REQUEST_ID] = request_id
         if self.handler.table is not None:
             own[headers.VERSION] = self.handler.table.version_text
@@ -247,7 +258,9 @@
         answer: Answer,
     ) -> web.StreamResponse:
         named = request.headers.get(headers.REQUEST_ID) or call.request_id
-        response = web.StreamResponse(status=answer.status)
+        is_small = _is_small(answer)
+        make_response = CoalescedResponse if is_small else web.StreamResponse
+        response = make_response(status=answer.status)
         self._close_at_stop(response)
         for name, text in answer.header_pairs:
             if name.lower() not in NOT_PASSED_ON:
@@ -257,7 +270,11 @@
             own[headers.LOAD] = answer.load
         response.headers.update(own)
         try:
-            await _write(request, response, answer.chunks)
+            await response.prepare(request)
+            async for chunk in answer.chunks:
+                async with _stall_limit(is_small=is_small):
+                    await response.write(chunk)
+            await response.write_eof()
         except (ConnectionError, TimeoutError):
             self.recorder.count('answers_cut')
             cut(request.transport)
@@ -266,16 +283,21 @@
         return response
 
 
-async def _write(
-    request: web.BaseRequest,
-    response: web.StreamResponse,
-    chunks: AsyncIterator[bytes],
-) -> None:
-    await response.prepare(request)
-    async for chunk in chunks:
-        async with asyncio.timeout(STALL_SECONDS):
-            await response.write(chunk)
-    await response.write_eof()
+class CoalescedResponse(web.StreamResponse):
+    """Response whose headers are sent together with the first chunk."""
+
+    _send_headers_immediately = False
+
+
+def _is_small(answer: Answer) -> bool:
+    length = header_of(answer.header_pairs, 'Content-Length')
+    is_number = length.isascii() and length.isdecimal() and len(length) < 9
+    return is_number and int(length) <= MAX_HELD_BYTES
+
+
+def _stall_limit(*, is_small: bool) -> AbstractAsyncContextManager[Any]:
+    # The write buffer takes a small answer without waiting.
+    return nullcontext() if is_small else asyncio.timeout(STALL_SECONDS)
 
 
 async def _continue(request: web.BaseRequest) -> None:
--- a/packages/operator/tanagerbend_operator/tests/test_fleet.py
+++ b/packages/operator/tanagerbend_operator/tests/test_fleet.py
@@ -56,13 +56,15 @@
 def test_members_of_the_roster_are_asked(run, daemons):
     """Guards against a fleet view that ends at the addresses given."""
     port = daemons.addresses[0].rpartition(':')[2]
-    members = [member(0, 1), member(8, 1), member(9, 1, 'gone')]
+    members = [member(0, 1), member(8, 1, 'suspected'), member(9, 1, 'gone')]
     daemons.answers[0, '/roster'] = {'members': members}
     status, found, _ = run('status', '--json', '--daemon', daemons.addresses[0])
     assert status == 1
     trouble = {one['host']: one['trouble'] for one in found['daemons']}
     assert trouble['host-8'] == f'127.0.0.1:{port} is the daemon of host-0'
     assert trouble['host-9'] == 'gone'
+    states = {one['host']: one['roster_state'] for one in found['daemons']}
+    assert states == {'host-0': '', 'host-8': 'suspected', 'host-9': 'gone'}
 
 
 def test_wrong_token_is_status_3(run, tmp_path):
@@ -136,7 +138,7 @@
     daemons.show(1, **changes)
     daemons.answers[1, '/undrain'] = daemons.answers[1, '/status']
     status, text, _ = run('undrain', 'host-1')
-    assert (status, text.split('; ')[1]) == (1, 'not ready: drain: stop\n')
+    assert (status, text.splitlines()[1:]) == (1, ['not ready: drain: stop'])
 
 
 def test_drain_reaches_the_named_host_alone(run, daemons):
@@ -203,6 +205,9 @@
 
 def test_unknown_route_is_status_1(run, daemons):
     """Guards against a missing row that reads like a lost daemon."""
+    refusal = {'code': 306, 'reason': 'relative segments'}
+    daemons.answers[0, '/explain'] = refusal
+    assert run('explain', 'artwork', '/../x')[0] == 1
     refusal = {'code': 301, 'reason': 'no work covers it'}
     daemons.answers[0, '/explain'] = refusal
     status, _, errors = run('explain', 'artwork', '/x')
--- a/packages/standins/tanagerbend_standins/load.py
+++ b/packages/standins/tanagerbend_standins/load.py
@@ -2,15 +2,19 @@
 
 import asyncio
 import itertools
+from collections import Counter
 from typing import Final
 
 import attrs
 
-from tanagerbend_model import Ran, WorkClass
+from tanagerbend_model import Ran, ResultCode, WorkClass
 from tanagerbend_standins.caller import Caller, Reply
 
 MILLISECONDS: Final = 1000
 FULL_PERCENT: Final = 100
+SHOWN_BYTES: Final = 100
+WATCH_SECONDS: Final = 0.01
+SLOW_PERCENT: Final = 99
 
 
 @attrs.frozen
@@ -56,6 +60,19 @@
         """Calls begun whose answer did not arrive."""
         return self.accepted - self.answered
 
+    @property
+    def slowest(self) -> float:
+        """Seconds of the slowest answer; 0 if there is none."""
+        answers = [one.seconds for one in self.replies if one.is_answer]
+        return max(answers, default=0)
+
+    @property
+    def unanswered(self) -> Counter[str]:
+        """What the other calls got: a result code or an exception."""
+        return Counter(
+            _name_of(reply) for reply in self.replies if not reply.is_answer
+        )
+
     def without(self, host: str) -> 'Tally':
         """Return the tally without calls through one entry daemon."""
         kept = tuple(reply for reply in self.replies if reply.via != host)
@@ -68,6 +85,20 @@
         )
 
 
+def _name_of(reply: Reply) -> str:
+    if reply.code > 0:
+        return f'{ResultCode(reply.code).name}, ran {reply.ran.value}'
+    return f'{reply.body[:SHOWN_BYTES]!r}, ran {reply.ran.value}'
+
+
+def unanswered(tallies: list[Tally]) -> str:
+    """Describe the calls of several tallies that were not answered."""
+    names = Counter(
+        name for tally in tallies for name in tally.unanswered.elements()
+    )
+    return '; '.join(f'{names[name]} {name}' for name in sorted(names))
+
+
 def percent(part: int, whole: int) -> float:
     """Return a share in percent; 100 of nothing.
 
@@ -92,6 +123,7 @@
     def __init__(self, caller: Caller) -> None:
         self.caller = caller
         self.serial = itertools.count(1)
+        self.lags: list[float] = []
 
     async def stream(
         self,
@@ -134,7 +166,26 @@
         seconds: float,
     ) -> dict[str, Tally]:
         """Send several streams at once; the tallies by name of the work."""
+        watch = asyncio.create_task(self._watch())
         tallies = await asyncio.gather(
             *(self.stream(work, rates[work], seconds) for work in rates),
         )
+        watch.cancel()
         return {tally.work.work: tally for tally in tallies}
+
+    async def _watch(self) -> None:
+        """Measure how late this process itself is, in seconds."""
+        loop = asyncio.get_running_loop()
+        self.lags = []
+        while True:
+            due = loop.time() + WATCH_SECONDS
+            await asyncio.sleep(WATCH_SECONDS)
+            self.lags.append(loop.time() - due)
+
+    @property
+    def own_lag_ms(self) -> float:
+        """99th percentile of how late this process was, in milliseconds."""
+        if not self.lags:
+            return 0.0
+        position = len(self.lags) * SLOW_PERCENT // FULL_PERCENT
+        return sorted(self.lags)[position] * MILLISECONDS
