Keep the roster within the bound on methods

Cause: the roster had 21 methods since members that come in bulk are treated apart, one more than the style check allows.

Conclusion: room for a new record is made where it is asked for; no change of behaviour.

--- a/packages/membership/tanagerbend_membership/roster.py
+++ b/packages/membership/tanagerbend_membership/roster.py
@@ -119,8 +119,12 @@
     def _is_welcome(self, record: Member, held: Member | None) -> bool:
         if held is None and record.state is MemberState.GONE:
             return False
-        if self.index.has_room(record.host) or self._evict_gone():
+        if self.index.has_room(record.host):
             return True
+        for host in self.claimed_at:
+            if self.members[host].state is MemberState.GONE:
+                self._forget(host)
+                return True
         self.recorder.count('records_refused', 'roster_full')
         return False
 
@@ -223,13 +227,6 @@
             elif is_unlisted and is_due and host != self.own_host:
                 self._forget(host)
 
-    def _evict_gone(self) -> bool:
-        for host in self.claimed_at:
-            if self.members[host].state is MemberState.GONE:
-                self._forget(host)
-                return True
-        return False
-
     def _forget(self, host: str) -> None:
         self.index.remove(host)
         self.claimed_at.pop(host, None)
