--- /dev/null
+++ b/bench/wire.py
@@ -0,0 +1,41 @@
+"""Faulty connections to a peer server: how many are not refused."""
+
+import argparse
+import asyncio
+import time
+
+from bench.probe import last_line
+from tanagerbend_wire.tests.fuzz import attack
+
+COUNT, SEED = 100_000, 77
+
+
+async def main(count, seed):
+    """Print the connections of each kind and the refusals counted."""
+    started = time.monotonic()
+    counts, failures, victim = await attack(count, seed)
+    for fault, number in sorted(counts.items()):
+        print(f'{fault:20} {number:7}')
+    counters = victim.recorder.counters
+    for (name, label), number in sorted(counters.counts.items()):
+        print(f'{name} {label}: {number}')
+    for failure in failures[:10]:
+        print(failure)
+    last_line(
+        connections=count,
+        not_refused=len(failures),
+        seconds=time.monotonic() - started,
+    )
+
+
+def run():
+    """Read the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--sizes', type=int, default=COUNT)
+    parser.add_argument('--seed', type=int, default=SEED)
+    options = parser.parse_args()
+    asyncio.run(main(options.sizes, options.seed))
+
+
+if __name__ == '__main__':
+    run()
