--- a/packages/daemon/tanagerbend_daemon/tests/call_path.py
+++ b/packages/daemon/tanagerbend_daemon/tests/call_path.py
@@ -169,3 +169,19 @@
     """Return the bytes of an HTTP answer with a length."""
     text = f'HTTP/1.1 200 OK\r\n{head}Content-Length: {len(body)}\r\n\r\n'
     return text.encode() + body
+
+
+def answering(answer, heads=None):
+    """Return a server that answers every request on a connection."""
+
+    async def serve(reader, writer):
+        try:
+            while True:
+                head = await read_head(reader)
+                if heads is not None:
+                    heads.append(head)
+                writer.write(answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    return serve
--- a/packages/daemon/tanagerbend_daemon/tests/conftest.py
+++ b/packages/daemon/tanagerbend_daemon/tests/conftest.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tanagerbend_daemon.tests.control_fleet import ControlFleet, sheet
+from tanagerbend_daemon.tests.call_path import Loopback
 from tanagerbend_interfaces import MemberState
 
 
@@ -32,3 +33,10 @@
     yield make
     for fleet in fleets:
         await fleet.close()
+
+
+@pytest.fixture
+async def loopback():
+    loopback = Loopback()
+    yield loopback
+    await loopback.close()
--- a/packages/daemon/tanagerbend_daemon/tests/test_http_path.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_http_path.py
@@ -1,4 +1,4 @@
-"""Front and outbound over loopback HTTP, with raw servers that misbehave."""
+"""Daemons over loopback HTTP before servers that misbehave."""
 
 import asyncio
 import gzip
@@ -8,28 +8,19 @@
 
 from tanagerbend_daemon.entry import CallHandler
 from tanagerbend_daemon.tests.call_path import (
-    Loopback,
+    answering,
     member,
     plain,
     read_head,
     route_table,
 )
-from tanagerbend_interfaces import BackendRequest, BackendResponse
-from tanagerbend_model import Ran, Refusal, ResultCode, headers
+from tanagerbend_model import headers
 from tanagerbend_standins import eventually
-from tanagerbend_timer import SystemTimer
 
 PIECE = b'x' * 65536
 PIECES = 400
 
 
-@pytest.fixture
-async def loopback():
-    loopback = Loopback()
-    yield loopback
-    await loopback.close()
-
-
 @pytest.fixture
 async def caller():
     async with aiohttp.ClientSession(auto_decompress=False) as session:
@@ -60,32 +51,6 @@
     return caller.request(method, url + path, headers=named, **options)
 
 
-def answering(answer, heads=None):
-    """Return a server that answers every request on a connection."""
-
-    async def serve(reader, writer):
-        try:
-            while True:
-                head = await read_head(reader)
-                if heads is not None:
-                    heads.append(head)
-                writer.write(answer)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
-
-    return serve
-
-
-def request(method='GET', body=b'', pairs=()):
-    """Return a request for an `HttpServer`."""
-    return BackendRequest(method, '/x', pairs, body, 'id-1')
-
-
-def in_seconds(seconds):
-    """Return a deadline."""
-    return SystemTimer().now() + seconds
-
-
 @pytest.mark.parametrize(
     'cut_answer',
     [
@@ -250,87 +215,6 @@
     assert connections == 2
 
 
-async def test_idempotent_method_is_not_sent_again_by_aiohttp(loopback):
-    """Guards against aiohttp's own retry on a lost kept connection."""
-    heads = []
-
-    async def serve(reader, writer):
-        heads.append(await read_head(reader))
-        writer.write(plain())
-        heads.append(await read_head(reader))
-        writer.close()
-
-    server = loopback.http(await loopback.raw(serve))
-    first = await server.exchange(request(), in_seconds(5))
-    assert [chunk async for chunk in first.chunks] == [b'ok']
-    lost = await server.exchange(request('DELETE'), in_seconds(5))
-    assert (lost.code, lost.ran) == (ResultCode.CONNECTION_LOST, Ran.UNKNOWN)
-    assert len(heads) == 2
-
-
-async def test_refusals_say_not_run_only_if_nothing_was_sent(loopback):
-    """Guards against "not run" for a request that a server has read."""
-    heads = []
-
-    async def read_and_leave(reader, writer):
-        heads.append(await read_head(reader))
-        writer.close()
-
-    async def read_and_hang(reader, writer):
-        heads.append(await read_head(reader))
-        await reader.read()
-        writer.close()
-
-    closed = await asyncio.start_server(read_and_leave, '127.0.0.1', 0)
-    host, port = closed.sockets[0].getsockname()
-    closed.close()
-    outcomes = [
-        await loopback.http(address).exchange(request('POST'), in_seconds(0.3))
-        for address in (
-            f'{host}:{port}',
-            await loopback.raw(read_and_leave),
-            await loopback.raw(read_and_hang),
-        )
-    ]
-    assert [outcome.ran for outcome in outcomes] == [
-        Ran.NO,
-        Ran.UNKNOWN,
-        Ran.UNKNOWN,
-    ]
-    assert len(heads) == 2
-    invalid = request(pairs=(('X', 'a\r\nb: c'),))
-    server = loopback.http(await loopback.raw(read_and_leave))
-    assert isinstance(await server.exchange(invalid, in_seconds(5)), Refusal)
-    assert len(heads) == 2
-
-
-async def test_wait_for_a_free_connection_is_not_run(loopback):
-    """Guards against more connections than the backend server takes."""
-    heads = []
-
-    async def serve(reader, writer):
-        heads.append(await read_head(reader))
-        await reader.read()
-        writer.close()
-
-    address = await loopback.raw(serve)
-    server = loopback.http(address, loopback.session(connections=2))
-    holding = [
-        asyncio.create_task(server.exchange(request('POST'), in_seconds(60)))
-        for _ in range(2)
-    ]
-
-    async def are_sent():
-        return len(heads) == 2
-
-    assert await eventually(are_sent, 10)
-    waited = await server.exchange(request('POST'), in_seconds(0.2))
-    assert waited.ran is Ran.NO
-    assert len(heads) == 2
-    for task in holding:
-        task.cancel()
-
-
 async def test_compressed_bodies_pass_unchanged(make_pair, caller):
     """Guards against a body that no longer fits its headers."""
     packed = gzip.compress(b'swatch' * 100)
@@ -420,20 +304,3 @@
         if line.startswith(headers.REQUEST_ID)
     ]
     assert len(set(ids)) == 2
-
-
-async def test_answer_that_was_received_whole_keeps_its_connection(loopback):
-    """Guards against a new connection for every unread answer."""
-    connections = 0
-
-    async def serve(reader, writer):
-        nonlocal connections
-        connections += 1
-        await answering(plain())(reader, writer)
-
-    server = loopback.http(await loopback.raw(serve))
-    for _ in range(3):
-        response = await server.exchange(request(), in_seconds(5))
-        assert isinstance(response, BackendResponse)
-        await response.chunks.aclose()
-    assert connections == 1
--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/tests/test_outbound.py
@@ -0,0 +1,117 @@
+"""Client of one server over loopback HTTP: what was sent, and how often."""
+
+import asyncio
+
+from tanagerbend_daemon.tests.call_path import answering, plain, read_head
+from tanagerbend_interfaces import BackendRequest, BackendResponse
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_standins import eventually
+from tanagerbend_timer import SystemTimer
+
+
+def request(method='GET', body=b'', pairs=()):
+    """Return a request for an `HttpServer`."""
+    return BackendRequest(method, '/x', pairs, body, 'id-1')
+
+
+def in_seconds(seconds):
+    """Return a deadline."""
+    return SystemTimer().now() + seconds
+
+
+async def test_idempotent_method_is_not_sent_again_by_aiohttp(loopback):
+    """Guards against aiohttp's own retry on a lost kept connection."""
+    heads = []
+
+    async def serve(reader, writer):
+        heads.append(await read_head(reader))
+        writer.write(plain())
+        heads.append(await read_head(reader))
+        writer.close()
+
+    server = loopback.http(await loopback.raw(serve))
+    first = await server.exchange(request(), in_seconds(5))
+    assert [chunk async for chunk in first.chunks] == [b'ok']
+    lost = await server.exchange(request('DELETE'), in_seconds(5))
+    assert (lost.code, lost.ran) == (ResultCode.CONNECTION_LOST, Ran.UNKNOWN)
+    assert len(heads) == 2
+
+
+async def test_refusals_say_not_run_only_if_nothing_was_sent(loopback):
+    """Guards against "not run" for a request that a server has read."""
+    heads = []
+
+    async def read_and_leave(reader, writer):
+        heads.append(await read_head(reader))
+        writer.close()
+
+    async def read_and_hang(reader, writer):
+        heads.append(await read_head(reader))
+        await reader.read()
+        writer.close()
+
+    closed = await asyncio.start_server(read_and_leave, '127.0.0.1', 0)
+    host, port = closed.sockets[0].getsockname()
+    closed.close()
+    outcomes = [
+        await loopback.http(address).exchange(request('POST'), in_seconds(0.3))
+        for address in (
+            f'{host}:{port}',
+            await loopback.raw(read_and_leave),
+            await loopback.raw(read_and_hang),
+        )
+    ]
+    assert [outcome.ran for outcome in outcomes] == [
+        Ran.NO,
+        Ran.UNKNOWN,
+        Ran.UNKNOWN,
+    ]
+    assert len(heads) == 2
+    invalid = request(pairs=(('X', 'a\r\nb: c'),))
+    server = loopback.http(await loopback.raw(read_and_leave))
+    assert isinstance(await server.exchange(invalid, in_seconds(5)), Refusal)
+    assert len(heads) == 2
+
+
+async def test_wait_for_a_free_connection_is_not_run(loopback):
+    """Guards against more connections than the backend server takes."""
+    heads = []
+
+    async def serve(reader, writer):
+        heads.append(await read_head(reader))
+        await reader.read()
+        writer.close()
+
+    address = await loopback.raw(serve)
+    server = loopback.http(address, loopback.session(connections=2))
+    holding = [
+        asyncio.create_task(server.exchange(request('POST'), in_seconds(60)))
+        for _ in range(2)
+    ]
+
+    async def are_sent():
+        return len(heads) == 2
+
+    assert await eventually(are_sent, 10)
+    waited = await server.exchange(request('POST'), in_seconds(0.2))
+    assert waited.ran is Ran.NO
+    assert len(heads) == 2
+    for task in holding:
+        task.cancel()
+
+
+async def test_answer_that_was_received_whole_keeps_its_connection(loopback):
+    """Guards against a new connection for every unread answer."""
+    connections = 0
+
+    async def serve(reader, writer):
+        nonlocal connections
+        connections += 1
+        await answering(plain())(reader, writer)
+
+    server = loopback.http(await loopback.raw(serve))
+    for _ in range(3):
+        response = await server.exchange(request(), in_seconds(5))
+        assert isinstance(response, BackendResponse)
+        await response.chunks.aclose()
+    assert connections == 1
