Judge the slots of the instances, and follow the free retries

The demo now states that no request reaches an instance without a free slot. Replays no longer charge a retry after an unreachable instance to the budget, as the entry daemon does.

--- a/packages/replay/tanagerbend_replay/calls.py
+++ b/packages/replay/tanagerbend_replay/calls.py
@@ -105,7 +105,7 @@
             match member:
                 case Refusal():
                     return outcome or member
-            if attempt and not entry.budget.may_retry(event.service):
+            if attempt and not self._may_retry(entry, event, outcome):
                 return outcome
             outcome = await self._at_owner(entry, member, route, event)
             if outcome is None:
@@ -113,6 +113,18 @@
             tried |= {member.host}
         return outcome
 
+    def _may_retry(
+        self,
+        entry: ReplayNode,
+        event: CallEvent,
+        outcome: Refusal | None,
+    ) -> bool:
+        # An attempt that reached no instance has added no load to one.
+        unreachable = ResultCode.INSTANCE_UNREACHABLE
+        if outcome is not None and outcome.code is unreachable:
+            return True
+        return entry.budget.may_retry(event.service)
+
     async def _at_owner(
         self,
         entry: ReplayNode,
--- a/packages/standins/tanagerbend_standins/judging.py
+++ b/packages/standins/tanagerbend_standins/judging.py
@@ -166,6 +166,7 @@
         """Judge what holds for the whole run; return all outcomes."""
         self.judge_orders(orders)
         self.judge_platform()
+        self.judge_slots()
         self.judge_processes()
         return self.outcomes
 
@@ -179,6 +180,17 @@
             peak <= CALL_LIMIT,
         )
 
+    def judge_slots(self) -> None:
+        """State that no instance gets more requests than it has slots."""
+        backends = [node.backend for node in self.fleet.nodes]
+        excess = sum(backend.excess for backend in backends)
+        self.judge(
+            '1.1',
+            'no request reaches an instance without a free slot',
+            f'{excess} requests',
+            not excess,
+        )
+
     def judge_processes(self) -> None:
         """State that no daemon ended without being told to."""
         ended = [node.place.host for node in self.fleet.ended()]
