--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -5,12 +5,13 @@
 import re
 import secrets
 from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager, nullcontext
 from typing import Any, Final
 
 from aiohttp import web
 
 from tanagerbend_daemon.body import close_body
-from tanagerbend_daemon.call import Answer, Call, read_limits
+from tanagerbend_daemon.call import Answer, Call, header_of, read_limits
 from tanagerbend_daemon.cutting import cut
 from tanagerbend_daemon.drain import Drain
 from tanagerbend_daemon.entry import CallHandler
@@ -120,6 +121,9 @@
         match call:
             case Refusal():
                 return self._refuse(call, named)
+        behind = await self._catch_up(request, call)
+        if behind is not None:
+            return self._refuse(behind, named or call.request_id)
         outcome = await (self.drain or self.handler).handle(call)
         match outcome:
             case Refusal():
@@ -128,6 +132,22 @@
                 return self._refuse(outcome, shown, counter)
         return await self._pass_on(request, call, outcome)
 
+    async def _catch_up(
+        self,
+        request: web.BaseRequest,
+        call: Call,
+    ) -> Refusal | None:
+        text = request.headers.get(headers.VERSION)
+        if text is None or self.handler.catch_up is None:
+            return None
+        sender = request.headers.get(headers.SENDER, '')
+        refusal = await self.handler.catch_up.await_text(
+            text,
+            sender if call.instance else '',
+        )
+        # "Not run" about an order may only come from the owner of its key.
+        return None if call.order_key else refusal
+
     async def read_call(self, request: web.BaseRequest) -> Call | Refusal:
         """Read the headers, and the body if it is small."""
         limits = read_limits(request.headers, self.recorder.timer.now())
@@ -170,6 +190,8 @@
         then look right.  Its id is kept as the beginning.
         """
         unique = f'{self.prefix}-{next(self.numbers):x}'
+        if not named:
+            return unique
         named = named.partition('.')[0]
         if NAMED_ID.fullmatch(named) is None:
             return unique
@@ -223,7 +245,7 @@
         request_id: str,
     ) -> dict[str, str]:
         own = {headers.RESULT: str(int(code)), headers.RAN: ran.value}
-        if request_id.isprintable() and request_id.isascii():
+        if request_id.isascii() and request_id.isprintable():
             own[headers.REQUEST_ID] = request_id
         if self.handler.table is not None:
             own[headers.VERSION] = self.handler.table.version_text
@@ -236,7 +258,9 @@
         answer: Answer,
     ) -> web.StreamResponse:
         named = request.headers.get(headers.REQUEST_ID) or call.request_id
-        response = web.StreamResponse(status=answer.status)
+        is_small = _is_small(answer)
+        make_response = CoalescedResponse if is_small else web.StreamResponse
+        response = make_response(status=answer.status)
         self._close_at_stop(response)
         for name, text in answer.header_pairs:
             if name.lower() not in NOT_PASSED_ON:
@@ -246,7 +270,11 @@
             own[headers.LOAD] = answer.load
         response.headers.update(own)
         try:
-            await _write(request, response, answer.chunks)
+            await response.prepare(request)
+            async for chunk in answer.chunks:
+                async with _stall_limit(is_small=is_small):
+                    await response.write(chunk)
+            await response.write_eof()
         except (ConnectionError, TimeoutError):
             self.recorder.count('answers_cut')
             cut(request.transport)
@@ -255,16 +283,21 @@
         return response
 
 
-async def _write(
-    request: web.BaseRequest,
-    response: web.StreamResponse,
-    chunks: AsyncIterator[bytes],
-) -> None:
-    await response.prepare(request)
-    async for chunk in chunks:
-        async with asyncio.timeout(STALL_SECONDS):
-            await response.write(chunk)
-    await response.write_eof()
+class CoalescedResponse(web.StreamResponse):
+    """Response whose headers are sent together with the first chunk."""
+
+    _send_headers_immediately = False
+
+
+def _is_small(answer: Answer) -> bool:
+    length = header_of(answer.header_pairs, 'Content-Length')
+    is_number = length.isascii() and length.isdecimal() and len(length) < 9
+    return is_number and int(length) <= MAX_HELD_BYTES
+
+
+def _stall_limit(*, is_small: bool) -> AbstractAsyncContextManager[Any]:
+    # The write buffer takes a small answer without waiting.
+    return nullcontext() if is_small else asyncio.timeout(STALL_SECONDS)
 
 
 async def _continue(request: web.BaseRequest) -> None:
