Reserve retries for lost calls, and record the added time

Cause: in the demo 1 to 3 repeatable calls ended with CONNECTION_LOST when a daemon was killed after the floods, because refused calls of the floods had spent the retry budget. No part recorded the added time that the metrics name.

The HTTP server records the time of a call without slots, backend server and peers.

Conclusion: a flood can no longer take the retries that a dying daemon needs.

--- a/packages/daemon/tanagerbend_daemon/call.py
+++ b/packages/daemon/tanagerbend_daemon/call.py
@@ -1,12 +1,14 @@
 """A call on its way through a daemon and its answer."""
 
 import re
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Iterator, Mapping
+from contextlib import contextmanager
 from typing import Final
 
 import attrs
 
 from tanagerbend_model import Ran, Refusal, ResultCode, headers
+from tanagerbend_timer import Timer
 
 MAX_HOPS: Final = 8
 DEFAULT_TENANT: Final = 'none'
@@ -18,6 +20,32 @@
 HeaderPairs = tuple[tuple[str, str], ...]
 
 
+@attrs.define
+class CallTimes:
+    """What a daemon measures of a call on its way.
+
+    Parameters
+    ==========
+
+    waited : float
+        Seconds spent waiting for a slot, the backend server or a peer.
+    rank : int
+        Effective rank, once the route is known.
+    """
+
+    waited: float = 0.0
+    rank: int = 0
+
+    @contextmanager
+    def waiting(self, timer: Timer) -> Iterator[None]:
+        """Add the time until the end of the block."""
+        started = timer.now()
+        try:
+            yield
+        finally:
+            self.waited += timer.now() - started
+
+
 @attrs.frozen
 class Call:
     """One request of a caller or of an entry daemon.
@@ -42,6 +70,8 @@
     order_key : str
     instance : str
         Host that the entry daemon chose; empty at the entry daemon.
+    times : CallTimes
+        Shared by all copies of the call in this daemon.
     """
 
     service: str
@@ -56,6 +86,7 @@
     request_id: str
     order_key: str = ''
     instance: str = ''
+    times: CallTimes = attrs.field(factory=CallTimes, eq=False)
 
     def limit_headers(self, now: float, hops: int) -> HeaderPairs:
         """Return the headers that carry the limits of this call.
--- a/packages/daemon/tanagerbend_daemon/entry.py
+++ b/packages/daemon/tanagerbend_daemon/entry.py
@@ -102,10 +102,11 @@
     def _limit(self, call: Call, work: WorkClass) -> Call:
         now = self.recorder.timer.now()
         longest = now + work.deadline_ms / MILLISECONDS
+        call.times.rank = max(call.rank, work.effective_rank)
         return attrs.evolve(
             call,
             deadline=min(call.deadline, longest),
-            rank=max(call.rank, work.effective_rank),
+            rank=call.times.rank,
         )
 
     async def _try_instances(
@@ -151,8 +152,10 @@
             case Refusal():
                 return None
         # An attempt that reached no instance has added no load to one.
-        is_free = outcome.code is ResultCode.INSTANCE_UNREACHABLE
-        if not is_free and not self.budget.may_retry(call.service):
+        if outcome.code is ResultCode.INSTANCE_UNREACHABLE:
+            return member
+        is_lost = outcome.code in LOST
+        if not self.budget.may_retry(call.service, is_lost=is_lost):
             self.recorder.count('retries_beyond_budget', call.service)
             return None
         return member
@@ -195,7 +198,8 @@
             call.request_id,
         )
         daemon = self.daemon_at(member.call_address)
-        response = await daemon.exchange(request, call.deadline)
+        with call.times.waiting(self.recorder.timer):
+            response = await daemon.exchange(request, call.deadline)
         match response:
             case Refusal():
                 return response
--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -20,7 +20,7 @@
 from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_daemon.peer_hop import peer_proof
 from tanagerbend_daemon.statuses import status_of
-from tanagerbend_metrics.names import REFUSALS, REFUSALS_TO_PEERS
+from tanagerbend_metrics.names import ADDED_TIME, REFUSALS, REFUSALS_TO_PEERS
 from tanagerbend_model import Ran, Refusal, ResultCode, headers
 
 # Bodies up to this size are held, so that they can be sent again.
@@ -116,6 +116,7 @@
             self.active -= 1
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        started = self.recorder.timer.now()
         call = await self.read_call(request)
         named = request.headers.get(headers.REQUEST_ID, '')
         match call:
@@ -130,7 +131,16 @@
                 counter = REFUSALS_TO_PEERS if call.instance else REFUSALS
                 shown = named or call.request_id
                 return self._refuse(outcome, shown, counter)
-        return await self._pass_on(request, call, outcome)
+        return await self._pass_on(request, call, outcome, started)
+
+    def _record_added_time(self, call: Call, started: float) -> None:
+        passed = self.recorder.timer.now() - started
+        self.recorder.histograms.record(
+            ADDED_TIME,
+            call.tenant,
+            call.times.rank,
+            passed - call.times.waited,
+        )
 
     async def _catch_up(
         self,
@@ -256,19 +266,11 @@
         request: web.BaseRequest,
         call: Call,
         answer: Answer,
+        started: float,
     ) -> web.StreamResponse:
         named = request.headers.get(headers.REQUEST_ID) or call.request_id
         is_small = _is_small(answer)
-        make_response = CoalescedResponse if is_small else web.StreamResponse
-        response = make_response(status=answer.status)
-        self._close_at_stop(response)
-        for name, text in answer.header_pairs:
-            if name.lower() not in NOT_PASSED_ON:
-                response.headers.add(name, text)
-        own = self._own_headers(answer.code, answer.ran, named)
-        if call.instance and answer.load:
-            own[headers.LOAD] = answer.load
-        response.headers.update(own)
+        response = self._make_response(call, answer, named, is_small=is_small)
         try:
             await response.prepare(request)
             async for chunk in answer.chunks:
@@ -280,6 +282,28 @@
             cut(request.transport)
         finally:
             await close_body(answer.chunks)
+        if is_small and not call.order_key:
+            self._record_added_time(call, started)
+        return response
+
+    def _make_response(
+        self,
+        call: Call,
+        answer: Answer,
+        named: str,
+        *,
+        is_small: bool,
+    ) -> web.StreamResponse:
+        make_response = CoalescedResponse if is_small else web.StreamResponse
+        response = make_response(status=answer.status)
+        self._close_at_stop(response)
+        for name, text in answer.header_pairs:
+            if name.lower() not in NOT_PASSED_ON:
+                response.headers.add(name, text)
+        own = self._own_headers(answer.code, answer.ran, named)
+        if call.instance and answer.load:
+            own[headers.LOAD] = answer.load
+        response.headers.update(own)
         return response
 
 
--- a/packages/daemon/tanagerbend_daemon/owner.py
+++ b/packages/daemon/tanagerbend_daemon/owner.py
@@ -47,7 +47,8 @@
         if self.roster.own.state is not MemberState.LIVE:
             return DRAINING
         ticket = _ticket(call, work)
-        refusal = await self.admission.enter(ticket)
+        with call.times.waiting(self.recorder.timer):
+            refusal = await self.admission.enter(ticket)
         if refusal is not None:
             self.recorder.count('not_admitted', refusal.code.name)
             return refusal
@@ -60,10 +61,10 @@
             raise
 
     async def _exchange(self, call: Call, lease: 'Lease') -> Answer | Refusal:
-        response = await self.backend.exchange(
-            _backend_request(call, self.recorder.timer.now()),
-            call.deadline,
-        )
+        timer = self.recorder.timer
+        request = _backend_request(call, timer.now())
+        with call.times.waiting(timer):
+            response = await self.backend.exchange(request, call.deadline)
         refusal = _refusal_of(call, response)
         if refusal is not None:
             await _abandon(response)
--- a/packages/daemon/tanagerbend_daemon/tests/call_path.py
+++ b/packages/daemon/tanagerbend_daemon/tests/call_path.py
@@ -14,7 +14,7 @@
 from tanagerbend_interfaces import BackendResponse, Member, MemberState
 from tanagerbend_membership import Roster
 from tanagerbend_metrics import Recorder
-from tanagerbend_model import Accepted, Version, accept
+from tanagerbend_model import Accepted, Version, accept, headers
 from tanagerbend_routing import Balancer, RouteTable
 from tanagerbend_timer import SystemTimer
 
@@ -185,3 +185,9 @@
             writer.close()
 
     return serve
+
+
+def ask(caller, url, path='/plates', method='GET', **options):
+    """Send a call to a daemon."""
+    named = {headers.SERVICE: 'artwork', **options.pop('headers', {})}
+    return caller.request(method, url + path, headers=named, **options)
--- a/packages/daemon/tanagerbend_daemon/tests/conftest.py
+++ b/packages/daemon/tanagerbend_daemon/tests/conftest.py
@@ -1,9 +1,10 @@
 """Fixtures of the daemon's tests."""
 
+import aiohttp
 import pytest
 
 from tanagerbend_daemon.tests.control_fleet import ControlFleet, sheet
-from tanagerbend_daemon.tests.call_path import Loopback
+from tanagerbend_daemon.tests.call_path import Loopback, member, route_table
 from tanagerbend_interfaces import MemberState
 
 
@@ -40,3 +41,27 @@
     loopback = Loopback()
     yield loopback
     await loopback.close()
+
+
+@pytest.fixture
+async def caller():
+    async with aiohttp.ClientSession(auto_decompress=False) as session:
+        yield session
+
+
+@pytest.fixture
+def make_pair(loopback):
+    """Return a function that starts an entry and an owner daemon."""
+
+    async def make(serve, **options):
+        backend = await loopback.raw(serve)
+        owner, owner_address = await loopback.daemon(
+            'owner', backend, **options
+        )
+        entry, entry_address = await loopback.daemon('entry', backend)
+        table = route_table(member('owner', owner_address))
+        owner.adopt(table)
+        entry.adopt(table)
+        return entry, owner, f'http://{entry_address}'
+
+    return make
--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -5,7 +5,8 @@
 # Histograms, in seconds, by tenant and effective rank.
 QUEUE_TIME: Final = 'queue'
 BACKEND_TIME: Final = 'backend'
-# Time of a call in this daemon without queue, backend server and peers.
+# Time of a call in this daemon without queue, backend server and peers,
+# for answers that are neither streamed nor those of orders.
 ADDED_TIME: Final = 'added'
 
 # A call that the owner refuses to its entry daemon may be served by another
--- a/packages/routing/tanagerbend_routing/budget.py
+++ b/packages/routing/tanagerbend_routing/budget.py
@@ -6,6 +6,9 @@
 # Retries that a service may save up, and starts with: a daemon that sends
 # few calls could otherwise not retry the ones that a lost instance held.
 MOST_SAVED: Final = 10.0
+# Saved retries that only lost calls may use.  A flood, whose refused calls
+# use up the rest, would otherwise leave none for a daemon that dies.
+RESERVED_FOR_LOST: Final = 4.0
 
 
 class RetryBudget:
@@ -16,10 +19,12 @@
 
     >>> budget = RetryBudget()
     >>> sum(budget.may_retry('order') for _ in range(50))
-    10
+    6
+    >>> sum(budget.may_retry('order', is_lost=True) for _ in range(50))
+    4
     >>> for _ in range(55):
     ...     budget.first_attempt('order')
-    >>> sum(budget.may_retry('order') for _ in range(50))
+    >>> sum(budget.may_retry('order', is_lost=True) for _ in range(50))
     5
     """
 
@@ -31,10 +36,14 @@
         saved = self.saved.get(service, MOST_SAVED)
         self.saved[service] = min(saved + RETRY_SHARE, MOST_SAVED)
 
-    def may_retry(self, service: str) -> bool:
-        """Spend a retry; False if none is left."""
+    def may_retry(self, service: str, *, is_lost: bool = False) -> bool:
+        """Spend a retry; False if none is left.
+
+        ``is_lost`` says that the call got no answer, not even a refusal.
+        """
         saved = self.saved.get(service, MOST_SAVED)
-        if saved < 1:
+        reserved = 0 if is_lost else RESERVED_FOR_LOST
+        if saved < 1 + reserved:
             return False
         self.saved[service] = saved - 1
         return True
