Count what the floors take when urgent calls are judged

The prediction for urgent calls took the other ranks to use their floor at most, while the margin lets them use more.

Change: the prediction includes the margin, which is now 10%.

--- a/packages/admission/tanagerbend_admission/shares.py
+++ b/packages/admission/tanagerbend_admission/shares.py
@@ -12,7 +12,7 @@
 # A slot goes to a rank only after it has fallen below its floor.  With
 # calls that take a quarter of the window, ranks were up to 2.5% short of
 # their floor at a margin of 6%.
-FLOOR_MARGIN: Final = 1.15
+FLOOR_MARGIN: Final = 1.1
 
 
 class Shares:
@@ -87,5 +87,6 @@
             if other < rank:
                 rest -= share
             elif other > rank:
-                rest -= min(share, self.floors.get(other, 0.0))
+                owed = FLOOR_MARGIN * self.floors.get(other, 0.0)
+                rest -= min(share, owed)
         return max(rest, self.floors.get(rank, 0.0), LEAST_SHARE)
