Cancel the request of a closed connection in the stand-in backend server

A trace of each such case showed five requests on open connections and one whose connection the daemon had closed: the daemon gives the slot of an abandoned call back, as the platform's backend servers accept cancellation, but the stand-in went on with the request. Ruled out: admission beyond the slots.

Conclusion: the check of the slots stays as it is. The time between closing the connection and the end of the request at the server is not bounded by the daemon; a server that is slow to cancel can see a seventh request.

--- a/packages/standins/tanagerbend_standins/backend.py
+++ b/packages/standins/tanagerbend_standins/backend.py
@@ -64,7 +64,12 @@
 
     async def start(self, address: str = '127.0.0.1', port: int = 0) -> str:
         """Listen; return ``address:port``."""
-        server = web.Server(self.answer, access_log=None)
+        server = web.Server(
+            self.answer,
+            # A closed connection cancels its request.
+            handler_cancellation=True,
+            access_log=None,
+        )
         self.runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self.runner.setup()
         await self._listen(address, port)
--- a/packages/standins/tanagerbend_standins/tests/test_backend.py
+++ b/packages/standins/tanagerbend_standins/tests/test_backend.py
@@ -122,3 +122,21 @@
         async with asyncio.timeout(0.3):
             await send(session, backend)
     assert await send(session, backend)
+
+
+async def test_closed_connection_cancels_its_request(backend):
+    """Guards against abandoned requests that go on to use a slot.
+
+    In the demo up to 9 requests found no free slot, since a daemon had
+    given the slot of an abandoned call to another one.
+    """
+    backend.behave(work_seconds=3600.0)
+    async with aiohttp.ClientSession() as session:
+        task = asyncio.create_task(send(session, backend))
+
+        async def runs(count):
+            return backend.running == count
+
+        assert await eventually(lambda: runs(1), 30)
+        task.cancel()
+        assert await eventually(lambda: runs(0), 30)
