Compute floors once and in one place, print benchmark figures by one function

Cause: a read-through found the floors of a sheet computed by two equal functions, and the admission set up again at every change of a member although its floors depend on the sheet alone; two benchmarks printed their figures by the same lines, and two tests had a fixture that the shared one covers.

Change: the daemon uses Sheet.floors_of and configures the admission when a sheet is adopted. bench.probe prints the figures. Behaviour and checks are the same.

Conclusion: a change of a member no longer touches the admission.

--- a/bench/orders.py
+++ b/bench/orders.py
@@ -25,6 +25,7 @@
 import attrs
 
 from bench.chaos import Chaos
+from bench.probe import print_figures
 from tanagerbend_model import headers
 from tanagerbend_standins import Fleet, Place, eventually
 
@@ -306,15 +307,7 @@
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as directory:
         found = asyncio.run(run(arguments, pathlib.Path(directory)))
-    for name, figure in found.items():
-        print(f'{name:20} {figure}')
-    print(
-        ' '.join(
-            f'{name}={figure}'
-            for name, figure in found.items()
-            if not isinstance(figure, dict)
-        ),
-    )
+    print_figures(found)
     sys.exit(any(found[name] for name in BOUNDS))
 
 
--- a/bench/probe.py
+++ b/bench/probe.py
@@ -146,3 +146,16 @@
 def last_line(**figures):
     """Print the figures for programs to read."""
     print(' '.join(f'{name}={figure:.4g}' for name, figure in figures.items()))
+
+
+def print_figures(found):
+    """Print a line for each figure, then all single ones in one line."""
+    for name, figure in found.items():
+        print(f'{name:20} {figure}')
+    print(
+        ' '.join(
+            f'{name}={figure}'
+            for name, figure in found.items()
+            if not isinstance(figure, dict)
+        ),
+    )
--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -30,6 +30,7 @@
     Bootstrap,
     CallBudget,
     CatchUp,
+    InForce,
     PauseGuard,
     PlatformReader,
     Propagation,
@@ -38,15 +39,11 @@
 )
 from tanagerbend_membership import Detector, Roster
 from tanagerbend_metrics import Recorder
-from tanagerbend_model import Sheet
 from tanagerbend_routing import Balancer, RouteTable
 from tanagerbend_settings import Settings
 from tanagerbend_timer import SystemTimer
 from tanagerbend_wire import PeerClient, PeerServer
 
-FULL_PERCENT = 100
-
-
 # A restart of the fleet changes thousands of records in a few seconds.
 REBUILD_SECONDS: Final = 0.1
 
@@ -75,6 +72,12 @@
     catch_up: CatchUp
     is_rebuild_due: bool = False
 
+    def adopt_floors(self, in_force: InForce) -> None:
+        """Give the floors of an adopted sheet to the admission."""
+        service = self.settings.host.service
+        floors = in_force.sheet.floors_of(service)
+        self.calls.owner.admission.configure(floors)
+
     def rebuild_routes_soon(self, _event: Any = None) -> None:
         """Replace the route table once for changes that come together."""
         if not self.is_rebuild_due:
@@ -87,9 +90,6 @@
         self.is_rebuild_due = False
         current = self.store.current
         if current is not None:
-            service = self.settings.host.service
-            floors = floors_of(current.sheet, service)
-            self.calls.owner.admission.configure(floors)
             self.calls.adopt(
                 RouteTable.build(
                     current.version,
@@ -99,20 +99,6 @@
             )
 
 
-def floors_of(sheet: Sheet, service: str) -> dict[int, float]:
-    """Return the guaranteed share of slot time by rank, 0 to 1.
-
-    The floor of a rank is the highest of its work classes, as in the
-    check that floors fit into the capacity.
-    """
-    floors: dict[int, float] = {}
-    for work in sheet.of_service(service):
-        rank = work.effective_rank
-        share = work.floor_percent / FULL_PERCENT
-        floors[rank] = max(floors.get(rank, 0.0), share)
-    return floors
-
-
 def assemble(settings: Settings) -> Parts:
     """Wire the parts of a daemon; needs a running event loop."""
     timer = SystemTimer()
@@ -193,6 +179,7 @@
         guard,
         calls.catch_up,
     )
+    store.listeners.append(parts.adopt_floors)
     store.listeners.append(parts.rebuild_routes)
     roster.listeners.append(parts.rebuild_routes_soon)
     return parts
--- a/packages/daemon/tanagerbend_daemon/tests/test_orders_real.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_orders_real.py
@@ -30,12 +30,6 @@
     await fleet.close()
 
 
-@pytest.fixture
-async def caller():
-    async with aiohttp.ClientSession() as session:
-        yield session
-
-
 async def send(caller, node, method, path, key='', body=b''):
     """Send a request; return status, headers and body, or None."""
     extra = {headers.ORDER_KEY: key} if key else {}
--- a/packages/daemon/tanagerbend_daemon/tests/test_whole_path.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_whole_path.py
@@ -23,12 +23,6 @@
     await fleet.close()
 
 
-@pytest.fixture
-async def caller():
-    async with aiohttp.ClientSession() as session:
-        yield session
-
-
 async def send(caller, node, path, service, **options):
     """Send a call to a node's daemon; None if it does not listen."""
     try:
