--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 .PHONY: test demo bench lint format generate clean
 
-$(VENV)/.installed: requirements.txt requirements-dev.txt packages.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: requirements.txt requirements-dev.txt packages.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet -r requirements-dev.txt
 	$(BIN)/pip install --quiet --no-build-isolation --no-deps -r packages.txt
@@ -14,7 +14,7 @@
 
 lint: $(VENV)/.installed
 	$(BIN)/ruff format --check --quiet .
-	$(BIN)/flake8 packages bench
+	$(BIN)/flake8 packages platform bench
 	$(BIN)/lint-imports
 
 format: $(VENV)/.installed
--- /dev/null
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -0,0 +1,187 @@
+"""Queue in front of one instance, ordered by what can still be on time.
+
+The load it answers: more work than the slots can take.  A request whose
+objective can be met goes before one that will be late, urgent ranks go
+first, and the least urgent rank that waits gets every eighth slot.  A
+request that can't be served in time is refused when it arrives.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from tanagerbend_admission.estimate import ServiceTimes
+from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_timer import Timer
+
+# Every eighth slot goes to the least urgent rank that waits, so that a
+# flood of an urgent rank leaves the others an eighth of the instance.
+FLOOR_EVERY: Final = 8
+MOST_WAITING: Final = 200
+TOO_LATE: Final = Refusal(
+    ResultCode.DEADLINE_UNREACHABLE,
+    'no slot is free early enough for an answer before the deadline',
+)
+NOT_ON_TIME: Final = Refusal(
+    ResultCode.QUEUE_FULL,
+    'no slot is free early enough for an answer on time',
+)
+
+
+@attrs.frozen
+class Work:
+    """A request that asks for a slot.
+
+    Parameters
+    ==========
+
+    kind : str
+        Requests of one kind take similar times.
+    rank : int
+        0 is the most urgent.
+    on_time_until, deadline : float
+        Monotonic seconds: when an answer is late, and when it is of no
+        use.
+    is_late_welcome : bool
+        Whether the request may wait although it will be late.
+    """
+
+    kind: str
+    rank: int
+    on_time_until: float
+    deadline: float
+    is_late_welcome: bool = False
+
+
+@attrs.frozen(eq=False)
+class Waiting:
+    """A request that waits for a slot."""
+
+    work: Work
+    granted: asyncio.Future[Refusal | None]
+
+
+class ObjectiveQueue:
+    """Hands out the slots of one instance.
+
+    Parameters
+    ==========
+
+    timer : Timer
+    slots : int
+    """
+
+    def __init__(self, timer: Timer, slots: int) -> None:
+        self.timer = timer
+        self.slots = slots
+        self.running = 0
+        self.waiting: list[Waiting] = []
+        self.times = ServiceTimes()
+        self.grants = 0
+
+    @property
+    def busy(self) -> int:
+        """Running and waiting requests."""
+        return self.running + len(self.waiting)
+
+    async def enter(self, work: Work) -> Refusal | None:
+        """Wait for a slot; None means that the request holds one."""
+        refusal = self.judge(work)
+        if refusal is not None:
+            return refusal
+        if self.running < self.slots and not self.waiting:
+            self.running += 1
+            return None
+        waiting = Waiting(work, asyncio.get_running_loop().create_future())
+        self.waiting.append(waiting)
+        self._grant()
+        try:
+            return await self._wait(waiting)
+        except asyncio.CancelledError:
+            self._abandon(waiting)
+            raise
+
+    def judge(self, work: Work) -> Refusal | None:
+        """Refuse a request at its arrival if it can't be served."""
+        now = self.timer.now()
+        ready = now + self.expected_wait(work) + self.times.mean(work.kind)
+        if ready > work.deadline or len(self.waiting) >= MOST_WAITING:
+            return TOO_LATE
+        if ready > work.on_time_until and not work.is_late_welcome:
+            return NOT_ON_TIME
+        return None
+
+    def expected_wait(self, work: Work) -> float:
+        """Return the seconds until a new request would get a slot."""
+        if self.running < self.slots:
+            return 0.0
+        own = self._order(work)
+        ahead = sum(
+            self.times.mean(waiting.work.kind)
+            for waiting in self.waiting
+            if self._order(waiting.work) <= own
+        )
+        return (ahead + self.times.mean(work.kind)) / max(self.slots, 1)
+
+    def leave(self, work: Work, seconds: float | None) -> None:
+        """Give the slot back; ``seconds`` of an answer, else None."""
+        self.running -= 1
+        if seconds is not None:
+            self.times.observe(work.kind, seconds, self.timer.now())
+        self._grant()
+
+    def resize(self, slots: int) -> None:
+        """Set the number of slots."""
+        self.slots = slots
+        self._grant()
+
+    async def _wait(self, waiting: Waiting) -> Refusal | None:
+        work = waiting.work
+        last = work.deadline - self.times.mean(work.kind)
+        try:
+            async with asyncio.timeout(max(last - self.timer.now(), 0.0)):
+                return await asyncio.shield(waiting.granted)
+        except TimeoutError:
+            if waiting.granted.done():
+                return waiting.granted.result()
+            self.waiting.remove(waiting)
+            return TOO_LATE
+
+    def _abandon(self, waiting: Waiting) -> None:
+        if waiting in self.waiting:
+            self.waiting.remove(waiting)
+        elif waiting.granted.done() and waiting.granted.result() is None:
+            self.leave(waiting.work, None)
+
+    def _grant(self) -> None:
+        while self.running < self.slots and self.waiting:
+            waiting = self._next()
+            self.waiting.remove(waiting)
+            if waiting.granted.done():
+                continue
+            if self._is_hopeless(waiting.work):
+                waiting.granted.set_result(TOO_LATE)
+                continue
+            self.running += 1
+            self.grants += 1
+            waiting.granted.set_result(None)
+
+    def _next(self) -> Waiting:
+        if self.grants % FLOOR_EVERY == FLOOR_EVERY - 1:
+            return max(self.waiting, key=_least_urgent)
+        order: Callable[[Work], tuple[bool, int, float]] = self._order
+        return min(self.waiting, key=lambda each: order(each.work))
+
+    def _order(self, work: Work) -> tuple[bool, int, float]:
+        ready = self.timer.now() + self.times.mean(work.kind)
+        return ready > work.on_time_until, work.rank, work.on_time_until
+
+    def _is_hopeless(self, work: Work) -> bool:
+        ready = self.timer.now() + self.times.mean(work.kind)
+        return ready > work.deadline
+
+
+def _least_urgent(waiting: Waiting) -> tuple[int, float]:
+    return waiting.work.rank, -waiting.work.on_time_until
--- a/packages/model/tanagerbend_model/advice.py
+++ b/packages/model/tanagerbend_model/advice.py
@@ -140,6 +140,11 @@
         NO_OR_UNKNOWN,
         'correct the request',
     ),
+    ResultCode.BODY_TOO_LARGE: Advice(
+        'the body of the request is longer than the configuration allows',
+        NO,
+        'correct the request',
+    ),
     ResultCode.DRAINING: Advice(
         'the instance takes no new work',
         NO,
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/__init__.py
@@ -0,0 +1,29 @@
+"""Path of requests that follow a routing configuration."""
+
+from tanagerbend_proxy.following import (
+    Batch,
+    HistoryGone,
+    Item,
+    ItemService,
+    Removed,
+    Unreadable,
+)
+from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.service import Parts, ProxyService, assemble
+from tanagerbend_proxy.terms import Listening, StopTerms, Terms
+
+__all__ = (
+    'Batch',
+    'HeaderNames',
+    'HistoryGone',
+    'Item',
+    'ItemService',
+    'Listening',
+    'Parts',
+    'ProxyService',
+    'Removed',
+    'StopTerms',
+    'Terms',
+    'Unreadable',
+    'assemble',
+)
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -0,0 +1,323 @@
+"""Entry side: route, choice of an instance, sending again, refusing."""
+
+import math
+import random
+from typing import Final
+
+import aiohttp
+import attrs
+from multidict import CIMultiDict
+
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_proxy import headers as own_headers
+from tanagerbend_proxy.decisions import DecisionLog
+from tanagerbend_proxy.exchange import Outgoing, send
+from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.knowledge import Knowledge
+from tanagerbend_proxy.messages import (
+    MILLISECONDS,
+    Answer,
+    Outcome,
+    Placed,
+    Request,
+)
+from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.terms import Terms
+from tanagerbend_routing import (
+    ListedInstance,
+    Placement,
+    PrefixRoute,
+    Repeat,
+    RetryAllowance,
+)
+
+KILOBYTE: Final = 1024
+SERVER_ERROR: Final = 500
+# Owners that are asked for a request; a refusal of an owner costs one
+# round trip and no work of an instance.
+MOST_PLACEMENTS: Final = 4
+# Kept back at this daemon, so that the answer of the owner is read before
+# the caller's time is over.
+RETURN_SECONDS: Final = 0.02
+# The owner answers within the time that it was given; after this much
+# more its answer is lost.
+OWNER_SLACK_SECONDS: Final = 0.06
+LEAST_SECONDS: Final = 0.005
+NOBODY: Final[frozenset[str]] = frozenset()
+BUSY: Final = frozenset(
+    (
+        ResultCode.QUEUE_FULL,
+        ResultCode.DEADLINE_UNREACHABLE,
+        ResultCode.DEADLINE_PASSED,
+    )
+)
+
+
+@attrs.define
+class Journey:
+    """State of one request at its entry daemon.
+
+    Parameters
+    ==========
+
+    request : Request
+    route : PrefixRoute
+    service : str
+    deadline, on_time_until : float
+        Monotonic seconds.
+    offered : int
+        Instances that the request was sent to.
+    placed : int
+        Owners that were asked.
+    tried : frozenset of str
+    last : Answer or Refusal or None
+        The best end so far.
+    """
+
+    request: Request
+    route: PrefixRoute
+    service: str
+    deadline: float
+    on_time_until: float
+    offered: int = 0
+    placed: int = 0
+    tried: frozenset[str] = NOBODY
+    last: Answer | Refusal | None = None
+    has_run: bool = False
+
+
+@attrs.define
+class Entry:
+    """Serves the requests of the callers on this host.
+
+    Parameters
+    ==========
+
+    terms : Terms
+    knowledge : Knowledge
+    placement : Placement
+    owner : Owner
+    allowance : RetryAllowance
+    session : aiohttp.ClientSession
+        For requests to other daemons.
+    names : HeaderNames
+    recorder : Recorder
+    log : DecisionLog
+    random : random.Random
+    """
+
+    terms: Terms
+    knowledge: Knowledge
+    placement: Placement
+    owner: Owner
+    allowance: RetryAllowance
+    session: aiohttp.ClientSession
+    names: HeaderNames
+    recorder: Recorder
+    log: DecisionLog
+    random: random.Random
+
+    async def handle(self, request: Request) -> Answer | Refusal:
+        """Answer a request, or refuse it with a reason."""
+        configuration = self.knowledge.configuration
+        if configuration is None:
+            reason = 'no configuration is known yet'
+            return Refusal(ResultCode.NO_CONFIGURATION, reason)
+        route = configuration.match(request.host, request.path)
+        match route:
+            case Refusal():
+                return route
+        service = route.pick_service(self.random)
+        self.allowance.requested(service, request.arrived)
+        journey = Journey(
+            request,
+            route,
+            service,
+            request.arrived + min(route.timeout, request.time_left),
+            request.arrived + route.objective,
+        )
+        end = await self._travel(journey)
+        match end:
+            case Refusal():
+                self._explain(journey, end)
+        return end
+
+    async def _travel(self, journey: Journey) -> Answer | Refusal:
+        while journey.placed < MOST_PLACEMENTS:
+            instance = self._choose(journey)
+            if instance is None:
+                break
+            journey.placed += 1
+            outcome = await self._place(journey, instance)
+            self._learn(journey, instance, outcome)
+            if not self._may_go_on(journey, outcome):
+                break
+        return self._final(journey)
+
+    def _choose(self, journey: Journey) -> ListedInstance | None:
+        usable = self.knowledge.registry.usable(journey.service)
+        return self.placement.choose(
+            usable,
+            journey.route.name,
+            journey.tried,
+        )
+
+    async def _place(
+        self,
+        journey: Journey,
+        instance: ListedInstance,
+    ) -> Outcome:
+        """Ask the owner of an instance to run the request."""
+        now = self.recorder.timer.now()
+        left = journey.deadline - now - RETURN_SECONDS
+        if left < LEAST_SECONDS:
+            reason = 'no time is left to reach an instance'
+            return Outcome(Refusal(ResultCode.DEADLINE_PASSED, reason))
+        placed = Placed(
+            instance.identity,
+            journey.route.name,
+            journey.route.rank,
+            journey.route.repeat,
+            journey.on_time_until - now,
+            left,
+        )
+        seen = self.placement.of(instance)
+        seen.outstanding += 1
+        try:
+            if instance.address == self.terms.instance_address:
+                return await self.owner.run(journey.request, placed)
+            return await self._forward(journey.request, instance, placed)
+        finally:
+            seen.outstanding -= 1
+
+    async def _forward(
+        self,
+        request: Request,
+        instance: ListedInstance,
+        placed: Placed,
+    ) -> Outcome:
+        headers = CIMultiDict(request.headers)
+        headers[own_headers.PLACED] = placed.encode()
+        address = f'{instance.host_address}:{self.terms.peer_port}'
+        end = await send(
+            self.session,
+            Outgoing(
+                address,
+                request.method,
+                request.path,
+                headers,
+                request.body,
+                placed.time_left + OWNER_SLACK_SECONDS,
+                self.names.request_id,
+                request.identifier,
+            ),
+        )
+        match end:
+            case Refusal():
+                return Outcome(end, is_offered=end.ran is not Ran.NO)
+        told = end.headers.pop(own_headers.OUTCOME, '')
+        return Outcome.decode(told, end)
+
+    def _learn(
+        self,
+        journey: Journey,
+        instance: ListedInstance,
+        outcome: Outcome,
+    ) -> None:
+        """Take what an outcome tells of the instance."""
+        journey.tried |= {instance.identity}
+        journey.offered += outcome.is_offered
+        if outcome.load is not None:
+            self.placement.reported(instance, outcome.load)
+        match outcome.end:
+            case Answer(status=status, body=body):
+                journey.last = outcome.end
+                if status >= SERVER_ERROR:
+                    self.placement.failed(instance)
+                    return
+                served = outcome.load.served if outcome.load else 0.0
+                self.placement.served(
+                    instance,
+                    journey.route.name,
+                    served,
+                    len(body) / KILOBYTE,
+                )
+            case Refusal(code=code, ran=ran):
+                self._keep_refusal(journey, outcome.end)
+                if code is ResultCode.BACKEND_SHED_LOAD:
+                    self.placement.failed(instance)
+                elif ran is Ran.UNKNOWN:
+                    self.placement.failed(instance)
+                elif code not in BUSY:
+                    self.placement.unreachable(instance)
+
+    def _keep_refusal(self, journey: Journey, refusal: Refusal) -> None:
+        journey.has_run |= refusal.ran is not Ran.NO
+        if not isinstance(journey.last, Answer):
+            journey.last = refusal
+
+    def _may_go_on(self, journey: Journey, outcome: Outcome) -> bool:
+        """Tell whether the request is sent to one more instance."""
+        now = self.recorder.timer.now()
+        if now + LEAST_SECONDS + RETURN_SECONDS >= journey.deadline:
+            return False
+        match outcome.end:
+            case Answer(status=status):
+                is_free = status < SERVER_ERROR
+                is_free |= journey.route.repeat is Repeat.NEVER
+                if is_free:
+                    return False
+            case Refusal(ran=Ran.NO) if not outcome.is_offered:
+                return True
+            case Refusal(ran=ran):
+                is_doubtful = ran is not Ran.NO
+                if is_doubtful and journey.route.repeat is Repeat.NEVER:
+                    return False
+        if journey.offered >= journey.route.most_attempts:
+            return False
+        daemons = self.knowledge.daemons
+        return self.allowance.take(journey.service, now, daemons)
+
+    def _final(self, journey: Journey) -> Answer | Refusal:
+        last = journey.last
+        if last is None:
+            reason = f'no instance of {journey.service!r} is known'
+            return Refusal(ResultCode.NO_INSTANCE, reason)
+        match last:
+            case Refusal(ran=Ran.NO) if journey.has_run:
+                # An earlier send may have run, so nothing is promised.
+                return attrs.evolve(last, ran=Ran.UNKNOWN)
+        return last
+
+    def retry_after(self, request: Request) -> float:
+        """Return the seconds after which a refused caller comes back.
+
+        It comes back while an answer on time is still possible; the
+        caller honours a third of the time that it has left.
+        """
+        now = self.recorder.timer.now()
+        left = request.arrived + request.time_left - now
+        if not math.isfinite(left):
+            return 1.0
+        spread = 0.5 + self.random.random() / 2
+        return max(left / 3 * spread, 0.01)
+
+    def _explain(self, journey: Journey, refusal: Refusal) -> None:
+        now = self.recorder.timer.now()
+        self.recorder.count('requests_refused', refusal.code.name)
+        self.log.request(
+            'request_refused',
+            journey.request.identifier,
+            code=refusal.code.name,
+            ran=refusal.ran.value,
+            reason=refusal.reason,
+            route=journey.route.name,
+            service=journey.service,
+            rank=journey.route.rank,
+            offered=journey.offered,
+            placed=journey.placed,
+            age_ms=round((now - journey.request.arrived) * MILLISECONDS),
+            left_ms=round((journey.deadline - now) * MILLISECONDS),
+            version=self.knowledge.version,
+        )
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -0,0 +1,238 @@
+"""One request to an instance or a daemon over HTTP, and its whole answer."""
+
+import asyncio
+import functools
+import socket
+from typing import Any, Final
+
+import aiohttp
+import attrs
+from aiohttp.client_proto import ResponseHandler
+from multidict import CIMultiDict
+from yarl import URL
+
+from tanagerbend_daemon.connections import (
+    ATTEMPT,
+    AUTOMATIC_HEADERS,
+    Attempt,
+    Connector,
+)
+from tanagerbend_daemon.outbound import HOP_BY_HOP, NOT_SENT
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_proxy.messages import Answer
+
+# Unacknowledged bytes end a connection after this time: a host without
+# power answers nothing, and a request must still be placed elsewhere.
+SILENCE_MS: Final = 700
+# Probes of a connection that waits for an answer, in seconds.
+PROBE_AFTER: Final = 1
+PROBE_EVERY: Final = 1
+PROBES: Final = 2
+CONNECT_SECONDS: Final = 0.4
+# Answers of earlier requests that are skipped on one connection.
+MOST_SKIPPED: Final = 4
+UNREAD_LIMIT: Final = 262144
+
+
+@attrs.define
+class IdentifiedAttempt(Attempt):
+    """Attempt whose answer must carry an identifier.
+
+    Parameters
+    ==========
+
+    header : str
+        Name of the header that carries it; empty to take any answer.
+    identifier : str
+    """
+
+    header: str = ''
+    identifier: str = ''
+
+    def is_foreign(self, headers: Any) -> bool:
+        """Return whether an answer names another request."""
+        if not self.header:
+            return False
+        named = headers.get(self.header)
+        return named is not None and named != self.identifier
+
+
+class MatchingHandler(ResponseHandler):
+    """Connection that skips late answers to earlier requests."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.lost_error: BaseException | None = None
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Remember how the connection ended."""
+        self.lost_error = exc
+        super().connection_lost(exc)
+
+    async def read(self) -> Any:
+        """Return the next message that belongs to the present request."""
+        for _ in range(MOST_SKIPPED):
+            message, payload = await super().read()
+            attempt = ATTEMPT.get()
+            if not isinstance(attempt, IdentifiedAttempt):
+                return message, payload
+            if not attempt.is_foreign(message.headers):
+                return message, payload
+            await payload.read()
+        raise aiohttp.ServerDisconnectedError('answers of other requests')
+
+
+def make_socket(info: Any) -> socket.socket:
+    """Return a socket that notices a peer that fell silent."""
+    family, kind, protocol = info[:3]
+    made = socket.socket(family, kind, protocol)
+    made.setblocking(False)  # noqa: FBT003
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    tcp = socket.IPPROTO_TCP
+    made.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_AFTER)
+    made.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_EVERY)
+    made.setsockopt(tcp, socket.TCP_KEEPCNT, PROBES)
+    made.setsockopt(tcp, socket.TCP_USER_TIMEOUT, SILENCE_MS)
+    return made
+
+
+def make_session(keep_seconds: float, connections: int) -> aiohttp.ClientSession:
+    """Return a session with connections that notice silence.
+
+    Parameters
+    ==========
+
+    keep_seconds : float
+        How long an idle connection is kept.
+    connections : int
+        Limit of open connections, 0 for no limit.
+    """
+    connector = Connector(
+        limit=connections,
+        keepalive_timeout=keep_seconds,
+        socket_factory=make_socket,
+    )
+    connector._factory = functools.partial(  # noqa: SLF001
+        MatchingHandler,
+        loop=asyncio.get_running_loop(),
+    )
+    session = aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        auto_decompress=False,
+        skip_auto_headers=AUTOMATIC_HEADERS,
+    )
+    # aiohttp sends PUT and DELETE again when a kept connection is lost,
+    # which could run an order twice; it offers no public switch.
+    session._retry_connection = False  # noqa: SLF001
+    return session
+
+
+@attrs.frozen
+class Outgoing:
+    """A request to be sent once.
+
+    Parameters
+    ==========
+
+    address : str
+        ``address:port``.
+    method, path : str
+    headers : CIMultiDict
+    body : bytes
+    limit : float
+        Seconds until there must be a whole answer.
+    header, identifier : str
+        Header and identifier that the answer must echo.
+    """
+
+    address: str
+    method: str
+    path: str
+    headers: CIMultiDict[str] = attrs.field(repr=False)
+    body: bytes = attrs.field(repr=False)
+    limit: float
+    header: str = ''
+    identifier: str = ''
+
+
+async def send(
+    session: aiohttp.ClientSession,
+    outgoing: Outgoing,
+) -> Answer | Refusal:
+    """Send a request once and read the whole answer.
+
+    A refusal says ``Ran.NO`` only if nothing was written.
+    """
+    attempt = IdentifiedAttempt(
+        asyncio.timeout(outgoing.limit),
+        header=outgoing.header,
+        identifier=outgoing.identifier,
+    )
+    token = ATTEMPT.set(attempt)
+    try:
+        async with attempt.limit:
+            return await _exchange(session, outgoing)
+    except (aiohttp.ClientError, OSError, ValueError) as error:
+        return _refuse(outgoing.address, error, attempt)
+    finally:
+        ATTEMPT.reset(token)
+
+
+async def _exchange(
+    session: aiohttp.ClientSession,
+    outgoing: Outgoing,
+) -> Answer | Refusal:
+    response = await session.request(
+        outgoing.method,
+        URL(f'http://{outgoing.address}{outgoing.path}', encoded=True),
+        headers=outgoing.headers,
+        data=outgoing.body or None,
+        allow_redirects=False,
+        timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_SECONDS),
+        read_bufsize=UNREAD_LIMIT,
+    )
+    connection = response.connection
+    protocol = None if connection is None else connection.protocol
+    try:
+        body = await response.read()
+    except BaseException:
+        response.close()
+        raise
+    if _is_cut(response, protocol):
+        reason = f'{outgoing.address}: answer without length was reset'
+        return Refusal(ResultCode.ANSWER_TRUNCATED, reason, Ran.UNKNOWN)
+    return Answer(response.status, _passed_on(response.headers), body)
+
+
+def _is_cut(
+    response: aiohttp.ClientResponse,
+    protocol: ResponseHandler | None,
+) -> bool:
+    """Tell whether an answer that ends with its connection was reset."""
+    if not isinstance(protocol, MatchingHandler):
+        return False
+    if 'Content-Length' in response.headers:
+        return False
+    if 'chunked' in response.headers.get('Transfer-Encoding', '').lower():
+        return False
+    return protocol.lost_error is not None
+
+
+def _passed_on(found: Any) -> CIMultiDict[str]:
+    named = found.get('Connection', '').lower()
+    dropped = HOP_BY_HOP | {name.strip() for name in named.split(',')}
+    return CIMultiDict(
+        (name, text)
+        for name, text in found.items()
+        if name.lower() not in dropped
+    )
+
+
+def _refuse(address: str, error: Exception, attempt: Attempt) -> Refusal:
+    reason = f'{address}: {type(error).__name__}'
+    if isinstance(error, NOT_SENT) or not attempt.is_connected:
+        return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
+    if isinstance(error, TimeoutError) and attempt.limit.expired():
+        return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+    return Refusal(ResultCode.CONNECTION_LOST, reason, Ran.UNKNOWN)
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -0,0 +1,283 @@
+"""HTTP servers: for callers, for other daemons, and for the ready question."""
+
+import math
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import Any, Final
+
+import attrs
+from aiohttp import web
+from multidict import CIMultiDict
+
+from tanagerbend_daemon.listener import Listener
+from tanagerbend_daemon.outbound import HOP_BY_HOP
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_proxy import headers as own_headers
+from tanagerbend_proxy.entry import Entry
+from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.messages import (
+    MILLISECONDS,
+    Answer,
+    Outcome,
+    Placed,
+    Request,
+)
+from tanagerbend_proxy.owner import Owner
+
+# Longer than any idle time that the platform grants to callers.
+KEEP_SECONDS: Final = 75.0
+SHUTDOWN_SECONDS: Final = 0.5
+# Largest body before a configuration names its own limit, in bytes.
+FIRST_BODY_LIMIT: Final = 1048576
+HEADER_LIMIT: Final = 65536
+# Set by the server itself, or meant for another connection.
+NOT_COPIED: Final = HOP_BY_HOP | {'content-length', 'date', 'server'}
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+@attrs.define
+class Door:
+    """One listening socket and its requests.
+
+    Parameters
+    ==========
+
+    handler : callable
+    recorder : Recorder
+    active : int
+        Requests that are being answered.
+    is_closing : bool
+        Whether answers ask their callers to close the connection.
+    """
+
+    handler: Handler
+    recorder: Recorder
+    active: int = 0
+    is_closing: bool = False
+    runner: web.ServerRunner | None = None
+    listener: Listener | None = None
+
+    async def open(self, address: str) -> None:
+        """Listen at ``address:port``."""
+        server = web.Server(
+            self.serve,
+            handler_cancellation=True,
+            auto_decompress=False,
+            access_log=None,
+            keepalive_timeout=KEEP_SECONDS,
+            max_line_size=HEADER_LIMIT,
+            max_field_size=HEADER_LIMIT,
+        )
+        self.runner = web.ServerRunner(
+            server,
+            access_log=None,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        await self.runner.setup()
+        self.listener = Listener(self.runner)
+        host, _, port = address.rpartition(':')
+        await self.listener.start(host, int(port))
+
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        self.active += 1
+        try:
+            response = await self.handler(request)
+        finally:
+            self.active -= 1
+        if self.is_closing:
+            response.force_close()
+        return response
+
+    async def close(self) -> None:
+        """Stop listening and end the connections."""
+        if self.listener is not None:
+            await self.listener.close()
+            await self.runner.cleanup()
+
+
+@attrs.define
+class CallerDoor:
+    """Turns the requests of callers into answers."""
+
+    entry: Entry
+    names: HeaderNames
+    recorder: Recorder
+    caller_service: str
+
+    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request of a caller."""
+        request = await self.read(http)
+        match request:
+            case Refusal():
+                return self.refuse(request, None)
+        end = await self.entry.handle(request)
+        match end:
+            case Refusal():
+                return self.refuse(end, request)
+        return respond(end)
+
+    async def read(self, http: web.BaseRequest) -> Request | Refusal:
+        """Read a whole request."""
+        arrived = self.recorder.timer.now()
+        configuration = self.entry.knowledge.configuration
+        limits = None if configuration is None else configuration.limits
+        most = limits.body_bytes if limits else FIRST_BODY_LIMIT
+        body = await read_body(http, most)
+        match body:
+            case Refusal():
+                return body
+        headers = copied(http.headers)
+        headers[self.names.caller_service] = self.caller_service
+        headers.popall(self.names.expected_instance, None)
+        headers.popall(own_headers.PLACED, None)
+        return Request(
+            http.headers.get(self.names.request_id, ''),
+            http.method,
+            http.headers.get('Host', '').partition(':')[0].lower(),
+            http.raw_path,
+            headers,
+            body,
+            time_left(http.headers.get(self.names.time_left)),
+            arrived,
+        )
+
+    def refuse(
+        self,
+        refusal: Refusal,
+        request: Request | None,
+    ) -> web.Response:
+        """Return the answer of a refused request."""
+        headers = {}
+        if request is not None and request.identifier:
+            headers[self.names.request_id] = request.identifier
+        status = status_of(refusal)
+        if status == HTTPStatus.SERVICE_UNAVAILABLE and request is not None:
+            wait = self.entry.retry_after(request)
+            headers['Retry-After'] = f'{wait:.3f}'
+        return web.json_response(
+            {'code': int(refusal.code), 'reason': refusal.reason},
+            status=status,
+            headers=headers,
+        )
+
+
+@attrs.define
+class PeerDoor:
+    """Runs the requests that other daemons place at the instance here."""
+
+    owner: Owner
+    names: HeaderNames
+    recorder: Recorder
+
+    async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request of another daemon."""
+        placed = Placed.decode(http.headers.get(own_headers.PLACED, ''))
+        identifier = http.headers.get(self.names.request_id, '')
+        body = await http.content.read(-1)
+        match placed:
+            case Refusal():
+                return self._respond(identifier, Outcome(placed))
+        if self.owner.is_leaving:
+            reason = 'the daemon beside the instance is stopping'
+            refusal = Refusal(ResultCode.DRAINING, reason)
+            return self._respond(identifier, Outcome(refusal))
+        headers = copied(http.headers)
+        headers.popall(own_headers.PLACED, None)
+        request = Request(
+            identifier,
+            http.method,
+            http.host,
+            http.raw_path,
+            headers,
+            body,
+            placed.time_left,
+            self.recorder.timer.now(),
+        )
+        outcome = await self.owner.run(request, placed)
+        return self._respond(identifier, outcome)
+
+    def _respond(self, identifier: str, outcome: Outcome) -> web.Response:
+        match outcome.end:
+            case Answer():
+                response = respond(outcome.end)
+            case Refusal(reason=reason):
+                response = web.Response(text=reason)
+                response.headers[self.names.request_id] = identifier
+        response.headers[own_headers.OUTCOME] = outcome.encode()
+        return response
+
+
+def respond(answer: Answer) -> web.Response:
+    """Return the response that carries an answer unchanged."""
+    headers = CIMultiDict(
+        (name, text)
+        for name, text in answer.headers.items()
+        if name.lower() not in NOT_COPIED
+    )
+    return web.Response(status=answer.status, headers=headers, body=answer.body)
+
+
+def copied(found: Any) -> CIMultiDict[str]:
+    """Return the headers that do not concern one connection."""
+    named = found.get('Connection', '').lower()
+    dropped = NOT_COPIED | {name.strip() for name in named.split(',')}
+    return CIMultiDict(
+        (name, text)
+        for name, text in found.items()
+        if name.lower() not in dropped
+    )
+
+
+def time_left(text: str | None) -> float:
+    """Return the seconds for which a caller waits.
+
+    Examples
+    ========
+
+    >>> time_left('800'), time_left(None), time_left('soon')
+    (0.8, inf, inf)
+    """
+    try:
+        return math.inf if text is None else float(text) / MILLISECONDS
+    except ValueError:
+        return math.inf
+
+
+async def read_body(http: web.BaseRequest, most: int) -> bytes | Refusal:
+    """Read a body of at most ``most`` bytes."""
+    if not http.body_exists:
+        return b''
+    chunks = []
+    size = 0
+    async for chunk in http.content.iter_any():
+        size += len(chunk)
+        if size > most:
+            reason = f'body of more than {most} bytes'
+            return Refusal(ResultCode.BODY_TOO_LARGE, reason)
+        chunks.append(chunk)
+    return b''.join(chunks)
+
+
+def status_of(refusal: Refusal) -> int:
+    """Return the HTTP status of a refusal; 503 promises "not run".
+
+    Examples
+    ========
+
+    >>> status_of(Refusal(ResultCode.QUEUE_FULL, ''))
+    503
+    >>> status_of(Refusal(ResultCode.OUTCOME_UNKNOWN, '', Ran.UNKNOWN))
+    504
+    """
+    match refusal:
+        case Refusal(code=ResultCode.ROUTE_UNKNOWN):
+            return int(HTTPStatus.NOT_FOUND)
+        case Refusal(code=ResultCode.BODY_TOO_LARGE):
+            return int(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        case Refusal(ran=Ran.NO):
+            return int(HTTPStatus.SERVICE_UNAVAILABLE)
+        case Refusal(code=ResultCode.OUTCOME_UNKNOWN):
+            return int(HTTPStatus.GATEWAY_TIMEOUT)
+    return int(HTTPStatus.BAD_GATEWAY)
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/knowledge.py
@@ -0,0 +1,61 @@
+"""What a daemon knows of the deployment, and how sure it is."""
+
+from tanagerbend_metrics import Recorder
+from tanagerbend_proxy.decisions import DecisionLog
+from tanagerbend_routing import InstanceRegistry, RoutingConfiguration
+
+
+class Knowledge:
+    """Configuration in force and instances; only the newest is kept.
+
+    Parameters
+    ==========
+
+    recorder : Recorder
+    log : DecisionLog
+    """
+
+    def __init__(self, recorder: Recorder, log: DecisionLog) -> None:
+        self.recorder = recorder
+        self.log = log
+        self.registry = InstanceRegistry(recorder)
+        self.configuration: RoutingConfiguration | None = None
+        self.is_store_lost = False
+
+    @property
+    def version(self) -> int:
+        """Version in force, 0 if there is none."""
+        return 0 if self.configuration is None else self.configuration.version
+
+    @property
+    def daemons(self) -> int:
+        """Daemons of the deployment; one runs beside each instance."""
+        return max(len(self.registry.entries), 1)
+
+    def adopt(self, offered: RoutingConfiguration) -> bool:
+        """Put a configuration in force if it is newer."""
+        if offered.version <= self.version:
+            return False
+        before = self.version
+        self.configuration = offered
+        self.recorder.count('versions_adopted')
+        self.log.write(
+            'version_adopted',
+            version=offered.version,
+            before=before,
+        )
+        return True
+
+    def store_lost(self, reason: str) -> None:
+        """Note that the configuration service does not answer."""
+        self.registry.service_lost()
+        if not self.is_store_lost:
+            self.is_store_lost = True
+            self.log.write('service_lost', reason=reason)
+
+    def store_regained(self) -> None:
+        """Note that the configuration service answers."""
+        self.registry.service_regained()
+        if self.is_store_lost:
+            self.is_store_lost = False
+            self.log.write('service_available', version=self.version)
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -0,0 +1,166 @@
+"""Requests and answers on their way through a daemon."""
+
+import json
+
+import attrs
+from multidict import CIMultiDict
+
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_routing import LoadReport, Repeat
+
+MILLISECONDS = 1000.0
+
+
+@attrs.frozen
+class Request:
+    """A request as a caller sent it, without headers of one connection.
+
+    Parameters
+    ==========
+
+    identifier, method, host, path : str
+        The path holds the query as it was sent.
+    headers : CIMultiDict
+    body : bytes
+    time_left : float
+        Seconds for which the caller waits; infinite if it did not say.
+    arrived : float
+        Monotonic seconds.
+    """
+
+    identifier: str
+    method: str
+    host: str
+    path: str
+    headers: CIMultiDict[str] = attrs.field(repr=False)
+    body: bytes = attrs.field(repr=False)
+    time_left: float
+    arrived: float
+
+
+@attrs.frozen
+class Placed:
+    """Where a request is to run, and until when.
+
+    Parameters
+    ==========
+
+    instance : str
+        Identity of the chosen instance.
+    route : str
+    rank : int
+    repeat : Repeat
+    on_time : float
+        Seconds left for an answer on time; may be negative.
+    time_left : float
+        Seconds left for any answer.
+    is_late_welcome : bool
+        Whether the request may wait although it will be late.
+    """
+
+    instance: str
+    route: str
+    rank: int
+    repeat: Repeat
+    on_time: float
+    time_left: float
+    is_late_welcome: bool = False
+
+    def encode(self) -> str:
+        """Return the text of the header between daemons."""
+        return json.dumps(
+            (
+                self.instance,
+                self.route,
+                self.rank,
+                self.repeat.value,
+                round(self.on_time * MILLISECONDS),
+                round(self.time_left * MILLISECONDS),
+                self.is_late_welcome,
+            ),
+        )
+
+    @classmethod
+    def decode(cls, text: str) -> 'Placed | Refusal':
+        """Read the header of another daemon."""
+        try:
+            instance, route, rank, repeat, on_time, left, late = json.loads(
+                text,
+            )
+            return cls(
+                str(instance),
+                str(route),
+                int(rank),
+                Repeat(repeat),
+                on_time / MILLISECONDS,
+                left / MILLISECONDS,
+                bool(late),
+            )
+        except (ValueError, TypeError) as error:
+            reason = f'placement of another daemon: {error}'
+            return Refusal(ResultCode.HEADER_INVALID, reason)
+
+
+@attrs.frozen
+class Answer:
+    """Whole answer of an instance.
+
+    Parameters
+    ==========
+
+    status : int
+    headers : CIMultiDict
+    body : bytes
+    """
+
+    status: int
+    headers: CIMultiDict[str] = attrs.field(repr=False)
+    body: bytes = attrs.field(repr=False)
+
+
+@attrs.frozen
+class Outcome:
+    """What became of a request at the owner of an instance.
+
+    Parameters
+    ==========
+
+    end : Answer or Refusal
+    load : LoadReport or None
+    is_offered : bool
+        Whether the request was sent to the instance.
+    """
+
+    end: Answer | Refusal
+    load: LoadReport | None = None
+    is_offered: bool = False
+
+    def encode(self) -> str:
+        """Return the text of the header between daemons."""
+        load = self.load or LoadReport(0, 0)
+        match self.end:
+            case Refusal(code=code, ran=ran):
+                told = (int(code), ran.value)
+            case _:
+                told = (0, Ran.YES.value)
+        seconds = round(load.served, 4)
+        return json.dumps(
+            (*told, self.is_offered, load.busy, load.slots, seconds),
+        )
+
+    @classmethod
+    def decode(cls, text: str, answer: Answer) -> 'Outcome':
+        """Read the header of another daemon, with the answer it came on."""
+        try:
+            code, ran, offered, busy, slots, served = json.loads(text)
+            end: Answer | Refusal = answer
+            if code:
+                reason = answer.body[:200].decode('utf-8', 'replace')
+                end = Refusal(ResultCode(code), reason, Ran(ran))
+            load = LoadReport(int(busy), int(slots), float(served))
+            return cls(end, load, bool(offered))
+        except (ValueError, TypeError):
+            reason = 'answer that is not from a daemon'
+            return cls(
+                Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN),
+            )
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -0,0 +1,132 @@
+"""Owner side: hands a request to the instance on this host."""
+
+from typing import Final
+
+import aiohttp
+import attrs
+from multidict import CIMultiDict
+
+from tanagerbend_admission import ObjectiveQueue, Work
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_proxy.exchange import Outgoing, send
+from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.messages import (
+    MILLISECONDS,
+    Answer,
+    Outcome,
+    Placed,
+    Request,
+)
+from tanagerbend_routing import LoadReport
+
+OK: Final = 200
+REDIRECTS: Final = 300
+MISDIRECTED: Final = 421
+# Kept back from the time of the instance, so that its answer, or the news
+# that there is none, reaches the caller in time.
+RETURN_SECONDS: Final = 0.01
+
+
+@attrs.define
+class Owner:
+    """Gives the slots of the instance on this host to requests.
+
+    Parameters
+    ==========
+
+    address : str
+        ``address:port`` of the instance.
+    session : aiohttp.ClientSession
+    queue : ObjectiveQueue
+    names : HeaderNames
+    recorder : Recorder
+    is_leaving : bool
+        Whether requests of other hosts are refused.
+    """
+
+    address: str
+    session: aiohttp.ClientSession
+    queue: ObjectiveQueue
+    names: HeaderNames
+    recorder: Recorder
+    is_leaving: bool = False
+
+    async def run(self, request: Request, placed: Placed) -> Outcome:
+        """Wait for a slot and run the request once."""
+        now = self.recorder.timer.now()
+        deadline = now + placed.time_left
+        work = Work(
+            placed.route,
+            placed.rank,
+            now + placed.on_time,
+            deadline - RETURN_SECONDS,
+            placed.is_late_welcome,
+        )
+        refusal = await self.queue.enter(work)
+        if refusal is not None:
+            return Outcome(refusal, self.report())
+        started = self.recorder.timer.now()
+        seconds = None
+        try:
+            end = await self._send(request, placed, deadline - started)
+            if isinstance(end, Answer) and end.status < MISDIRECTED:
+                seconds = self.recorder.timer.now() - started
+        finally:
+            self.queue.leave(work, seconds)
+        is_offered = not (
+            isinstance(end, Refusal)
+            and end.code is ResultCode.INSTANCE_UNREACHABLE
+        )
+        return Outcome(end, self.report(seconds or 0.0), is_offered)
+
+    def report(self, served: float = 0.0) -> LoadReport:
+        """Return the load of the instance."""
+        return LoadReport(self.queue.busy, self.queue.slots, served)
+
+    async def _send(
+        self,
+        request: Request,
+        placed: Placed,
+        time_left: float,
+    ) -> Answer | Refusal:
+        limit = time_left - RETURN_SECONDS
+        if limit <= 0:
+            reason = 'no time is left for the instance'
+            return Refusal(ResultCode.DEADLINE_PASSED, reason)
+        headers = CIMultiDict(request.headers)
+        headers[self.names.expected_instance] = placed.instance
+        headers[self.names.time_left] = str(int(limit * MILLISECONDS))
+        end = await send(
+            self.session,
+            Outgoing(
+                self.address,
+                request.method,
+                request.path,
+                headers,
+                request.body,
+                limit,
+                self.names.request_id,
+                request.identifier,
+            ),
+        )
+        match end:
+            case Answer():
+                return self._check(request, end)
+        return end
+
+    def _check(self, request: Request, answer: Answer) -> Answer | Refusal:
+        """Tell an answer of the instance from other bytes."""
+        names = self.names
+        if answer.status == MISDIRECTED:
+            reason = 'another instance has the address'
+            return Refusal(ResultCode.NO_INSTANCE, reason)
+        if names.not_run in answer.headers:
+            reason = f'instance did not run it, status {answer.status}'
+            return Refusal(ResultCode.BACKEND_SHED_LOAD, reason)
+        is_own = answer.headers.get(names.request_id) == request.identifier
+        is_success = OK <= answer.status < REDIRECTS
+        if is_own and (names.stamp in answer.headers or not is_success):
+            return answer
+        reason = f'status {answer.status} that is not for this request'
+        return Refusal(ResultCode.ANSWER_CROSSED, reason, Ran.UNKNOWN)
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -0,0 +1,203 @@
+"""A whole daemon as `mode` services."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+from aiohttp import web
+from mode import Service
+
+from tanagerbend_admission import ObjectiveQueue
+from tanagerbend_metrics import Recorder, expose
+from tanagerbend_proxy.decisions import DecisionLog
+from tanagerbend_proxy.entry import Entry
+from tanagerbend_proxy.exchange import make_session
+from tanagerbend_proxy.following import EXPIRY_SECONDS, Follower, ItemService
+from tanagerbend_proxy.front import CallerDoor, Door, PeerDoor
+from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.knowledge import Knowledge
+from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.terms import Terms
+from tanagerbend_routing import Placement, RetryAllowance
+from tanagerbend_timer import SystemTimer
+
+# Idle connections to the instance; below the ten seconds after which
+# instances of today's deployments close them.
+INSTANCE_KEEP_SECONDS: Final = 4.0
+PEER_KEEP_SECONDS: Final = 30.0
+# Slots of the instance until its entry has been read.
+FIRST_SLOTS: Final = 4
+# Callers are told within two questions, one each second, that this daemon
+# stops; it serves them until then.
+NOTICE_SECONDS: Final = 2.3
+# Kept back from the time until the process is killed.
+EXIT_SECONDS: Final = 0.8
+POLL_SECONDS: Final = 0.05
+REFRESH_SECONDS: Final = 0.2
+
+
+@attrs.define
+class Parts:
+    """The parts of one daemon."""
+
+    terms: Terms
+    recorder: Recorder
+    log: DecisionLog
+    knowledge: Knowledge
+    follower: Follower
+    owner: Owner
+    entry: Entry
+    callers: Door
+    peers: Door
+    is_stopping: bool = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this daemon takes requests."""
+        return (
+            not self.is_stopping and self.knowledge.configuration is not None
+        )
+
+    def adopt_terms(self, terms: Terms) -> None:
+        """Take new bounds; addresses stay as long as the process runs."""
+        is_changed = terms != self.terms
+        self.terms = terms
+        self.entry.allowance.terms = terms.budget
+        self.log.write('settings_reloaded', is_changed=is_changed)
+
+
+def assemble(
+    terms: Terms,
+    names: HeaderNames,
+    connect: Callable[[Recorder], ItemService],
+) -> Parts:
+    """Wire the parts of a daemon; needs a running event loop.
+
+    ``connect`` returns the client of the platform's service.
+    """
+    recorder = Recorder(SystemTimer())
+    chance = random.Random()  # noqa: S311
+    log = DecisionLog(terms.host, recorder)
+    knowledge = Knowledge(recorder, log)
+    owner = Owner(
+        terms.instance_address,
+        make_session(INSTANCE_KEEP_SECONDS, 0),
+        ObjectiveQueue(recorder.timer, FIRST_SLOTS),
+        names,
+        recorder,
+    )
+    entry = Entry(
+        terms,
+        knowledge,
+        Placement(terms.failure_domain, chance, recorder),
+        owner,
+        RetryAllowance(terms.budget),
+        make_session(PEER_KEEP_SECONDS, 0),
+        names,
+        recorder,
+        log,
+        chance,
+    )
+    door = CallerDoor(entry, names, recorder, terms.service)
+    return Parts(
+        terms,
+        recorder,
+        log,
+        knowledge,
+        Follower(connect(recorder), knowledge, recorder, chance),
+        owner,
+        entry,
+        Door(door.handle, recorder),
+        Door(PeerDoor(owner, names, recorder).handle, recorder),
+    )
+
+
+class ProxyService(Service):
+    """Serves callers and peers, and follows the platform.
+
+    Parameters
+    ==========
+
+    parts : Parts
+    """
+
+    def __init__(self, parts: Parts) -> None:
+        super().__init__()
+        self.parts = parts
+        self.ready_door = Door(self.answer_ready, parts.recorder)
+        self.metrics_door = Door(self.answer_metrics, parts.recorder)
+
+    async def on_start(self) -> None:
+        """Listen; callers are served once a configuration is known."""
+        parts = self.parts
+        listening = parts.terms.listening
+        await self.ready_door.open(listening.ready)
+        await self.metrics_door.open(listening.metrics)
+        await parts.peers.open(listening.peers)
+        await parts.callers.open(listening.callers)
+        timer = parts.recorder.timer
+        timer.every(EXPIRY_SECONDS, parts.follower.expire)
+        timer.every(REFRESH_SECONDS, self.refresh)
+        parts.log.write('daemon_started', service=parts.terms.service)
+
+    async def refresh(self) -> None:
+        """Take the slots of the own instance from its entry."""
+        parts = self.parts
+        registry = parts.knowledge.registry
+        own = registry.at_address(parts.terms.instance_address)
+        if own is not None and own.slots != parts.owner.queue.slots:
+            parts.owner.queue.resize(own.slots)
+
+    @Service.task
+    async def follow(self) -> None:
+        """Follow the platform's service."""
+        await self.parts.follower.run()
+
+    async def answer_ready(self, _request: web.BaseRequest) -> web.Response:
+        """Tell the platform whether this daemon takes requests."""
+        status = 200 if self.parts.is_ready else 503
+        return web.Response(status=status)
+
+    async def answer_metrics(self, _request: web.BaseRequest) -> web.Response:
+        """Return counters and histograms as text."""
+        parts = self.parts
+        gauges = {
+            ('ready', ''): {'': int(parts.is_ready)},
+            ('version', ''): {'': parts.knowledge.version},
+            ('busy', ''): {'': parts.owner.queue.busy},
+        }
+        return web.Response(body=await expose(parts.recorder, gauges))
+
+    async def stop_gracefully(self) -> None:
+        """Serve until nobody sends any more, then stop."""
+        parts = self.parts
+        timer = parts.recorder.timer
+        started = timer.now()
+        parts.log.write('daemon_stopping', active=parts.callers.active)
+        parts.is_stopping = True
+        parts.owner.is_leaving = True
+        parts.callers.is_closing = True
+        last = started + parts.terms.stop.grace - EXIT_SECONDS
+        await timer.sleep(min(NOTICE_SECONDS, last - started))
+        while self._is_busy() and timer.now() < last:
+            await timer.sleep(POLL_SECONDS)
+        await asyncio.gather(parts.callers.close(), parts.peers.close())
+        parts.log.write(
+            'daemon_stopped',
+            seconds=round(timer.now() - started, 3),
+        )
+        await self.stop()
+
+    def _is_busy(self) -> bool:
+        return bool(self.parts.callers.active or self.parts.peers.active)
+
+    async def on_stop(self) -> None:
+        """Close what is open."""
+        parts = self.parts
+        await parts.recorder.timer.close()
+        for door in (self.ready_door, self.metrics_door):
+            await door.close()
+        await parts.owner.session.close()
+        await parts.entry.session.close()
--- /dev/null
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -0,0 +1,238 @@
+"""Choice of an instance by the time until the answer is expected.
+
+The load it answers: instances that differ in speed, are cold, grey or
+busy, and links between failure domains that cost time and money.  The
+owner of an instance reports its load with each answer; between reports
+the daemon counts its own requests.
+"""
+
+import math
+from collections.abc import Iterable
+from typing import Final
+
+import attrs
+
+from tanagerbend_interfaces import Randomness
+from tanagerbend_metrics import Recorder
+from tanagerbend_routing.registry import ListedInstance
+
+# Half of a report is forgotten after this time, about three requests of
+# an instance at today's sizes.
+REPORT_HALF_LIFE_SECONDS: Final = 0.25
+SPEED_WEIGHT: Final = 0.1
+FAILURE_WEIGHT: Final = 0.15
+FAILURE_HALF_LIFE_SECONDS: Final = 2.0
+# Time to run of a route that has not been answered yet, in seconds.
+FIRST_WORK_SECONDS: Final = 0.1
+# An instance that fails all requests looks slower by this factor.
+FAILURE_FACTOR: Final = 20.0
+COLD_FACTOR: Final = 2.0
+# Expected waiting at an instance grows before all slots are taken, since
+# requests come at random.
+CROWDING: Final = 0.25
+# Round trip between failure domains, and the time that each kilobyte
+# between them is worth; the platform charges for these bytes.
+DISTANCE_SECONDS: Final = 0.005
+DISTANCE_SECONDS_PER_KB: Final = 0.001
+JITTER: Final = 0.1
+FIRST_AVOID_SECONDS: Final = 0.25
+LONGEST_AVOID_SECONDS: Final = 2.0
+
+
+@attrs.frozen
+class LoadReport:
+    """What the owner of an instance says of it with an answer.
+
+    Parameters
+    ==========
+
+    busy : int
+        Running and waiting requests.
+    slots : int
+    served : float
+        Seconds that the instance took for this request; 0 if it ran none.
+    """
+
+    busy: int
+    slots: int
+    served: float = 0.0
+
+
+@attrs.define(eq=False)
+class Seen:
+    """What this daemon has seen of one start of an instance."""
+
+    outstanding: int = 0
+    speed: float = 1.0
+    failures: float = 0.0
+    failed_at: float = 0.0
+    busy: float = 0.0
+    reported_at: float = -math.inf
+    avoid_until: float = -math.inf
+    avoid_seconds: float = 0.0
+
+    def busy_now(self, now: float) -> float:
+        """Return the expected requests at the instance."""
+        age = now - self.reported_at
+        faded = self.busy * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
+        return max(faded, self.outstanding)
+
+    def failing(self, now: float) -> float:
+        """Return the share of failed requests, which fades."""
+        age = now - self.failed_at
+        return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS)
+
+
+@attrs.define
+class RouteWork:
+    """Typical size of the work of a route.
+
+    Parameters
+    ==========
+
+    seconds : float
+        Time at an instance.
+    kilobytes : float
+        Size of an answer.
+    """
+
+    seconds: float = FIRST_WORK_SECONDS
+    kilobytes: float = 1.0
+
+    def observe(self, seconds: float, kilobytes: float) -> None:
+        """Take the time and the size of one answer."""
+        self.seconds += SPEED_WEIGHT * (seconds - self.seconds)
+        self.kilobytes += SPEED_WEIGHT * (kilobytes - self.kilobytes)
+
+
+class Placement:
+    """Chooses instances for the requests of one daemon.
+
+    Parameters
+    ==========
+
+    failure_domain : str
+    random : Randomness
+    recorder : Recorder
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        random: Randomness,
+        recorder: Recorder,
+    ) -> None:
+        self.failure_domain = failure_domain
+        self.random = random
+        self.recorder = recorder
+        self.timer = recorder.timer
+        self.seen: dict[tuple[str, int], Seen] = {}
+        self.work: dict[str, RouteWork] = {}
+
+    def choose(
+        self,
+        instances: Iterable[ListedInstance],
+        route: str,
+        exclude: frozenset[str],
+    ) -> ListedInstance | None:
+        """Return the instance that is expected to answer first.
+
+        ``exclude`` holds identities.  An instance that is avoided is used
+        only where there is no other.
+        """
+        now = self.timer.now()
+        left = [each for each in instances if each.identity not in exclude]
+        calm = [each for each in left if self.of(each).avoid_until <= now]
+        return min(
+            calm or left,
+            key=lambda each: self._jittered(each, route, now),
+            default=None,
+        )
+
+    def _jittered(
+        self,
+        instance: ListedInstance,
+        route: str,
+        now: float,
+    ) -> float:
+        expected = self.expected(instance, route, now)
+        return expected * (1 + JITTER * self.random.random())
+
+    def expected(
+        self,
+        instance: ListedInstance,
+        route: str,
+        now: float,
+    ) -> float:
+        """Return the seconds until an answer is expected."""
+        seen = self.of(instance)
+        work = self.work.get(route) or RouteWork()
+        seconds = work.seconds * seen.speed
+        if now < instance.cold_until:
+            seconds *= COLD_FACTOR
+        load = (seen.busy_now(now) + 1) / max(instance.slots, 1)
+        seconds *= max(load, 1.0) + CROWDING * load
+        seconds *= 1 + FAILURE_FACTOR * seen.failing(now)
+        if instance.failure_domain == self.failure_domain:
+            return seconds
+        return (
+            seconds
+            + DISTANCE_SECONDS
+            + DISTANCE_SECONDS_PER_KB * work.kilobytes
+        )
+
+    def of(self, instance: ListedInstance) -> Seen:
+        """Return what was seen of this start of an instance."""
+        key = (instance.identity, instance.born)
+        found = self.seen.get(key)
+        if found is None:
+            found = Seen()
+            self.seen[key] = found
+        return found
+
+    def reported(self, instance: ListedInstance, report: LoadReport) -> None:
+        """Take the load that an owner reports."""
+        seen = self.of(instance)
+        seen.busy = report.busy
+        seen.reported_at = self.timer.now()
+
+    def served(
+        self,
+        instance: ListedInstance,
+        route: str,
+        seconds: float,
+        kilobytes: float,
+    ) -> None:
+        """Take the end of a request that the instance answered."""
+        seen = self.of(instance)
+        work = self.work.setdefault(route, RouteWork())
+        ratio = seconds / max(work.seconds, 0.001)
+        seen.speed += SPEED_WEIGHT * (min(ratio, 10.0) - seen.speed)
+        work.observe(seconds / max(seen.speed, 0.1), kilobytes)
+        self._count(seen, 0.0)
+        seen.avoid_seconds = 0.0
+
+    def failed(self, instance: ListedInstance) -> None:
+        """Take a failure of the instance."""
+        self._count(self.of(instance), 1.0)
+
+    def unreachable(self, instance: ListedInstance) -> None:
+        """Avoid an instance whose daemon or process is not there."""
+        seen = self.of(instance)
+        longer = max(FIRST_AVOID_SECONDS, 2 * seen.avoid_seconds)
+        seen.avoid_seconds = min(longer, LONGEST_AVOID_SECONDS)
+        seen.avoid_until = self.timer.now() + seen.avoid_seconds
+        self._count(seen, 1.0)
+
+    def _count(self, seen: Seen, failure: float) -> None:
+        now = self.timer.now()
+        before = seen.failing(now)
+        seen.failures = before + FAILURE_WEIGHT * (failure - before)
+        seen.failed_at = now
+
+    def retain(self, instances: Iterable[ListedInstance]) -> None:
+        """Forget instances that are not listed any more."""
+        listed = {(each.identity, each.born) for each in instances}
+        for key in self.seen.keys() - listed:
+            if not self.seen[key].outstanding:
+                self.seen.pop(key)
--- /dev/null
+++ b/packages/routing/tanagerbend_routing/prefixes.py
@@ -0,0 +1,160 @@
+"""Routes by host and longest path prefix, as one immutable configuration."""
+
+import enum
+from collections.abc import Mapping
+from typing import Final
+
+import attrs
+
+from tanagerbend_interfaces import Randomness
+from tanagerbend_model import Refusal, ResultCode
+
+
+class Repeat(enum.Enum):
+    """What may be repeated of a request that was sent to an instance."""
+
+    FREELY = 'freely'
+    NEVER = 'never'
+
+
+@attrs.frozen
+class Part:
+    """Share of a route that goes to one service.
+
+    Parameters
+    ==========
+
+    service : str
+    weight : float
+        Relative to the other parts of the route.
+    """
+
+    service: str
+    weight: float = 1.0
+
+
+@attrs.frozen
+class PrefixRoute:
+    """Route of the requests of one host whose path begins with a prefix.
+
+    Parameters
+    ==========
+
+    name, host, prefix : str
+        The prefix begins and ends with a slash.
+    parts : tuple of Part
+    repeat : Repeat
+    timeout, objective : float
+        Seconds: the longest time that a caller is kept waiting, and the
+        time within which an answer is on time.
+    most_attempts : int
+        Instances that one request may be sent to.
+    rank : int
+        0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    parts: tuple[Part, ...]
+    repeat: Repeat
+    timeout: float
+    objective: float
+    most_attempts: int = 1
+    rank: int = 0
+
+    def pick_service(self, random: Randomness) -> str:
+        """Return the service of one part, by the weights of the parts."""
+        parts = self.parts
+        if len(parts) == 1:
+            return parts[0].service
+        point = random.random() * sum(part.weight for part in parts)
+        for part in parts:
+            point -= part.weight
+            if point < 0:
+                return part.service
+        return parts[-1].service
+
+
+@attrs.frozen
+class CallerLimits:
+    """What a caller may send and how long it may take.
+
+    Parameters
+    ==========
+
+    header_bytes, body_bytes : int
+    header_seconds, idle_seconds : float
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_seconds: float
+    idle_seconds: float
+
+
+Routes = tuple[PrefixRoute, ...]
+NO_ROUTES: Final[Routes] = ()
+
+
+@attrs.frozen
+class RoutingConfiguration:
+    """One version of the routes; replaced as a whole, never changed.
+
+    Examples
+    ========
+
+    >>> browse = PrefixRoute('a', 'h', '/a/', (Part('shop'),),
+    ...     Repeat.FREELY, 1.0, 0.5)
+    >>> deep = attrs.evolve(browse, name='b', prefix='/a/b/')
+    >>> table = RoutingConfiguration.build(7, (browse, deep), None)
+    >>> table.match('h', '/a/b/c').name, table.match('h', '/a/c').name
+    ('b', 'a')
+    >>> table.match('other', '/a/').code.name
+    'ROUTE_UNKNOWN'
+
+    Parameters
+    ==========
+
+    version : int
+    hosts : mapping of str to tuple of PrefixRoute
+        The longest prefix of each host first.
+    limits : CallerLimits or None
+    """
+
+    version: int
+    hosts: Mapping[str, Routes]
+    limits: CallerLimits | None = None
+
+    @classmethod
+    def build(
+        cls,
+        version: int,
+        routes: Routes,
+        limits: CallerLimits | None,
+    ) -> 'RoutingConfiguration':
+        """Sort the routes by host and length of the prefix."""
+        hosts: dict[str, list[PrefixRoute]] = {}
+        for route in routes:
+            hosts.setdefault(route.host, []).append(route)
+        return cls(
+            version,
+            {
+                host: tuple(sorted(found, key=_length, reverse=True))
+                for host, found in hosts.items()
+            },
+            limits,
+        )
+
+    def match(self, host: str, path: str) -> PrefixRoute | Refusal:
+        """Return the route of a request; ``path`` may hold a query."""
+        plain = path.partition('?')[0]
+        for route in self.hosts.get(host, NO_ROUTES):
+            if plain.startswith(route.prefix):
+                return route
+        reason = f'no route of {host!r} covers {plain[:64]!r}'
+        return Refusal(ResultCode.ROUTE_UNKNOWN, reason)
+
+
+def _length(route: PrefixRoute) -> int:
+    return len(route.prefix)
--- /dev/null
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -0,0 +1,165 @@
+"""Instances that the platform lists, and what an outage hides of them.
+
+The load it answers: instances that leave, crash and lapse while requests
+go on.  An entry that disappears while the service is calm is gone at once.
+One that disappears around an outage of the service may have lapsed only
+because its instance could not renew it, so it stays usable for a while.
+"""
+
+from collections.abc import Mapping
+from typing import Final
+
+import attrs
+
+from tanagerbend_metrics import Recorder
+
+# Lapsed entries of live instances are back about two seconds after the
+# service returns (statement of the platform); half a second is margin.
+LAPSE_SECONDS: Final = 2.5
+
+
+@attrs.frozen
+class ListedInstance:
+    """Entry of one instance.
+
+    Parameters
+    ==========
+
+    identity : str
+        New at most starts of the instance.
+    address : str
+        ``address:port`` where the instance listens for its own host.
+    service, failure_domain : str
+    slots : int
+    is_leaving : bool
+    cold_until : float
+        Monotonic seconds; the instance is slow until then.
+    born : int
+        Unix milliseconds of its start; 0 if unknown.
+    """
+
+    identity: str
+    address: str
+    service: str
+    failure_domain: str
+    slots: int
+    is_leaving: bool = False
+    cold_until: float = 0.0
+    born: int = 0
+
+    @property
+    def host_address(self) -> str:
+        """Address of the host, without the port."""
+        return self.address.rpartition(':')[0]
+
+
+@attrs.define
+class Held:
+    """An entry, and until when it may be used although it is missing."""
+
+    instance: ListedInstance
+    usable_until: float = float('inf')
+
+
+class InstanceRegistry:
+    """What this daemon knows of the instances.
+
+    Parameters
+    ==========
+
+    recorder : Recorder
+    """
+
+    def __init__(self, recorder: Recorder) -> None:
+        self.recorder = recorder
+        self.timer = recorder.timer
+        self.entries: dict[str, Held] = {}
+        self.services: dict[str, tuple[ListedInstance, ...]] = {}
+        self.calm_from = 0.0
+
+    def service_lost(self) -> None:
+        """Note that the service does not answer this daemon."""
+        self.calm_from = float('inf')
+
+    def service_regained(self) -> None:
+        """Note that the service answers again."""
+        if self.calm_from == float('inf'):
+            self.calm_from = self.timer.now() + LAPSE_SECONDS
+
+    @property
+    def is_calm(self) -> bool:
+        """Whether a missing entry says that its instance is gone."""
+        return self.timer.now() >= self.calm_from
+
+    def put(self, instance: ListedInstance) -> None:
+        """Take an entry that was written."""
+        known = self.entries.get(instance.identity)
+        self.entries[instance.identity] = Held(instance)
+        if known is None or known.instance != instance:
+            self._rebuild()
+
+    def remove(self, identity: str) -> None:
+        """Take the news that an entry was removed."""
+        held = self.entries.get(identity)
+        if held is None:
+            return
+        if self.is_calm or held.instance.is_leaving:
+            self.entries.pop(identity)
+        else:
+            held.usable_until = min(held.usable_until, self.calm_end)
+            self.recorder.count('entries_kept_after_outage')
+        self._rebuild()
+
+    @property
+    def calm_end(self) -> float:
+        """Monotonic seconds until which missing entries are kept."""
+        return max(self.calm_from, self.timer.now())
+
+    def replace(self, listed: Mapping[str, ListedInstance]) -> None:
+        """Take a whole listing."""
+        for identity in self.entries.keys() - listed.keys():
+            self.remove(identity)
+        for instance in listed.values():
+            self.entries[instance.identity] = Held(instance)
+        self._rebuild()
+
+    def expire(self) -> None:
+        """Drop entries that did not come back in time."""
+        now = self.timer.now()
+        over = [
+            identity
+            for identity, held in self.entries.items()
+            if held.usable_until <= now and self.is_calm
+        ]
+        for identity in over:
+            self.entries.pop(identity)
+            self.recorder.count('entries_dropped_after_outage')
+        if over:
+            self._rebuild()
+
+    def usable(self, service: str) -> tuple[ListedInstance, ...]:
+        """Return the instances of a service that take new work."""
+        return self.services.get(service, ())
+
+    def at_address(self, address: str) -> ListedInstance | None:
+        """Return the newest instance at ``address:port``."""
+        found = [
+            held.instance
+            for held in self.entries.values()
+            if held.instance.address == address
+        ]
+        return max(found, key=_born, default=None)
+
+    def _rebuild(self) -> None:
+        services: dict[str, list[ListedInstance]] = {}
+        for held in self.entries.values():
+            if not held.instance.is_leaving:
+                named = services.setdefault(held.instance.service, [])
+                named.append(held.instance)
+        self.services = {
+            service: tuple(found) for service, found in services.items()
+        }
+
+
+def _born(instance: ListedInstance) -> int:
+    return instance.born
