--- /dev/null
+++ b/packages/admission/tanagerbend_admission/tests/test_objective.py
@@ -0,0 +1,117 @@
+"""Queue that is ordered by what can still be on time."""
+
+import asyncio
+
+import pytest
+
+from tanagerbend_admission import ObjectiveQueue, Work
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_timer import ManualTimer
+
+SECONDS = 0.1
+
+
+@pytest.fixture
+def queue():
+    """Queue of one slot whose work takes a tenth of a second."""
+    made = ObjectiveQueue(ManualTimer(), 1)
+    for kind in ('browse', 'order'):
+        made.times.observe(kind, SECONDS, 0.0)
+    return made
+
+
+def work(kind='browse', rank=0, on_time=1.0, deadline=2.0, **options):
+    return Work(kind, rank, on_time, deadline, **options)
+
+
+async def settle():
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+async def test_free_slot_at_once(queue):
+    """Guards against refusing while slots are free."""
+    assert await queue.enter(work()) is None
+
+
+async def test_refused_at_arrival_when_too_late(queue):
+    """Guards against holding a request that can't be served."""
+    assert await queue.enter(work()) is None
+    refusal = await queue.enter(work(deadline=0.15))
+    assert refusal.code is ResultCode.DEADLINE_UNREACHABLE
+    assert refusal.ran is Ran.NO
+
+
+async def test_not_on_time_goes_elsewhere(queue):
+    """Guards against a late answer while others could be on time."""
+    assert await queue.enter(work()) is None
+    refusal = await queue.enter(work(on_time=0.15))
+    assert refusal.code is ResultCode.QUEUE_FULL
+    late = work(on_time=0.15, is_late_welcome=True)
+    assert queue.judge(late) is None
+
+
+async def test_urgent_rank_first(queue):
+    """Guards against urgent work behind less urgent work."""
+    assert await queue.enter(work()) is None
+    slow = asyncio.create_task(queue.enter(work('order', rank=2)))
+    await settle()
+    urgent = asyncio.create_task(queue.enter(work('browse', rank=0)))
+    await settle()
+    queue.leave(work(), SECONDS)
+    await settle()
+    assert urgent.done()
+    assert not slow.done()
+    queue.leave(work(), SECONDS)
+    await settle()
+    assert slow.done()
+
+
+async def test_least_urgent_keeps_a_share(queue):
+    """Guards against starving a rank during a flood of another."""
+    first = work(on_time=90.0, deadline=99.0)
+    assert await queue.enter(first) is None
+    flood = [asyncio.create_task(queue.enter(first)) for _ in range(40)]
+    order = work('order', rank=2, on_time=90.0, deadline=99.0)
+    slow = asyncio.create_task(queue.enter(order))
+    await settle()
+    for _ in range(8):
+        queue.leave(first, SECONDS)
+        await settle()
+    assert slow.done()
+    for task in flood:
+        task.cancel()
+
+
+async def test_cancelled_waiter_leaves_no_trace(queue):
+    """Guards against slots lost to callers that went away."""
+    assert await queue.enter(work()) is None
+    waiting = asyncio.create_task(queue.enter(work()))
+    await settle()
+    waiting.cancel()
+    await settle()
+    queue.leave(work(), SECONDS)
+    assert queue.busy == 0
+
+
+async def test_slot_granted_to_a_cancelled_waiter_returns(queue):
+    """Guards against a slot lost between its grant and a cancellation."""
+    assert await queue.enter(work()) is None
+    waiting = asyncio.create_task(queue.enter(work()))
+    await settle()
+    queue.leave(work(), SECONDS)
+    waiting.cancel()
+    await settle()
+    assert queue.busy == 0
+
+
+async def test_hopeless_waiter_is_refused(queue):
+    """Guards against running a request whose deadline has passed."""
+    assert await queue.enter(work()) is None
+    waiting = asyncio.create_task(queue.enter(work(on_time=0.3, deadline=0.5)))
+    await settle()
+    await queue.timer.advance(0.45)
+    queue.leave(work(), SECONDS)
+    await settle()
+    assert isinstance(waiting.result(), Refusal)
+    assert queue.running == 0
--- a/packages/proxy/tanagerbend_proxy/decisions.py
+++ b/packages/proxy/tanagerbend_proxy/decisions.py
@@ -39,7 +39,7 @@
         line = record.extra.get('line') or json.dumps(
             {'event': 'library', 'reason': record.message},
         )
-        raw = line.encode() + b'\n'
+        raw = f'{line}\n'.encode()
         try:
             written = os.write(self.descriptor, raw)
         except (BlockingIOError, BrokenPipeError):
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -44,6 +44,8 @@
 # more its answer is lost.
 OWNER_SLACK_SECONDS: Final = 0.06
 LEAST_SECONDS: Final = 0.005
+# Callers honour a time to come back of a third of what they have left.
+HONOURED_PART: Final = 3
 NOBODY: Final[frozenset[str]] = frozenset()
 BUSY: Final = frozenset(
     (
@@ -260,7 +262,7 @@
     def _may_go_on(self, journey: Journey, outcome: Outcome) -> bool:
         """Tell whether the request is sent to one more instance."""
         now = self.recorder.timer.now()
-        if now + LEAST_SECONDS + RETURN_SECONDS >= journey.deadline:
+        if journey.deadline - now < self._useful_seconds(journey):
             return False
         match outcome.end:
             case Answer(status=status):
@@ -279,6 +281,11 @@
         daemons = self.knowledge.daemons
         return self.allowance.take(journey.service, now, daemons)
 
+    def _useful_seconds(self, journey: Journey) -> float:
+        """Return the time below which sending once more is of no use."""
+        typical = self.placement.work_of(journey.route.name).seconds
+        return RETURN_SECONDS + max(LEAST_SECONDS, typical / 2)
+
     def _final(self, journey: Journey) -> Answer | Refusal:
         last = journey.last
         if last is None:
@@ -301,7 +308,7 @@
         if not math.isfinite(left):
             return 1.0
         spread = 0.5 + self.random.random() / 2
-        return max(left / 3 * spread, 0.01)
+        return max(left / HONOURED_PART * spread, LEAST_SECONDS)
 
     def _explain(self, journey: Journey, refusal: Refusal) -> None:
         now = self.recorder.timer.now()
--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -96,7 +96,9 @@
     return made
 
 
-def make_session(keep_seconds: float, connections: int) -> aiohttp.ClientSession:
+def make_session(
+    keep_seconds: float, connections: int
+) -> aiohttp.ClientSession:
     """Return a session with connections that notice silence.
 
     Parameters
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -84,6 +84,9 @@
     ) -> Batch | HistoryGone | Refusal:
         """Return the changes after a revision, waiting for the first."""
 
+    async def close(self) -> None:
+        """Close the connections to the service."""
+
 
 class Follower:
     """Keeps the knowledge of a daemon up to date.
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -92,8 +92,9 @@
 
     async def close(self) -> None:
         """Stop listening and end the connections."""
-        if self.listener is not None:
-            await self.listener.close()
+        listener, self.listener = self.listener, None
+        if listener is not None:
+            await listener.close()
             await self.runner.cleanup()
 
 
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -1,6 +1,7 @@
 """Requests and answers on their way through a daemon."""
 
 import json
+from typing import Final
 
 import attrs
 from multidict import CIMultiDict
@@ -8,7 +9,20 @@
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_routing import LoadReport, Repeat
 
-MILLISECONDS = 1000.0
+MILLISECONDS: Final = 1000.0
+# Bytes of the reason of another daemon that are kept.
+MOST_REASON: Final = 200
+# Order of the fields in the headers between daemons.
+PLACED_FIELDS: Final = (
+    'instance',
+    'route',
+    'rank',
+    'repeat',
+    'on_time_ms',
+    'left_ms',
+    'late',
+)
+OUTCOME_FIELDS: Final = ('code', 'ran', 'offered', 'busy', 'slots', 'served')
 
 
 @attrs.frozen
@@ -84,17 +98,15 @@
     def decode(cls, text: str) -> 'Placed | Refusal':
         """Read the header of another daemon."""
         try:
-            instance, route, rank, repeat, on_time, left, late = json.loads(
-                text,
-            )
+            told = dict(zip(PLACED_FIELDS, json.loads(text), strict=True))
             return cls(
-                str(instance),
-                str(route),
-                int(rank),
-                Repeat(repeat),
-                on_time / MILLISECONDS,
-                left / MILLISECONDS,
-                bool(late),
+                str(told['instance']),
+                str(told['route']),
+                int(told['rank']),
+                Repeat(told['repeat']),
+                told['on_time_ms'] / MILLISECONDS,
+                told['left_ms'] / MILLISECONDS,
+                bool(told['late']),
             )
         except (ValueError, TypeError) as error:
             reason = f'placement of another daemon: {error}'
@@ -152,13 +164,16 @@
     def decode(cls, text: str, answer: Answer) -> 'Outcome':
         """Read the header of another daemon, with the answer it came on."""
         try:
-            code, ran, offered, busy, slots, served = json.loads(text)
+            told = dict(zip(OUTCOME_FIELDS, json.loads(text), strict=True))
             end: Answer | Refusal = answer
-            if code:
-                reason = answer.body[:200].decode('utf-8', 'replace')
-                end = Refusal(ResultCode(code), reason, Ran(ran))
-            load = LoadReport(int(busy), int(slots), float(served))
-            return cls(end, load, bool(offered))
+            if told['code']:
+                end = Refusal(
+                    ResultCode(told['code']),
+                    answer.body[:MOST_REASON].decode('utf-8', 'replace'),
+                    Ran(told['ran']),
+                )
+            load = LoadReport(told['busy'], told['slots'], told['served'])
+            return cls(end, load, bool(told['offered']))
         except (ValueError, TypeError):
             reason = 'answer that is not from a daemon'
             return cls(
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Final
 
 import attrs
@@ -56,9 +57,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether this daemon takes requests."""
-        return (
-            not self.is_stopping and self.knowledge.configuration is not None
-        )
+        return not self.is_stopping and self.knowledge.configuration is not None
 
     def adopt_terms(self, terms: Terms) -> None:
         """Take new bounds; addresses stay as long as the process runs."""
@@ -157,8 +156,9 @@
 
     async def answer_ready(self, _request: web.BaseRequest) -> web.Response:
         """Tell the platform whether this daemon takes requests."""
-        status = 200 if self.parts.is_ready else 503
-        return web.Response(status=status)
+        if self.parts.is_ready:
+            return web.Response()
+        return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
 
     async def answer_metrics(self, _request: web.BaseRequest) -> web.Response:
         """Return counters and histograms as text."""
@@ -197,7 +197,17 @@
         """Close what is open."""
         parts = self.parts
         await parts.recorder.timer.close()
-        for door in (self.ready_door, self.metrics_door):
-            await door.close()
-        await parts.owner.session.close()
+        doors = (
+            self.ready_door,
+            self.metrics_door,
+            parts.peers,
+            parts.callers,
+        )
+        await asyncio.gather(*(door.close() for door in doors))
+
+    async def on_shutdown(self) -> None:
+        """Close the connections, after all tasks have ended."""
+        parts = self.parts
         await parts.entry.session.close()
+        await parts.owner.session.close()
+        await parts.follower.service.close()
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -35,6 +35,9 @@
 DISTANCE_SECONDS: Final = 0.005
 DISTANCE_SECONDS_PER_KB: Final = 0.001
 JITTER: Final = 0.1
+# One answer moves the estimate of a speed at most this far.
+MOST_RATIO: Final = 10.0
+LEAST_WORK_SECONDS: Final = 0.001
 FIRST_AVOID_SECONDS: Final = 0.25
 LONGEST_AVOID_SECONDS: Final = 2.0
 
@@ -166,7 +169,7 @@
     ) -> float:
         """Return the seconds until an answer is expected."""
         seen = self.of(instance)
-        work = self.work.get(route) or RouteWork()
+        work = self.work_of(route)
         seconds = work.seconds * seen.speed
         if now < instance.cold_until:
             seconds *= COLD_FACTOR
@@ -181,6 +184,10 @@
             + DISTANCE_SECONDS_PER_KB * work.kilobytes
         )
 
+    def work_of(self, route: str) -> RouteWork:
+        """Return the typical work of a route."""
+        return self.work.setdefault(route, RouteWork())
+
     def of(self, instance: ListedInstance) -> Seen:
         """Return what was seen of this start of an instance."""
         key = (instance.identity, instance.born)
@@ -205,9 +212,9 @@
     ) -> None:
         """Take the end of a request that the instance answered."""
         seen = self.of(instance)
-        work = self.work.setdefault(route, RouteWork())
-        ratio = seconds / max(work.seconds, 0.001)
-        seen.speed += SPEED_WEIGHT * (min(ratio, 10.0) - seen.speed)
+        work = self.work_of(route)
+        ratio = seconds / max(work.seconds, LEAST_WORK_SECONDS)
+        seen.speed += SPEED_WEIGHT * (min(ratio, MOST_RATIO) - seen.speed)
         work.observe(seconds / max(seen.speed, 0.1), kilobytes)
         self._count(seen, 0.0)
         seen.avoid_seconds = 0.0
--- a/packages/routing/tanagerbend_routing/prefixes.py
+++ b/packages/routing/tanagerbend_routing/prefixes.py
@@ -93,6 +93,9 @@
     idle_seconds: float
 
 
+# Characters of a path that a reason shows.
+SHOWN: Final = 64
+
 Routes = tuple[PrefixRoute, ...]
 NO_ROUTES: Final[Routes] = ()
 
@@ -152,7 +155,7 @@
         for route in self.hosts.get(host, NO_ROUTES):
             if plain.startswith(route.prefix):
                 return route
-        reason = f'no route of {host!r} covers {plain[:64]!r}'
+        reason = f'no route of {host!r} covers {plain[:SHOWN]!r}'
         return Refusal(ResultCode.ROUTE_UNKNOWN, reason)
 
 
--- /dev/null
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -0,0 +1,72 @@
+"""Choice of an instance by the time until its answer."""
+
+import random
+
+import pytest
+
+from tanagerbend_metrics import Recorder
+from tanagerbend_routing import ListedInstance, LoadReport, Placement
+from tanagerbend_timer import ManualTimer
+
+NEAR = ListedInstance('near', '10.0.0.1:80', 'shop', 'north', 6)
+FAR = ListedInstance('far', '10.0.0.2:80', 'shop', 'south', 6)
+BOTH = (NEAR, FAR)
+NOBODY = frozenset()
+
+
+@pytest.fixture
+def placement():
+    """Placement of a daemon in the north."""
+    recorder = Recorder(ManualTimer())
+    return Placement('north', random.Random(5), recorder)
+
+
+def chosen(placement, count=200):
+    found = [
+        placement.choose(BOTH, 'browse', NOBODY).identity for _ in range(count)
+    ]
+    return found.count('near') / count
+
+
+def test_own_domain_first(placement):
+    """Guards against bytes between failure domains on a calm day."""
+    for _ in range(50):
+        placement.served(NEAR, 'browse', 0.1, 90.0)
+        placement.served(FAR, 'browse', 0.1, 90.0)
+    assert chosen(placement) == 1
+
+
+def test_busy_instance_sends_work_away(placement):
+    """Guards against a queue beside free slots in another domain."""
+    placement.reported(NEAR, LoadReport(18, 6))
+    assert chosen(placement) == 0
+
+
+def test_own_requests_count_between_reports(placement):
+    """Guards against a herd that follows one old report."""
+    placement.reported(NEAR, LoadReport(0, 6))
+    placement.of(NEAR).outstanding = 12
+    assert chosen(placement) == 0
+
+
+def test_refusing_instance_does_not_attract(placement):
+    """Guards against an instance that looks free since it refuses all."""
+    for _ in range(10):
+        placement.failed(NEAR)
+    assert chosen(placement) == 0
+
+
+def test_unreachable_is_avoided_but_not_given_up(placement):
+    """Guards against a route without instances when all are avoided."""
+    placement.unreachable(NEAR)
+    assert chosen(placement) == 0
+    only = placement.choose((NEAR,), 'browse', NOBODY)
+    assert only is NEAR
+
+
+def test_slow_instance_gets_less(placement):
+    """Guards against equal shares for instances of unequal speed."""
+    for _ in range(50):
+        placement.served(NEAR, 'browse', 0.5, 1.0)
+        placement.served(FAR, 'browse', 0.05, 1.0)
+    assert chosen(placement) == 0
--- /dev/null
+++ b/packages/routing/tanagerbend_routing/tests/test_registry.py
@@ -0,0 +1,79 @@
+"""Instances around outages of the platform's service."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from tanagerbend_metrics import Recorder
+from tanagerbend_routing import InstanceRegistry, ListedInstance
+from tanagerbend_routing.registry import LAPSE_SECONDS
+from tanagerbend_timer import ManualTimer
+
+ONE = ListedInstance('i-1', '10.0.0.1:80', 'shop', 'north', 6)
+TWO = ListedInstance('i-2', '10.0.0.2:80', 'shop', 'north', 6)
+
+
+@pytest.fixture
+def registry():
+    """Registry with two instances."""
+    made = InstanceRegistry(Recorder(ManualTimer()))
+    made.replace({'i-1': ONE, 'i-2': TWO})
+    return made
+
+
+def identities(registry):
+    return {each.identity for each in registry.usable('shop')}
+
+
+def pass_time(registry, seconds):
+    asyncio.run(registry.timer.advance(seconds))
+    registry.expire()
+
+
+def test_removed_in_calm_times(registry):
+    """Guards against new work for an instance that is gone."""
+    registry.remove('i-1')
+    assert identities(registry) == {'i-2'}
+
+
+def test_leaving_gets_no_new_work(registry):
+    """Guards against new work for an instance that is leaving."""
+    registry.put(attrs.evolve(ONE, is_leaving=True))
+    assert identities(registry) == {'i-2'}
+
+
+def test_lapsed_stays_until_it_could_be_back(registry):
+    """Guards against an empty route after an outage of the service."""
+    registry.service_lost()
+    registry.service_regained()
+    registry.replace({'i-2': TWO})
+    pass_time(registry, LAPSE_SECONDS - 0.1)
+    assert identities(registry) == {'i-1', 'i-2'}
+    pass_time(registry, 0.2)
+    assert identities(registry) == {'i-2'}
+
+
+def test_lapsed_that_comes_back_stays(registry):
+    """Guards against dropping an entry that was written again."""
+    registry.service_lost()
+    registry.service_regained()
+    registry.remove('i-1')
+    registry.put(ONE)
+    pass_time(registry, 2 * LAPSE_SECONDS)
+    assert identities(registry) == {'i-1', 'i-2'}
+
+
+def test_leaving_is_not_kept_after_outage(registry):
+    """Guards against work for an instance that had said it leaves."""
+    registry.put(attrs.evolve(ONE, is_leaving=True))
+    registry.service_lost()
+    registry.service_regained()
+    registry.remove('i-1')
+    assert registry.at_address(ONE.address) is None
+
+
+def test_newest_at_an_address(registry):
+    """Guards against the identity of an earlier start at one address."""
+    registry.put(attrs.evolve(TWO, identity='i-3', born=5))
+    assert registry.at_address(TWO.address).identity == 'i-3'
