Stop later, gather changes, keep large answers in their failure domain

One process was killed at the end of its grace. Change: a stopping daemon serves for 3 s and until nobody sends, and ends 2 s before its grace; changes are gathered for 0.4 s; a kilobyte between failure domains counts 3 ms. Refusals of the queue give their inputs.

--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -20,14 +20,6 @@
 # flood of an urgent rank leaves the others an eighth of the instance.
 FLOOR_EVERY: Final = 8
 MOST_WAITING: Final = 200
-TOO_LATE: Final = Refusal(
-    ResultCode.DEADLINE_UNREACHABLE,
-    'no slot is free early enough for an answer before the deadline',
-)
-NOT_ON_TIME: Final = Refusal(
-    ResultCode.QUEUE_FULL,
-    'no slot is free early enough for an answer on time',
-)
 
 
 @attrs.frozen
@@ -108,11 +100,23 @@
         now = self.timer.now()
         ready = now + self.expected_wait(work) + self.times.mean(work.kind)
         if ready > work.deadline or len(self.waiting) >= MOST_WAITING:
-            return TOO_LATE
+            return self._refusal(ResultCode.DEADLINE_UNREACHABLE, work)
         if ready > work.on_time_until and not work.is_late_welcome:
-            return NOT_ON_TIME
+            return self._refusal(ResultCode.QUEUE_FULL, work)
         return None
 
+    def _refusal(self, code: ResultCode, work: Work) -> Refusal:
+        """Return a refusal with the inputs that decided it."""
+        now = self.timer.now()
+        return Refusal(
+            code,
+            f'{self.running} of {self.slots} slots, {len(self.waiting)} wait,'
+            f' wait {self.expected_wait(work):.3f} s,'
+            f' work {self.times.mean(work.kind):.3f} s,'
+            f' on time in {work.on_time_until - now:.3f} s,'
+            f' deadline in {work.deadline - now:.3f} s',
+        )
+
     def expected_wait(self, work: Work) -> float:
         """Return the seconds until a new request would get a slot."""
         if self.running < self.slots:
@@ -147,7 +151,7 @@
             if waiting.granted.done():
                 return waiting.granted.result()
             self.waiting.remove(waiting)
-            return TOO_LATE
+            return self._refusal(ResultCode.DEADLINE_UNREACHABLE, work)
 
     def _abandon(self, waiting: Waiting) -> None:
         if waiting in self.waiting:
@@ -162,7 +166,8 @@
             if waiting.granted.done():
                 continue
             if self._is_hopeless(waiting.work):
-                waiting.granted.set_result(TOO_LATE)
+                code = ResultCode.DEADLINE_UNREACHABLE
+                waiting.granted.set_result(self._refusal(code, waiting.work))
                 continue
             self.running += 1
             self.grants += 1
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -18,6 +18,9 @@
 FIRST_BACKOFF_SECONDS: Final = 0.05
 LONGEST_BACKOFF_SECONDS: Final = 0.5
 EXPIRY_SECONDS: Final = 0.5
+# Changes that come together are read together; well below the two seconds
+# within which a configuration must be in force.
+GATHER_SECONDS: Final = 0.4
 
 
 @attrs.frozen
@@ -124,6 +127,9 @@
                 case Refusal(reason=reason):
                     self.knowledge.store_lost(reason)
                     await self._back_off()
+                case Batch(items=items) if items:
+                    self.backoff = FIRST_BACKOFF_SECONDS
+                    await self.timer.sleep(GATHER_SECONDS)
                 case _:
                     self.backoff = FIRST_BACKOFF_SECONDS
 
@@ -142,9 +148,6 @@
                 self._take(got)
             case HistoryGone():
                 self.revision = None
-            case Refusal():
-                # Removals may have been missed by a broken watch.
-                self.revision = self.revision
         return got
 
     async def _list(self) -> Batch | Refusal:
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -47,6 +47,8 @@
     recorder : Recorder
     active : int
         Requests that are being answered.
+    asked_at : float
+        Monotonic seconds of the last request.
     is_closing : bool
         Whether answers ask their callers to close the connection.
     """
@@ -54,6 +56,7 @@
     handler: Handler
     recorder: Recorder
     active: int = 0
+    asked_at: float = 0.0
     is_closing: bool = False
     runner: web.ServerRunner | None = None
     listener: Listener | None = None
@@ -82,6 +85,7 @@
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.active += 1
+        self.asked_at = self.recorder.timer.now()
         try:
             response = await self.handler(request)
         finally:
@@ -92,7 +96,8 @@
 
     async def close(self) -> None:
         """Stop listening and end the connections."""
-        listener, self.listener = self.listener, None
+        listener = self.listener
+        self.listener = None
         if listener is not None:
             await listener.close()
             await self.runner.cleanup()
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -30,11 +30,15 @@
 PEER_KEEP_SECONDS: Final = 30.0
 # Slots of the instance until its entry has been read.
 FIRST_SLOTS: Final = 4
-# Callers are told within two questions, one each second, that this daemon
-# stops; it serves them until then.
-NOTICE_SECONDS: Final = 2.3
-# Kept back from the time until the process is killed.
-EXIT_SECONDS: Final = 0.8
+# The platform asks once each second and sends no more after two answers
+# that are not ready; a third second covers a question on its way.
+NOTICE_SECONDS: Final = 3.0
+# No request for this time: nobody sends any more.
+QUIET_SECONDS: Final = 0.5
+# Kept back from the time until the process is killed: for requests that
+# still run, and for closing the connections.
+FINISH_SECONDS: Final = 2.0
+EXIT_SECONDS: Final = 0.5
 POLL_SECONDS: Final = 0.05
 REFRESH_SECONDS: Final = 0.2
 
@@ -179,19 +183,35 @@
         parts.is_stopping = True
         parts.owner.is_leaving = True
         parts.callers.is_closing = True
-        last = started + parts.terms.stop.grace - EXIT_SECONDS
-        await timer.sleep(min(NOTICE_SECONDS, last - started))
-        while self._is_busy() and timer.now() < last:
+        grace = parts.terms.stop.grace
+        await timer.sleep(min(NOTICE_SECONDS, grace - FINISH_SECONDS))
+        while not self._is_quiet() and (
+            timer.now() < started + grace - FINISH_SECONDS
+        ):
             await timer.sleep(POLL_SECONDS)
-        await asyncio.gather(parts.callers.close(), parts.peers.close())
+        left = started + grace - EXIT_SECONDS - timer.now()
+        try:
+            async with asyncio.timeout(max(left, 0)):
+                await self._close_doors()
+        except TimeoutError:
+            parts.log.write('stop_took_too_long', active=parts.callers.active)
         parts.log.write(
             'daemon_stopped',
             seconds=round(timer.now() - started, 3),
         )
+
+    async def _close_doors(self) -> None:
+        parts = self.parts
+        await asyncio.gather(parts.callers.close(), parts.peers.close())
         await self.stop()
 
-    def _is_busy(self) -> bool:
-        return bool(self.parts.callers.active or self.parts.peers.active)
+    def _is_quiet(self) -> bool:
+        """Tell whether nobody sends requests any more."""
+        doors = (self.parts.callers, self.parts.peers)
+        quiet_from = self.parts.recorder.timer.now() - QUIET_SECONDS
+        return all(
+            not door.active and door.asked_at < quiet_from for door in doors
+        )
 
     async def on_stop(self) -> None:
         """Close what is open."""
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -33,7 +33,7 @@
 # Round trip between failure domains, and the time that each kilobyte
 # between them is worth; the platform charges for these bytes.
 DISTANCE_SECONDS: Final = 0.005
-DISTANCE_SECONDS_PER_KB: Final = 0.001
+DISTANCE_SECONDS_PER_KB: Final = 0.003
 JITTER: Final = 0.1
 # One answer moves the estimate of a speed at most this far.
 MOST_RATIO: Final = 10.0
--- a/packages/standins/tanagerbend_standins/instance.py
+++ b/packages/standins/tanagerbend_standins/instance.py
@@ -4,11 +4,15 @@
 import socket
 import struct
 from collections import Counter
-from typing import Any
+from http import HTTPStatus
+from typing import Any, Final
 
 import attrs
 from aiohttp import web
 
+# Time between the parts of what a faulty instance sends.
+LATE_SECONDS: Final = 0.02
+
 
 @attrs.define
 class InstanceFaults:
@@ -122,11 +126,14 @@
         expected = request.headers.get('Expect-Instance')
         if expected not in {None, self.identity}:
             return web.Response(
-                status=421,
+                status=HTTPStatus.MISDIRECTED_REQUEST,
                 headers={'Instance-Id': self.identity},
             )
         if self.faults.take('sheds'):
-            return web.Response(status=503, headers={'Not-Executed': '1'})
+            return web.Response(
+                status=HTTPStatus.SERVICE_UNAVAILABLE,
+                headers={'Not-Executed': '1'},
+            )
         self.runs[identifier] += 1
         self.order.append(request.raw_path)
         self.headers = dict(request.headers)
@@ -160,7 +167,9 @@
         if faults.take('resets'):
             _reset(request)
         if faults.take('fails'):
-            return web.Response(status=500, headers=headers)
+            return web.Response(
+                status=HTTPStatus.INTERNAL_SERVER_ERROR, headers=headers
+            )
         if faults.take('foreign'):
             headers['Request-Id'] = 'another'
         if faults.take('unstamped'):
@@ -172,7 +181,7 @@
             return await self._break_off(request, headers, 0)
         if faults.take('extra_late'):
             asyncio.get_running_loop().call_later(
-                0.02,
+                LATE_SECONDS,
                 request.transport.write,
                 b'HTTP/1.1 200 OK\r\nRequest-Id: '
                 + identifier.encode()
@@ -194,7 +203,7 @@
             lines.append('Connection: close')
         head = '\r\n'.join(('HTTP/1.1 200 OK', *lines, '', 'part'))
         request.transport.write(head.encode())
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(LATE_SECONDS)
         _reset(request)
         return web.Response()
 
--- a/packages/standins/tanagerbend_standins/item_store.py
+++ b/packages/standins/tanagerbend_standins/item_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from http import HTTPStatus
 from typing import Any, Final
 
 from aiohttp import web
@@ -104,7 +105,7 @@
             return self._range(request.query)
         if request.path == '/v1/kv-watch':
             return await self._watch(request.query)
-        return web.Response(status=404)
+        return web.Response(status=HTTPStatus.NOT_FOUND)
 
     def _range(self, query: Any) -> web.Response:
         after = query.get('after', '')
@@ -127,7 +128,7 @@
         last = loop.time() + int(query['waitMs']) / 1000
         while True:
             if after < self.keeps_from:
-                return web.Response(status=410)
+                return web.Response(status=HTTPStatus.GONE)
             events = [
                 event
                 for event in self.log
@@ -138,11 +139,9 @@
                 return web.json_response(
                     {'events': events, 'atRev': self.revision},
                 )
-            try:
-                async with asyncio.timeout_at(last):
-                    await self.changed.wait()
-            except TimeoutError:
-                continue
+            changed = asyncio.create_task(self.changed.wait())
+            await asyncio.wait({changed}, timeout=last - loop.time())
+            changed.cancel()
 
 
 def _json(fields: Any) -> bytes:
