Refuse at arrival what a rank's own rate of slots can't serve

Requests of rank 0 were admitted without margin, and 3,205 of 12,384 answers were late. Late requests were refused beside free slots. Refused callers came back when an answer on time was no longer possible. Three requests that were sent 4.8 s after a SIGTERM were cut at its end (LOST). Change: the wait is also estimated from the slots that the tier got in the last two seconds; a request that waits needs 1.5 mean deviations to spare; late requests form tiers of their own; the time to come back leaves room for an answer on time; a stopping daemon refuses new requests after 3 s.

--- a/packages/admission/tanagerbend_admission/estimate.py
+++ b/packages/admission/tanagerbend_admission/estimate.py
@@ -92,6 +92,11 @@
         known = self.classes.get(work)
         return 0.0 if known is None else known.mean
 
+    def deviation(self, work: str) -> float:
+        """Return the mean deviation in seconds, 0 if unknown."""
+        known = self.classes.get(work)
+        return 0.0 if known is None else known.deviation
+
     def slow(self, work: str) -> float:
         """Return the time within which nearly all calls end."""
         known = self.classes.get(work)
--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -13,6 +13,7 @@
 import attrs
 
 from tanagerbend_admission.estimate import ServiceTimes
+from tanagerbend_admission.window import WINDOW_SECONDS, RankWindow
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_timer import Timer
 
@@ -20,6 +21,13 @@
 # flood of an urgent rank leaves the others an eighth of the instance.
 FLOOR_EVERY: Final = 8
 MOST_WAITING: Final = 200
+# Mean deviations of the time of a kind of work that a request must have
+# to spare when it waits; nine of ten answers are then on time.
+MARGIN_DEVIATIONS: Final = 1.5
+# Slots in the window assumed for a tier that got none.
+LEAST_GRANTS: Final = 1.0
+# Tiers of requests that will be late come after all ranks.
+LATE_TIER: Final = 1_000_000
 
 
 @attrs.frozen
@@ -36,15 +44,12 @@
     on_time_until, deadline : float
         Monotonic seconds: when an answer is late, and when it is of no
         use.
-    is_late_welcome : bool
-        Whether the request may wait although it will be late.
     """
 
     kind: str
     rank: int
     on_time_until: float
     deadline: float
-    is_late_welcome: bool = False
 
 
 @attrs.frozen(eq=False)
@@ -72,6 +77,7 @@
         self.waiting: list[Waiting] = []
         self.times = ServiceTimes()
         self.grants = 0
+        self.granted = RankWindow()
 
     @property
     def busy(self) -> int:
@@ -84,7 +90,7 @@
         if refusal is not None:
             return refusal
         if self.running < self.slots and not self.waiting:
-            self.running += 1
+            self._count_grant(work)
             return None
         waiting = Waiting(work, asyncio.get_running_loop().create_future())
         self.waiting.append(waiting)
@@ -98,10 +104,15 @@
     def judge(self, work: Work) -> Refusal | None:
         """Refuse a request at its arrival if it can't be served."""
         now = self.timer.now()
-        ready = now + self.expected_wait(work) + self.times.mean(work.kind)
+        wait = self.expected_wait(work)
+        ready = now + wait + self.times.mean(work.kind)
         if ready > work.deadline or len(self.waiting) >= MOST_WAITING:
             return self._refusal(ResultCode.DEADLINE_UNREACHABLE, work)
-        if ready > work.on_time_until and not work.is_late_welcome:
+        if not wait or self._tier(work) >= LATE_TIER:
+            return None
+        # Work that waits is refused early rather than answered late.
+        slow = ready + MARGIN_DEVIATIONS * self.times.deviation(work.kind)
+        if slow > work.on_time_until:
             return self._refusal(ResultCode.QUEUE_FULL, work)
         return None
 
@@ -118,16 +129,34 @@
         )
 
     def expected_wait(self, work: Work) -> float:
-        """Return the seconds until a new request would get a slot."""
+        """Return the seconds until a new request would get a slot.
+
+        It is the longer of two estimates: the work ahead over the slots,
+        and the requests ahead of the same tier over the slots that the
+        tier got lately, since later arrivals of urgent ranks overtake.
+        """
         if self.running < self.slots:
             return 0.0
         own = self._order(work)
-        ahead = sum(
-            self.times.mean(waiting.work.kind)
+        ahead = [
+            waiting.work
             for waiting in self.waiting
             if self._order(waiting.work) <= own
-        )
-        return (ahead + self.times.mean(work.kind)) / max(self.slots, 1)
+        ]
+        seconds = sum(self.times.mean(each.kind) for each in ahead)
+        by_slots = (seconds + self.times.mean(work.kind)) / max(self.slots, 1)
+        tier = self._tier(work)
+        same = sum(self._tier(each) == tier for each in ahead)
+        return max(by_slots, same / self._rate(tier)) if same else by_slots
+
+    def _rate(self, tier: int) -> float:
+        """Return the slots a second that a tier got lately."""
+        granted = self.granted.total(self.timer.now(), tier)
+        return max(granted, LEAST_GRANTS) / WINDOW_SECONDS
+
+    def _tier(self, work: Work) -> int:
+        is_late, rank, _on_time_until = self._order(work)
+        return LATE_TIER + rank if is_late else rank
 
     def leave(self, work: Work, seconds: float | None) -> None:
         """Give the slot back; ``seconds`` of an answer, else None."""
@@ -169,10 +198,14 @@
                 code = ResultCode.DEADLINE_UNREACHABLE
                 waiting.granted.set_result(self._refusal(code, waiting.work))
                 continue
-            self.running += 1
-            self.grants += 1
+            self._count_grant(waiting.work)
             waiting.granted.set_result(None)
 
+    def _count_grant(self, work: Work) -> None:
+        self.running += 1
+        self.grants += 1
+        self.granted.add(self.timer.now(), self._tier(work), 1)
+
     def _next(self) -> Waiting:
         if self.grants % FLOOR_EVERY == FLOOR_EVERY - 1:
             return max(self.waiting, key=_least_urgent)
--- a/packages/admission/tanagerbend_admission/tests/test_objective.py
+++ b/packages/admission/tanagerbend_admission/tests/test_objective.py
@@ -47,8 +47,34 @@
     assert await queue.enter(work()) is None
     refusal = await queue.enter(work(on_time=0.15))
     assert refusal.code is ResultCode.QUEUE_FULL
-    late = work(on_time=0.15, is_late_welcome=True)
-    assert queue.judge(late) is None
+
+
+async def test_late_request_takes_a_free_slot(queue):
+    """Guards against turning a late request away while slots are free."""
+    assert await queue.enter(work(on_time=-1.0)) is None
+
+
+async def test_overtaken_rank_is_refused_at_arrival(queue):
+    """Guards against holding a rank that gets few slots till its deadline.
+
+    Urgent work takes all slots but every eighth, so that a request behind
+    five others of its rank would wait for four seconds.
+    """
+    urgent = work(on_time=90.0, deadline=99.0)
+    assert await queue.enter(urgent) is None
+    flood = [asyncio.create_task(queue.enter(urgent)) for _ in range(30)]
+    patient = work('order', rank=2, on_time=90.0, deadline=99.0)
+    orders = [asyncio.create_task(queue.enter(patient)) for _ in range(5)]
+    await settle()
+    for _ in range(20):
+        await queue.timer.advance(SECONDS)
+        queue.leave(urgent, SECONDS)
+        await settle()
+    assert sum(order.done() for order in orders) == 2
+    order = work('order', rank=2, on_time=91.0, deadline=4.5)
+    assert queue.judge(order).code is ResultCode.DEADLINE_UNREACHABLE
+    for task in (*flood, *orders):
+        task.cancel()
 
 
 async def test_urgent_rank_first(queue):
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -46,6 +46,10 @@
 LEAST_SECONDS: Final = 0.005
 # Callers honour a time to come back of a third of what they have left.
 HONOURED_PART: Final = 3
+# Refused callers come back spread over this part of the time and later.
+LEAST_SPREAD: Final = 0.3
+# Time to come back where nothing is known of the request.
+UNKNOWN_RETURN_SECONDS: Final = 1.0
 NOBODY: Final[frozenset[str]] = frozenset()
 BUSY: Final = frozenset(
     (
@@ -306,9 +310,23 @@
         now = self.recorder.timer.now()
         left = request.arrived + request.time_left - now
         if not math.isfinite(left):
-            return 1.0
-        spread = 0.5 + self.random.random() / 2
-        return max(left / HONOURED_PART * spread, LEAST_SECONDS)
+            return UNKNOWN_RETURN_SECONDS
+        spread = LEAST_SPREAD + (1 - LEAST_SPREAD) * self.random.random()
+        wait = min(left / HONOURED_PART, self._spare_seconds(request))
+        return max(wait * spread, LEAST_SECONDS)
+
+    def _spare_seconds(self, request: Request) -> float:
+        """Return how long a caller may stay away and still be on time."""
+        configuration = self.knowledge.configuration
+        if configuration is None:
+            return UNKNOWN_RETURN_SECONDS
+        route = configuration.match(request.host, request.path)
+        match route:
+            case Refusal():
+                return UNKNOWN_RETURN_SECONDS
+        work = self.placement.work_of(route.name)
+        passed = self.recorder.timer.now() - request.arrived
+        return max(route.objective - passed - 2 * work.seconds, 0.0)
 
     def _explain(self, journey: Journey, refusal: Refusal) -> None:
         now = self.recorder.timer.now()
--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import math
 import socket
 from typing import Any, Final
 
@@ -44,10 +45,20 @@
     header : str
         Name of the header that carries it; empty to take any answer.
     identifier : str
+    after_foreign : float
+        Seconds that are left once an answer to another request has come,
+        infinite to wait until the limit.
     """
 
     header: str = ''
     identifier: str = ''
+    after_foreign: float = math.inf
+
+    def skipped(self) -> None:
+        """Wait less, since the own answer may never come."""
+        due = asyncio.get_running_loop().time() + self.after_foreign
+        if due < (self.limit.when() or math.inf):
+            self.limit.reschedule(due)
 
     def is_foreign(self, headers: Any) -> bool:
         """Return whether an answer names another request."""
@@ -78,6 +89,7 @@
                 return message, payload
             if not attempt.is_foreign(message.headers):
                 return message, payload
+            attempt.skipped()
             await payload.read()
         raise aiohttp.ServerDisconnectedError('answers of other requests')
 
@@ -146,6 +158,8 @@
         Seconds until there must be a whole answer.
     header, identifier : str
         Header and identifier that the answer must echo.
+    after_foreign : float
+        Seconds to wait on after an answer to another request.
     """
 
     address: str
@@ -156,6 +170,7 @@
     limit: float
     header: str = ''
     identifier: str = ''
+    after_foreign: float = math.inf
 
 
 async def send(
@@ -170,6 +185,7 @@
         asyncio.timeout(outgoing.limit),
         header=outgoing.header,
         identifier=outgoing.identifier,
+        after_foreign=outgoing.after_foreign,
     )
     token = ATTEMPT.set(attempt)
     try:
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -31,6 +31,8 @@
 # Largest body before a configuration names its own limit, in bytes.
 FIRST_BODY_LIMIT: Final = 1048576
 HEADER_LIMIT: Final = 65536
+# Another daemon is asked when the caller comes back.
+STOPPING_RETURN_SECONDS: Final = 0.01
 # Set by the server itself, or meant for another connection.
 NOT_COPIED: Final = HOP_BY_HOP | {'content-length', 'date', 'server'}
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -47,8 +49,8 @@
     recorder : Recorder
     active : int
         Requests that are being answered.
-    asked_at : float
-        Monotonic seconds of the last request.
+    is_shut : bool
+        Whether new requests are refused.
     is_closing : bool
         Whether answers ask their callers to close the connection.
     """
@@ -56,7 +58,7 @@
     handler: Handler
     recorder: Recorder
     active: int = 0
-    asked_at: float = 0.0
+    is_shut: bool = False
     is_closing: bool = False
     runner: web.ServerRunner | None = None
     listener: Listener | None = None
@@ -84,8 +86,9 @@
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
+        if self.is_shut:
+            return stopping_response()
         self.active += 1
-        self.asked_at = self.recorder.timer.now()
         try:
             response = await self.handler(request)
         finally:
@@ -215,6 +218,17 @@
         return response
 
 
+def stopping_response() -> web.Response:
+    """Refuse a request that came late in a stop, and has not run."""
+    response = web.json_response(
+        {'code': int(ResultCode.DRAINING), 'reason': 'the daemon stops'},
+        status=HTTPStatus.SERVICE_UNAVAILABLE,
+        headers={'Retry-After': f'{STOPPING_RETURN_SECONDS}'},
+    )
+    response.force_close()
+    return response
+
+
 def respond(answer: Answer) -> web.Response:
     """Return the response that carries an answer unchanged."""
     headers = CIMultiDict(
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -1,5 +1,6 @@
 """Owner side: hands a request to the instance on this host."""
 
+import math
 from typing import Final
 
 import aiohttp
@@ -18,7 +19,7 @@
     Placed,
     Request,
 )
-from tanagerbend_routing import LoadReport
+from tanagerbend_routing import LoadReport, Repeat
 
 OK: Final = 200
 REDIRECTS: Final = 300
@@ -61,7 +62,6 @@
             placed.rank,
             now + placed.on_time,
             deadline - RETURN_SECONDS,
-            placed.is_late_welcome,
         )
         refusal = await self.queue.enter(work)
         if refusal is not None:
@@ -108,6 +108,7 @@
                 limit,
                 self.names.request_id,
                 request.identifier,
+                limit / 2 if placed.repeat is Repeat.FREELY else math.inf,
             ),
         )
         match end:
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -33,12 +33,11 @@
 # The platform asks once each second and sends no more after two answers
 # that are not ready; a third second covers a question on its way.
 NOTICE_SECONDS: Final = 3.0
-# No request for this time: nobody sends any more.
-QUIET_SECONDS: Final = 0.5
 # Kept back from the time until the process is killed: for requests that
-# still run, and for closing the connections.
-FINISH_SECONDS: Final = 2.0
-EXIT_SECONDS: Final = 0.5
+# still run, for idle connections, and for the end of the process.
+FINISH_SECONDS: Final = 2.5
+LINGER: Final = 1.6
+EXIT_SECONDS: Final = 0.4
 POLL_SECONDS: Final = 0.05
 REFRESH_SECONDS: Final = 0.2
 
@@ -185,9 +184,8 @@
         parts.callers.is_closing = True
         grace = parts.terms.stop.grace
         await timer.sleep(min(NOTICE_SECONDS, grace - FINISH_SECONDS))
-        while not self._is_quiet() and (
-            timer.now() < started + grace - FINISH_SECONDS
-        ):
+        parts.callers.is_shut = True
+        while self._is_busy() and timer.now() < started + grace - LINGER:
             await timer.sleep(POLL_SECONDS)
         left = started + grace - EXIT_SECONDS - timer.now()
         try:
@@ -205,13 +203,8 @@
         await asyncio.gather(parts.callers.close(), parts.peers.close())
         await self.stop()
 
-    def _is_quiet(self) -> bool:
-        """Tell whether nobody sends requests any more."""
-        doors = (self.parts.callers, self.parts.peers)
-        quiet_from = self.parts.recorder.timer.now() - QUIET_SECONDS
-        return all(
-            not door.active and door.asked_at < quiet_from for door in doors
-        )
+    def _is_busy(self) -> bool:
+        return bool(self.parts.callers.active or self.parts.peers.active)
 
     async def on_stop(self) -> None:
         """Close what is open."""
