Place late requests behind all others, keep large answers near

Change: a request that no owner takes on time is placed once more for a late answer; answers whose bytes count more than a quarter of the objective stay in the domain while it has an instance; the margin is one deviation.

--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -22,8 +22,8 @@
 FLOOR_EVERY: Final = 8
 MOST_WAITING: Final = 200
 # Mean deviations of the time of a kind of work that a request must have
-# to spare when it waits; nine of ten answers are then on time.
-MARGIN_DEVIATIONS: Final = 1.5
+# to spare when it waits; four of five answers are then on time.
+MARGIN_DEVIATIONS: Final = 1.0
 # Slots in the window assumed for a tier that got none.
 LEAST_GRANTS: Final = 1.0
 # Tiers of requests that will be late come after all ranks.
@@ -44,12 +44,15 @@
     on_time_until, deadline : float
         Monotonic seconds: when an answer is late, and when it is of no
         use.
+    is_late : bool
+        Whether the request waits behind all that can be on time.
     """
 
     kind: str
     rank: int
     on_time_until: float
     deadline: float
+    is_late: bool = False
 
 
 @attrs.frozen(eq=False)
@@ -214,7 +217,8 @@
 
     def _order(self, work: Work) -> tuple[bool, int, float]:
         ready = self.timer.now() + self.times.mean(work.kind)
-        return ready > work.on_time_until, work.rank, work.on_time_until
+        is_late = work.is_late or ready > work.on_time_until
+        return is_late, work.rank, work.on_time_until
 
     def _is_hopeless(self, work: Work) -> bool:
         ready = self.timer.now() + self.times.mean(work.kind)
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -76,7 +76,11 @@
         Instances that the request was sent to.
     placed : int
         Owners that were asked.
-    tried : frozenset of str
+    tried, hopeless : frozenset of str
+        Identities of instances: asked, and of no use even for a late
+        answer.
+    is_late : bool
+        Whether an answer on time is given up.
     last : Answer or Refusal or None
         The best end so far.
     """
@@ -89,6 +93,8 @@
     offered: int = 0
     placed: int = 0
     tried: frozenset[str] = NOBODY
+    hopeless: frozenset[str] = NOBODY
+    is_late: bool = False
     last: Answer | Refusal | None = None
     has_run: bool = False
 
@@ -151,22 +157,38 @@
 
     async def _travel(self, journey: Journey) -> Answer | Refusal:
         while journey.placed < MOST_PLACEMENTS:
-            instance = self._choose(journey)
+            instance = self._choose(journey, journey.tried)
             if instance is None:
                 break
-            journey.placed += 1
-            outcome = await self._place(journey, instance)
-            self._learn(journey, instance, outcome)
+            outcome = await self._ask(journey, instance)
             if not self._may_go_on(journey, outcome):
-                break
+                return self._final(journey)
+        if journey.hopeless != journey.tried:
+            instance = self._choose(journey, journey.hopeless)
+            if instance is not None:
+                journey.is_late = True
+                await self._ask(journey, instance)
         return self._final(journey)
 
-    def _choose(self, journey: Journey) -> ListedInstance | None:
-        usable = self.knowledge.registry.usable(journey.service)
+    async def _ask(
+        self,
+        journey: Journey,
+        instance: ListedInstance,
+    ) -> Outcome:
+        journey.placed += 1
+        outcome = await self._place(journey, instance)
+        self._learn(journey, instance, outcome)
+        return outcome
+
+    def _choose(
+        self,
+        journey: Journey,
+        exclude: frozenset[str],
+    ) -> ListedInstance | None:
         return self.placement.choose(
-            usable,
-            journey.route.name,
-            journey.tried,
+            self.knowledge.registry.usable(journey.service),
+            journey.route,
+            exclude,
         )
 
     async def _place(
@@ -187,6 +209,7 @@
             journey.route.repeat,
             journey.on_time_until - now,
             left,
+            journey.is_late,
         )
         seen = self.placement.of(instance)
         seen.outstanding += 1
@@ -232,7 +255,10 @@
         outcome: Outcome,
     ) -> None:
         """Take what an outcome tells of the instance."""
-        journey.tried |= {instance.identity}
+        asked = frozenset((instance.identity,))
+        journey.tried |= asked
+        if not _may_be_late(outcome.end):
+            journey.hopeless |= asked
         journey.offered += outcome.is_offered
         if outcome.load is not None:
             self.placement.reported(instance, outcome.load)
@@ -249,19 +275,24 @@
                     served,
                     len(body) / KILOBYTE,
                 )
-            case Refusal(code=code, ran=ran):
-                self._keep_refusal(journey, outcome.end)
-                if code is ResultCode.BACKEND_SHED_LOAD:
-                    self.placement.failed(instance)
-                elif ran is Ran.UNKNOWN:
-                    self.placement.failed(instance)
-                elif code not in BUSY:
-                    self.placement.unreachable(instance)
+            case Refusal():
+                self._learn_refusal(journey, instance, outcome.end)
 
-    def _keep_refusal(self, journey: Journey, refusal: Refusal) -> None:
+    def _learn_refusal(
+        self,
+        journey: Journey,
+        instance: ListedInstance,
+        refusal: Refusal,
+    ) -> None:
         journey.has_run |= refusal.ran is not Ran.NO
         if not isinstance(journey.last, Answer):
             journey.last = refusal
+        if refusal.ran is Ran.UNKNOWN or (
+            refusal.code is ResultCode.BACKEND_SHED_LOAD
+        ):
+            self.placement.failed(instance)
+        elif refusal.code not in BUSY:
+            self.placement.unreachable(instance)
 
     def _may_go_on(self, journey: Journey, outcome: Outcome) -> bool:
         """Tell whether the request is sent to one more instance."""
@@ -346,3 +377,8 @@
             left_ms=round((journey.deadline - now) * MILLISECONDS),
             version=self.knowledge.version,
         )
+
+
+def _may_be_late(end: Answer | Refusal) -> bool:
+    """Tell whether an owner may still take a request for a late answer."""
+    return isinstance(end, Refusal) and end.code is ResultCode.QUEUE_FULL
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -14,6 +14,7 @@
 
 from tanagerbend_interfaces import Randomness
 from tanagerbend_metrics import Recorder
+from tanagerbend_routing.prefixes import PrefixRoute
 from tanagerbend_routing.registry import ListedInstance
 
 # Half of a report is forgotten after this time, about three requests of
@@ -35,6 +36,11 @@
 DISTANCE_SECONDS: Final = 0.005
 DISTANCE_SECONDS_PER_KB: Final = 0.003
 JITTER: Final = 0.1
+# Bytes between failure domains that count as more of the objective than
+# this are spared while the own domain has an instance.
+DEAR_SHARE: Final = 0.25
+# Share of failures above which an instance is used only as the last.
+FAILING_SHARE: Final = 0.5
 # One answer moves the estimate of a speed at most this far.
 MOST_RATIO: Final = 10.0
 LEAST_WORK_SECONDS: Final = 0.001
@@ -135,23 +141,42 @@
     def choose(
         self,
         instances: Iterable[ListedInstance],
-        route: str,
+        route: PrefixRoute,
         exclude: frozenset[str],
     ) -> ListedInstance | None:
         """Return the instance that is expected to answer first.
 
         ``exclude`` holds identities.  An instance that is avoided is used
-        only where there is no other.
+        only where there is no other.  Large answers leave the own failure
+        domain only if it has no instance that can be reached.
         """
         now = self.timer.now()
-        left = [each for each in instances if each.identity not in exclude]
-        calm = [each for each in left if self.of(each).avoid_until <= now]
+        calm = [each for each in instances if self._is_calm(each, now)]
+        if self._is_dear(route):
+            near = [each for each in calm if self._is_near(each)]
+            calm = near or calm
+        left = [
+            each for each in calm or instances if each.identity not in exclude
+        ]
         return min(
-            calm or left,
-            key=lambda each: self._jittered(each, route, now),
+            left,
+            key=lambda each: self._jittered(each, route.name, now),
             default=None,
         )
 
+    def _is_calm(self, instance: ListedInstance, now: float) -> bool:
+        seen = self.of(instance)
+        is_failing = seen.failing(now) > FAILING_SHARE
+        return seen.avoid_until <= now and not is_failing
+
+    def _is_near(self, instance: ListedInstance) -> bool:
+        return instance.failure_domain == self.failure_domain
+
+    def _is_dear(self, route: PrefixRoute) -> bool:
+        work = self.work_of(route.name)
+        cost = DISTANCE_SECONDS_PER_KB * work.kilobytes
+        return cost > DEAR_SHARE * route.objective
+
     def _jittered(
         self,
         instance: ListedInstance,
@@ -176,7 +201,7 @@
         load = (seen.busy_now(now) + 1) / max(instance.slots, 1)
         seconds *= max(load, 1.0) + CROWDING * load
         seconds *= 1 + FAILURE_FACTOR * seen.failing(now)
-        if instance.failure_domain == self.failure_domain:
+        if self._is_near(instance):
             return seconds
         return (
             seconds
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -5,13 +5,23 @@
 import pytest
 
 from tanagerbend_metrics import Recorder
-from tanagerbend_routing import ListedInstance, LoadReport, Placement
+from tanagerbend_routing import (
+    ListedInstance,
+    LoadReport,
+    Part,
+    Placement,
+    PrefixRoute,
+    Repeat,
+)
 from tanagerbend_timer import ManualTimer
 
 NEAR = ListedInstance('near', '10.0.0.1:80', 'shop', 'north', 6)
 FAR = ListedInstance('far', '10.0.0.2:80', 'shop', 'south', 6)
 BOTH = (NEAR, FAR)
 NOBODY = frozenset()
+BROWSE = PrefixRoute(
+    'browse', 'h', '/b/', (Part('shop'),), Repeat.FREELY, 2.0, 0.3
+)
 
 
 @pytest.fixture
@@ -23,7 +33,7 @@
 
 def chosen(placement, count=200):
     found = [
-        placement.choose(BOTH, 'browse', NOBODY).identity for _ in range(count)
+        placement.choose(BOTH, BROWSE, NOBODY).identity for _ in range(count)
     ]
     return found.count('near') / count
 
@@ -60,7 +70,7 @@
     """Guards against a route without instances when all are avoided."""
     placement.unreachable(NEAR)
     assert chosen(placement) == 0
-    only = placement.choose((NEAR,), 'browse', NOBODY)
+    only = placement.choose((NEAR,), BROWSE, NOBODY)
     assert only is NEAR
 
 
@@ -70,3 +80,14 @@
         placement.served(NEAR, 'browse', 0.5, 1.0)
         placement.served(FAR, 'browse', 0.05, 1.0)
     assert chosen(placement) == 0
+
+
+def test_large_answers_stay_in_the_domain(placement):
+    """Guards against large answers between domains while one is near."""
+    for _ in range(50):
+        placement.served(NEAR, 'browse', 0.1, 90.0)
+    placement.reported(NEAR, LoadReport(60, 6))
+    assert chosen(placement) == 1
+    assert placement.choose(BOTH, BROWSE, frozenset(('near',))) is None
+    placement.unreachable(NEAR)
+    assert chosen(placement) == 0
