--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -22,7 +22,7 @@
 FLOOR_EVERY: Final = 8
 MOST_WAITING: Final = 200
 # Mean deviations of the time of a kind of work that a request must have
-# to spare when it waits; four of five answers are then on time.
+# to spare behind others; four of five answers are then on time.
 MARGIN_DEVIATIONS: Final = 1.0
 # Slots in the window assumed for a tier that got none.
 LEAST_GRANTS: Final = 1.0
@@ -113,12 +113,27 @@
             return self._refusal(ResultCode.DEADLINE_UNREACHABLE, work)
         if not wait or self._tier(work) >= LATE_TIER:
             return None
-        # Work that waits is refused early rather than answered late.
-        slow = ready + MARGIN_DEVIATIONS * self.times.deviation(work.kind)
-        if slow > work.on_time_until:
+        if ready + self._margin(work) > work.on_time_until:
             return self._refusal(ResultCode.QUEUE_FULL, work)
         return None
 
+    def _margin(self, work: Work) -> float:
+        """Return the seconds that a request must have to spare.
+
+        Where others of its tier wait, the tier alone is too much for the
+        slots, and those that are taken should be on time.
+        """
+        own = self._order(work)
+        tier = self._tier(work)
+        is_behind = any(
+            self._tier(waiting.work) == tier
+            and self._order(waiting.work) <= own
+            for waiting in self.waiting
+        )
+        if not is_behind:
+            return 0.0
+        return MARGIN_DEVIATIONS * self.times.deviation(work.kind)
+
     def _refusal(self, code: ResultCode, work: Work) -> Refusal:
         """Return a refusal with the inputs that decided it."""
         now = self.timer.now()
--- a/packages/admission/tanagerbend_admission/tests/test_objective.py
+++ b/packages/admission/tanagerbend_admission/tests/test_objective.py
@@ -77,6 +77,21 @@
         task.cancel()
 
 
+async def test_margin_only_behind_its_own_tier(queue):
+    """Guards against urgent work refused beside slots of others."""
+    order = work('order', rank=2, on_time=9.0, deadline=9.0)
+    assert await queue.enter(order) is None
+    waiting = asyncio.create_task(queue.enter(order))
+    await settle()
+    tight = work(on_time=0.22)
+    assert queue.judge(tight) is None
+    first = asyncio.create_task(queue.enter(tight))
+    await settle()
+    assert queue.judge(work(on_time=0.32)).code is ResultCode.QUEUE_FULL
+    waiting.cancel()
+    first.cancel()
+
+
 async def test_urgent_rank_first(queue):
     """Guards against urgent work behind less urgent work."""
     assert await queue.enter(work()) is None
