--- a/packages/admission/tanagerbend_admission/tests/test_objective.py
+++ b/packages/admission/tanagerbend_admission/tests/test_objective.py
@@ -79,6 +79,7 @@
 
 async def test_margin_only_behind_its_own_tier(queue):
     """Guards against urgent work refused beside slots of others."""
+    queue.granted.add(0.0, 0, 40)
     order = work('order', rank=2, on_time=9.0, deadline=9.0)
     assert await queue.enter(order) is None
     waiting = asyncio.create_task(queue.enter(order))
