--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -87,6 +87,12 @@
         """Running and waiting requests."""
         return self.running + len(self.waiting)
 
+    def busy_for(self, rank: int) -> int:
+        """Return the requests that run or go before a new one of a rank."""
+        return self.running + sum(
+            waiting.work.rank <= rank for waiting in self.waiting
+        )
+
     async def enter(self, work: Work) -> Refusal | None:
         """Wait for a slot; None means that the request holds one."""
         refusal = self.judge(work)
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -211,14 +211,14 @@
             left,
             journey.is_late,
         )
-        seen = self.placement.of(instance)
-        seen.outstanding += 1
+        load = self.placement.of(instance).of_rank(journey.route.rank)
+        load.outstanding += 1
         try:
             if instance.address == self.terms.instance_address:
                 return await self.owner.run(journey.request, placed)
             return await self._forward(journey.request, instance, placed)
         finally:
-            seen.outstanding -= 1
+            load.outstanding -= 1
 
     async def _forward(
         self,
@@ -261,7 +261,8 @@
             journey.hopeless |= asked
         journey.offered += outcome.is_offered
         if outcome.load is not None:
-            self.placement.reported(instance, outcome.load)
+            rank = journey.route.rank
+            self.placement.reported(instance, rank, outcome.load)
         match outcome.end:
             case Answer(status=status, body=body):
                 journey.last = outcome.end
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -66,7 +66,7 @@
         )
         refusal = await self.queue.enter(work)
         if refusal is not None:
-            return Outcome(refusal, self.report())
+            return Outcome(refusal, self.report(placed.rank))
         started = self.recorder.timer.now()
         seconds = None
         try:
@@ -79,11 +79,14 @@
             isinstance(end, Refusal)
             and end.code is ResultCode.INSTANCE_UNREACHABLE
         )
-        return Outcome(end, self.report(seconds or 0.0), is_offered)
+        return Outcome(
+            end, self.report(placed.rank, seconds or 0.0), is_offered
+        )
 
-    def report(self, served: float = 0.0) -> LoadReport:
-        """Return the load of the instance."""
-        return LoadReport(self.queue.busy, self.queue.slots, served)
+    def report(self, rank: int, served: float = 0.0) -> LoadReport:
+        """Return the load of the instance as a rank meets it."""
+        busy = self.queue.busy_for(rank)
+        return LoadReport(busy, self.queue.slots, served)
 
     async def _send(
         self,
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -56,7 +56,8 @@
     ==========
 
     busy : int
-        Running and waiting requests.
+        Running requests, and those to be served before a new one of the
+        rank of this request.
     slots : int
     served : float
         Seconds that the instance took for this request; 0 if it ran none.
@@ -67,24 +68,60 @@
     served: float = 0.0
 
 
+@attrs.define
+class RankLoad:
+    """Load of an instance as the requests of one rank meet it.
+
+    Parameters
+    ==========
+
+    outstanding : int
+        Requests of this daemon at the instance.
+    reported : float
+        Requests that the owner reported: running, or to be served before
+        a new one of this rank.
+    reported_at : float
+        Monotonic seconds.
+    """
+
+    outstanding: int = 0
+    reported: float = 0.0
+    reported_at: float = -math.inf
+
+    def faded(self, now: float) -> float:
+        """Return what is left of the report."""
+        age = now - self.reported_at
+        return self.reported * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
+
+
 @attrs.define(eq=False)
 class Seen:
     """What this daemon has seen of one start of an instance."""
 
-    outstanding: int = 0
     speed: float = 1.0
     failures: float = 0.0
     failed_at: float = 0.0
-    busy: float = 0.0
-    reported_at: float = -math.inf
     avoid_until: float = -math.inf
     avoid_seconds: float = 0.0
+    ranks: dict[int, RankLoad] = attrs.field(factory=dict)
+
+    def of_rank(self, rank: int) -> RankLoad:
+        """Return the load as a rank meets it."""
+        return self.ranks.setdefault(rank, RankLoad())
+
+    def busy_now(self, rank: int, now: float) -> float:
+        """Return the expected requests before a new one of a rank."""
+        own = sum(
+            load.outstanding
+            for other, load in self.ranks.items()
+            if other <= rank
+        )
+        return max(self.of_rank(rank).faded(now), own)
 
-    def busy_now(self, now: float) -> float:
-        """Return the expected requests at the instance."""
-        age = now - self.reported_at
-        faded = self.busy * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
-        return max(faded, self.outstanding)
+    @property
+    def outstanding(self) -> int:
+        """Requests of this daemon at the instance."""
+        return sum(load.outstanding for load in self.ranks.values())
 
     def failing(self, now: float) -> float:
         """Return the share of failed requests, which fades."""
@@ -160,7 +197,7 @@
         ]
         return min(
             left,
-            key=lambda each: self._jittered(each, route.name, now),
+            key=lambda each: self._jittered(each, route, now),
             default=None,
         )
 
@@ -180,7 +217,7 @@
     def _jittered(
         self,
         instance: ListedInstance,
-        route: str,
+        route: PrefixRoute,
         now: float,
     ) -> float:
         expected = self.expected(instance, route, now)
@@ -189,16 +226,17 @@
     def expected(
         self,
         instance: ListedInstance,
-        route: str,
+        route: PrefixRoute,
         now: float,
     ) -> float:
         """Return the seconds until an answer is expected."""
         seen = self.of(instance)
-        work = self.work_of(route)
+        work = self.work_of(route.name)
         seconds = work.seconds * seen.speed
         if now < instance.cold_until:
             seconds *= COLD_FACTOR
-        load = (seen.busy_now(now) + 1) / max(instance.slots, 1)
+        busy = seen.busy_now(route.rank, now)
+        load = (busy + 1) / max(instance.slots, 1)
         seconds *= max(load, 1.0) + CROWDING * load
         seconds *= 1 + FAILURE_FACTOR * seen.failing(now)
         if self._is_near(instance):
@@ -222,11 +260,16 @@
             self.seen[key] = found
         return found
 
-    def reported(self, instance: ListedInstance, report: LoadReport) -> None:
-        """Take the load that an owner reports."""
-        seen = self.of(instance)
-        seen.busy = report.busy
-        seen.reported_at = self.timer.now()
+    def reported(
+        self,
+        instance: ListedInstance,
+        rank: int,
+        report: LoadReport,
+    ) -> None:
+        """Take the load that an owner reports for a rank."""
+        load = self.of(instance).of_rank(rank)
+        load.reported = report.busy
+        load.reported_at = self.timer.now()
 
     def served(
         self,
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -48,14 +48,14 @@
 
 def test_busy_instance_sends_work_away(placement):
     """Guards against a queue beside free slots in another domain."""
-    placement.reported(NEAR, LoadReport(18, 6))
+    placement.reported(NEAR, 0, LoadReport(18, 6))
     assert chosen(placement) == 0
 
 
 def test_own_requests_count_between_reports(placement):
     """Guards against a herd that follows one old report."""
-    placement.reported(NEAR, LoadReport(0, 6))
-    placement.of(NEAR).outstanding = 12
+    placement.reported(NEAR, 0, LoadReport(0, 6))
+    placement.of(NEAR).of_rank(0).outstanding = 12
     assert chosen(placement) == 0
 
 
@@ -86,8 +86,17 @@
     """Guards against large answers between domains while one is near."""
     for _ in range(50):
         placement.served(NEAR, 'browse', 0.1, 90.0)
-    placement.reported(NEAR, LoadReport(60, 6))
+    placement.reported(NEAR, 0, LoadReport(60, 6))
     assert chosen(placement) == 1
     assert placement.choose(BOTH, BROWSE, frozenset(('near',))) is None
     placement.unreachable(NEAR)
     assert chosen(placement) == 0
+
+
+def test_less_urgent_work_does_not_count(placement):
+    """Guards against urgent work sent away from less urgent queues."""
+    for _ in range(50):
+        placement.served(NEAR, 'browse', 0.1, 10.0)
+    placement.reported(NEAR, 2, LoadReport(60, 6))
+    placement.of(NEAR).of_rank(2).outstanding = 20
+    assert chosen(placement) == 1
