Learn the time of work from requests that got no answer in time

Change: work that was ended without an answer counts with the time that it took if that is longer than usual; after two seconds one request may try whether the instance is fast again.

--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -113,6 +113,9 @@
         wait = self.expected_wait(work)
         ready = now + wait + self.times.mean(work.kind)
         if ready > work.deadline or len(self.waiting) >= MOST_WAITING:
+            if not wait and self.times.may_try(work.kind, now):
+                # The instance may have become fast again.
+                return None
             return self._refusal(ResultCode.DEADLINE_UNREACHABLE, work)
         if not wait or self._tier(work) >= LATE_TIER:
             return None
@@ -179,10 +182,20 @@
         is_late, rank, _on_time_until = self._order(work)
         return LATE_TIER + rank if is_late else rank
 
-    def leave(self, work: Work, seconds: float | None) -> None:
-        """Give the slot back; ``seconds`` of an answer, else None."""
+    def leave(
+        self,
+        work: Work,
+        seconds: float,
+        *,
+        is_whole: bool = True,
+    ) -> None:
+        """Give the slot back after ``seconds``.
+
+        Work that was ended before its answer takes at least this long,
+        which is news only if it is longer than usual.
+        """
         self.running -= 1
-        if seconds is not None:
+        if is_whole or seconds > self.times.mean(work.kind):
             self.times.observe(work.kind, seconds, self.timer.now())
         self._grant()
 
@@ -207,7 +220,7 @@
         if waiting in self.waiting:
             self.waiting.remove(waiting)
         elif waiting.granted.done() and waiting.granted.result() is None:
-            self.leave(waiting.work, None)
+            self.leave(waiting.work, 0.0, is_whole=False)
 
     def _grant(self) -> None:
         while self.running < self.slots and self.waiting:
--- a/packages/admission/tanagerbend_admission/tests/test_objective.py
+++ b/packages/admission/tanagerbend_admission/tests/test_objective.py
@@ -157,3 +157,21 @@
     await settle()
     assert isinstance(waiting.result(), Refusal)
     assert queue.running == 0
+
+
+async def test_slow_instance_is_learnt_from_work_without_answer(queue):
+    """Guards against filling an instance that no longer answers in time."""
+    for _ in range(40):
+        assert await queue.enter(work(deadline=99.0, on_time=99.0)) is None
+        queue.leave(work(), 0.9, is_whole=False)
+    assert queue.judge(work(deadline=0.5)).ran is Ran.NO
+    await queue.timer.advance(2.5)
+    assert queue.judge(work(deadline=3.0)) is None
+
+
+async def test_early_end_does_not_make_an_instance_look_fast(queue):
+    """Guards against estimates from callers that left early."""
+    for _ in range(40):
+        assert await queue.enter(work(deadline=99.0, on_time=99.0)) is None
+        queue.leave(work(), 0.001, is_whole=False)
+    assert queue.times.mean('browse') == SECONDS
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -67,20 +67,18 @@
         if refusal is not None:
             return Outcome(refusal, self.report(placed.rank))
         started = self.recorder.timer.now()
-        seconds = None
+        is_whole = False
         try:
             end = await self._send(request, placed, deadline - started)
-            if isinstance(end, Answer) and end.status < MISDIRECTED:
-                seconds = self.recorder.timer.now() - started
+            is_whole = isinstance(end, Answer) and end.status < MISDIRECTED
         finally:
-            self.queue.leave(work, seconds)
+            seconds = self.recorder.timer.now() - started
+            self.queue.leave(work, seconds, is_whole=is_whole)
         is_offered = not (
             isinstance(end, Refusal)
             and end.code is ResultCode.INSTANCE_UNREACHABLE
         )
-        return Outcome(
-            end, self.report(placed.rank, seconds or 0.0), is_offered
-        )
+        return Outcome(end, self.report(placed.rank, seconds), is_offered)
 
     def report(self, rank: int, served: float = 0.0) -> LoadReport:
         """Return the load of the instance as a rank meets it."""
