Ask an owner that refused a rank no more for 40 ms

Change: an owner that refused a rank is not asked for this rank for 40 ms; where all are in that state the entry daemon refuses by itself; three owners are asked instead of four.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -36,7 +36,7 @@
 SERVER_ERROR: Final = 500
 # Owners that are asked for a request; a refusal of an owner costs one
 # round trip and no work of an instance.
-MOST_PLACEMENTS: Final = 4
+MOST_PLACEMENTS: Final = 3
 # Kept back at this daemon, so that the answer of the owner is read before
 # the caller's time is over.
 RETURN_SECONDS: Final = 0.02
@@ -265,7 +265,9 @@
             refusal.code is ResultCode.BACKEND_SHED_LOAD
         ):
             self.placement.failed(instance)
-        elif refusal.code not in BUSY:
+        elif refusal.code in BUSY:
+            self.placement.full(instance, journey.route.rank)
+        else:
             self.placement.unreachable(instance)
 
     def _may_go_on(self, journey: Journey, outcome: Outcome) -> bool:
@@ -298,14 +300,22 @@
     def _final(self, journey: Journey) -> Answer | Refusal:
         last = journey.last
         if last is None:
-            reason = f'no instance of {journey.service!r} is known'
-            return Refusal(ResultCode.NO_INSTANCE, reason)
+            return self._no_place(journey)
         match last:
             case Refusal(ran=Ran.NO) if journey.has_run:
                 # An earlier send may have run, so nothing is promised.
                 return attrs.evolve(last, ran=Ran.UNKNOWN)
         return last
 
+    def _no_place(self, journey: Journey) -> Refusal:
+        """Return why no owner was asked."""
+        service = journey.service
+        if self.knowledge.registry.usable(service):
+            reason = f'all instances of {service!r} refused work just now'
+            return Refusal(ResultCode.QUEUE_FULL, reason)
+        reason = f'no instance of {service!r} is known'
+        return Refusal(ResultCode.NO_INSTANCE, reason)
+
     def retry_after(self, request: Request) -> float:
         """Return the seconds after which a refused caller comes back.
 
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -36,6 +36,8 @@
 DISTANCE_SECONDS: Final = 0.005
 DISTANCE_SECONDS_PER_KB: Final = 0.003
 JITTER: Final = 0.1
+# Time in which an instance of today's sizes frees two or three slots.
+FULL_SECONDS: Final = 0.04
 # Bytes between failure domains that count as more of the objective than
 # this are spared while the own domain has an instance.
 DEAR_SHARE: Final = 0.25
@@ -80,13 +82,15 @@
     reported : float
         Requests that the owner reported: running, or to be served before
         a new one of this rank.
-    reported_at : float
-        Monotonic seconds.
+    reported_at, full_until : float
+        Monotonic seconds: of the report, and until when the owner is
+        expected to refuse requests of this rank.
     """
 
     outstanding: int = 0
     reported: float = 0.0
     reported_at: float = -math.inf
+    full_until: float = -math.inf
 
     def faded(self, now: float) -> float:
         """Return what is left of the report."""
@@ -195,8 +199,9 @@
         left = [
             each for each in calm or instances if each.identity not in exclude
         ]
+        rank = route.rank
         return min(
-            left,
+            [each for each in left if not self._is_full(each, rank, now)],
             key=lambda each: self._jittered(each, route, now),
             default=None,
         )
@@ -206,6 +211,14 @@
         is_failing = seen.failing(now) > FAILING_SHARE
         return seen.avoid_until <= now and not is_failing
 
+    def _is_full(
+        self,
+        instance: ListedInstance,
+        rank: int,
+        now: float,
+    ) -> bool:
+        return self.of(instance).of_rank(rank).full_until > now
+
     def _is_near(self, instance: ListedInstance) -> bool:
         return instance.failure_domain == self.failure_domain
 
@@ -271,6 +284,14 @@
         load.reported = report.busy
         load.reported_at = self.timer.now()
 
+    def full(self, instance: ListedInstance, rank: int) -> None:
+        """Ask an owner that refused a rank no more for a moment.
+
+        It has requests that wait, so no slot stays free meanwhile.
+        """
+        load = self.of(instance).of_rank(rank)
+        load.full_until = self.timer.now() + FULL_SECONDS
+
     def served(
         self,
         instance: ListedInstance,
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -1,5 +1,6 @@
 """Choice of an instance by the time until its answer."""
 
+import asyncio
 import random
 
 import pytest
@@ -13,6 +14,7 @@
     PrefixRoute,
     Repeat,
 )
+from tanagerbend_routing.placement import FULL_SECONDS
 from tanagerbend_timer import ManualTimer
 
 NEAR = ListedInstance('near', '10.0.0.1:80', 'shop', 'north', 6)
@@ -100,3 +102,18 @@
     placement.reported(NEAR, 2, LoadReport(60, 6))
     placement.of(NEAR).of_rank(2).outstanding = 20
     assert chosen(placement) == 1
+
+
+def test_full_instance_is_not_asked_again_at_once(placement):
+    """Guards against sending bodies to owners that refuse them."""
+    placement.full(NEAR, 0)
+    placement.full(FAR, 0)
+    assert placement.choose(BOTH, BROWSE, NOBODY) is None
+    asyncio.run(placement.timer.advance(2 * FULL_SECONDS))
+    assert placement.choose(BOTH, BROWSE, NOBODY) is not None
+
+
+def test_full_for_one_rank_is_open_for_others(placement):
+    """Guards against urgent work refused for less urgent queues."""
+    placement.full(NEAR, 2)
+    assert placement.choose((NEAR,), BROWSE, NOBODY) is NEAR
