--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -144,13 +144,20 @@
         Time at an instance.
     kilobytes : float
         Size of an answer.
+    is_seen : bool
+        Whether there was an answer yet.
     """
 
     seconds: float = FIRST_WORK_SECONDS
     kilobytes: float = 1.0
+    is_seen: bool = False
 
     def observe(self, seconds: float, kilobytes: float) -> None:
         """Take the time and the size of one answer."""
+        if not self.is_seen:
+            # Large answers are kept near from the second one on.
+            self.is_seen = True
+            self.seconds, self.kilobytes = seconds, kilobytes
         self.seconds += SPEED_WEIGHT * (seconds - self.seconds)
         self.kilobytes += SPEED_WEIGHT * (kilobytes - self.kilobytes)
 
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -117,3 +117,10 @@
     """Guards against urgent work refused for less urgent queues."""
     placement.full(NEAR, 2)
     assert placement.choose((NEAR,), BROWSE, NOBODY) is NEAR
+
+
+def test_first_answer_tells_the_size(placement):
+    """Guards against large answers between domains after a restart."""
+    placement.served(FAR, 'browse', 0.1, 90.0)
+    placement.reported(NEAR, 0, LoadReport(60, 6))
+    assert chosen(placement) == 1
