--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -157,7 +157,8 @@
         if not self.is_seen:
             # Large answers are kept near from the second one on.
             self.is_seen = True
-            self.seconds, self.kilobytes = seconds, kilobytes
+            self.seconds = seconds
+            self.kilobytes = kilobytes
         self.seconds += SPEED_WEIGHT * (seconds - self.seconds)
         self.kilobytes += SPEED_WEIGHT * (kilobytes - self.kilobytes)
 
