Leave fast instances to work with a tight objective

A third of the instances takes 1.6 times as long, so that browsing is at the edge of its 250 ms there, while orders with 800 ms hold slots of fast instances. Change: a route whose objective is over four times its work counts fast instances dearer.

--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -35,6 +35,11 @@
 # between them is worth; the platform charges for these bytes.
 DISTANCE_SECONDS: Final = 0.005
 DISTANCE_SECONDS_PER_KB: Final = 0.003
+# A route whose objective is longer than this many times its work can wait
+# at a slow instance, and counts a fast one dearer by this many times its
+# work there.
+PATIENT_RATIO: Final = 4.0
+PATIENT_WEIGHT: Final = 2.0
 JITTER: Final = 0.1
 # Time in which an instance of today's sizes frees two or three slots.
 FULL_SECONDS: Final = 0.04
@@ -260,6 +265,9 @@
         load = (busy + 1) / max(instance.slots, 1)
         seconds *= max(load, 1.0) + CROWDING * load
         seconds *= 1 + FAILURE_FACTOR * seen.failing(now)
+        if route.objective > PATIENT_RATIO * work.seconds:
+            # Fast instances are left to work that needs them.
+            seconds += PATIENT_WEIGHT * work.seconds / seen.speed
         if self._is_near(instance):
             return seconds
         return (
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import attrs
 import pytest
 
 from tanagerbend_metrics import Recorder
@@ -124,3 +125,16 @@
     placement.served(FAR, 'browse', 0.1, 90.0)
     placement.reported(NEAR, 0, LoadReport(60, 6))
     assert chosen(placement) == 1
+
+
+def test_patient_work_leaves_fast_instances(placement):
+    """Guards against tight work that finds only slow instances free."""
+    slow = attrs.evolve(NEAR, identity='slow')
+    patient = attrs.evolve(BROWSE, name='order', objective=9.0)
+    for route in ('browse', 'order'):
+        for _ in range(50):
+            placement.served(NEAR, route, 0.07, 1.0)
+            placement.served(slow, route, 0.16, 1.0)
+    both = (NEAR, slow)
+    assert placement.choose(both, BROWSE, NOBODY) is NEAR
+    assert placement.choose(both, patient, NOBODY) is slow
