--- a/packages/routing/tanagerbend_routing/__init__.py
+++ b/packages/routing/tanagerbend_routing/__init__.py
@@ -12,6 +12,7 @@
     RoutingConfiguration,
 )
 from tanagerbend_routing.registry import InstanceRegistry, ListedInstance
+from tanagerbend_routing.returning import FirstAttempts
 from tanagerbend_routing.stats import InstanceStats, Result
 from tanagerbend_routing.table import Route, RouteTable, plain_path
 
@@ -19,6 +20,7 @@
     'Balancer',
     'BudgetTerms',
     'CallerLimits',
+    'FirstAttempts',
     'InstanceRegistry',
     'InstanceStats',
     'ListedInstance',
