Revert the objective counted from the first attempt

Requests that had come back were taken into the queue as late ones and then held slots that requests on time found taken.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -25,7 +25,6 @@
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_routing import (
-    FirstAttempts,
     ListedInstance,
     Placement,
     PrefixRoute,
@@ -112,7 +111,6 @@
     recorder : Recorder
     log : DecisionLog
     random : random.Random
-    attempts : FirstAttempts
     """
 
     terms: Terms
@@ -125,7 +123,6 @@
     recorder: Recorder
     log: DecisionLog
     random: random.Random
-    attempts: FirstAttempts = attrs.field(factory=FirstAttempts)
 
     async def handle(self, request: Request) -> Answer | Refusal:
         """Answer a request, or refuse it with a reason."""
@@ -139,17 +136,12 @@
                 return route
         service = route.pick_service(self.random)
         self.allowance.requested(service, request.arrived)
-        elapsed = self.attempts.elapsed(
-            route.name,
-            request.time_left,
-            request.arrived,
-        )
         journey = Journey(
             request,
             route,
             service,
             request.arrived + min(route.timeout, request.time_left),
-            request.arrived + route.objective - elapsed,
+            request.arrived + route.objective,
         )
         end = await self._travel(journey)
         match end:
--- a/packages/routing/tanagerbend_routing/__init__.py
+++ b/packages/routing/tanagerbend_routing/__init__.py
@@ -12,7 +12,6 @@
     RoutingConfiguration,
 )
 from tanagerbend_routing.registry import InstanceRegistry, ListedInstance
-from tanagerbend_routing.returning import FirstAttempts
 from tanagerbend_routing.stats import InstanceStats, Result
 from tanagerbend_routing.table import Route, RouteTable, plain_path
 
@@ -20,7 +19,6 @@
     'Balancer',
     'BudgetTerms',
     'CallerLimits',
-    'FirstAttempts',
     'InstanceRegistry',
     'InstanceStats',
     'ListedInstance',
