Refuse at arrival what would be late and would have to wait

A request that is late when it reaches its owner, as after two refusals, still waited. Change: it is served in a free slot, or refused at once.

--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -117,7 +117,7 @@
                 # The instance may have become fast again.
                 return None
             return self._refusal(ResultCode.DEADLINE_UNREACHABLE, work)
-        if not wait or self._tier(work) >= LATE_TIER:
+        if not wait:
             return None
         if ready + self._margin(work) > work.on_time_until:
             return self._refusal(ResultCode.QUEUE_FULL, work)
--- a/packages/admission/tanagerbend_admission/tests/test_objective.py
+++ b/packages/admission/tanagerbend_admission/tests/test_objective.py
@@ -54,6 +54,13 @@
     assert await queue.enter(work(on_time=-1.0)) is None
 
 
+async def test_late_request_does_not_wait(queue):
+    """Guards against late work that holds the slots of work on time."""
+    assert await queue.enter(work()) is None
+    late = work(on_time=-1.0, deadline=9.0)
+    assert queue.judge(late).code is ResultCode.QUEUE_FULL
+
+
 async def test_overtaken_rank_is_refused_at_arrival(queue):
     """Guards against holding a rank that gets few slots till its deadline.
 
