--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -9,6 +9,9 @@
 # for answers that are neither streamed nor those of orders.
 ADDED_TIME: Final = 'added'
 
+# Time from the arrival of a request at its entry daemon to its answer.
+ANSWER_TIME: Final = 'answer'
+
 # A call that the owner refuses to its entry daemon may be served by another
 # instance, so these are counted apart from what callers see.
 REFUSALS: Final = 'refusals'
@@ -41,6 +44,8 @@
     'hosts_refused': 'reason',
     'records_refused': 'reason',
     'orders_ended': 'state',
+    'store_calls': 'call',
+    'log_lines_left_out': 'event',
 }
 # Exposed from the start, so that an alert on them never lacks a series.
 ALWAYS_EXPOSED: Final = (
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 
 from tanagerbend_metrics import Recorder
+from tanagerbend_metrics.names import ANSWER_TIME, REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
 from tanagerbend_proxy.decisions import DecisionLog
@@ -147,6 +148,13 @@
         match end:
             case Refusal():
                 self._explain(journey, end)
+            case Answer():
+                self.recorder.histograms.record(
+                    ANSWER_TIME,
+                    route.name,
+                    route.rank,
+                    self.recorder.timer.now() - request.arrived,
+                )
         return end
 
     async def _travel(self, journey: Journey) -> Answer | Refusal:
@@ -345,7 +353,7 @@
 
     def _explain(self, journey: Journey, refusal: Refusal) -> None:
         now = self.recorder.timer.now()
-        self.recorder.count('requests_refused', refusal.code.name)
+        self.recorder.count(REFUSALS, refusal.code.name)
         self.log.request(
             'request_refused',
             journey.request.identifier,
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -9,6 +9,7 @@
 
 from tanagerbend_admission import ObjectiveQueue, Work
 from tanagerbend_metrics import Recorder
+from tanagerbend_metrics.names import BACKEND_TIME, QUEUE_TIME
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.headers import HeaderNames
@@ -67,6 +68,7 @@
         if refusal is not None:
             return Outcome(refusal, self.report(placed.rank))
         started = self.recorder.timer.now()
+        self._record(QUEUE_TIME, placed, started - now)
         is_whole = False
         try:
             end = await self._send(request, placed, deadline - started)
@@ -74,12 +76,17 @@
         finally:
             seconds = self.recorder.timer.now() - started
             self.queue.leave(work, seconds, is_whole=is_whole)
+        self._record(BACKEND_TIME, placed, seconds)
         is_offered = not (
             isinstance(end, Refusal)
             and end.code is ResultCode.INSTANCE_UNREACHABLE
         )
         return Outcome(end, self.report(placed.rank, seconds), is_offered)
 
+    def _record(self, name: str, placed: Placed, seconds: float) -> None:
+        histograms = self.recorder.histograms
+        histograms.record(name, placed.route, placed.rank, seconds)
+
     def report(self, rank: int, served: float = 0.0) -> LoadReport:
         """Return the load of the instance as a rank meets it."""
         busy = self.queue.busy_for(rank)
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/tests/test_decisions.py
@@ -0,0 +1,69 @@
+"""Log lines that never block a request."""
+
+import json
+import os
+
+import pytest
+
+from tanagerbend_metrics import Recorder
+from tanagerbend_proxy.decisions import (
+    LINES_PER_SECOND,
+    DecisionLog,
+    PipeHandler,
+)
+from tanagerbend_timer import ManualTimer
+
+PIPE_BYTES = 1_000_000
+
+
+@pytest.fixture
+def recorder():
+    """Recorder in manual time."""
+    return Recorder(ManualTimer())
+
+
+@pytest.fixture
+def pipe(recorder):
+    """Read end of a pipe that takes the lines."""
+    reading, writing = os.pipe()
+    handler = PipeHandler(writing, recorder)
+    with handler.applicationbound():
+        yield reading
+    os.close(reading)
+    os.close(writing)
+
+
+def lines(pipe):
+    return [json.loads(line) for line in os.read(pipe, PIPE_BYTES).splitlines()]
+
+
+def test_line_holds_the_inputs(pipe, recorder):
+    """Guards against a refusal that nobody can explain afterwards."""
+    log = DecisionLog('host-1', recorder)
+    log.request('request_refused', 'a1', code='QUEUE_FULL', left_ms=12)
+    (line,) = lines(pipe)
+    assert line['request'] == 'a1'
+    assert line['host'] == 'host-1'
+    assert line['left_ms'] == 12
+
+
+async def test_lines_of_one_event_are_bounded(pipe, recorder):
+    """Guards against logs that grow with the load."""
+    log = DecisionLog('host-1', recorder)
+    for _ in range(LINES_PER_SECOND + 30):
+        log.write('request_refused')
+    log.write('version_adopted')
+    await recorder.timer.advance(1.0)
+    log.write('request_refused')
+    found = lines(pipe)
+    assert len(found) == LINES_PER_SECOND + 2
+    assert found[-1]['left_out'] == 30
+
+
+async def test_full_pipe_does_not_block(pipe, recorder):
+    """Guards against requests that wait for a reader of the logs."""
+    log = DecisionLog('host-1', recorder)
+    for _ in range(500):
+        log.write('request_refused', reason='x' * 1000)
+        await recorder.timer.advance(1.0)
+    assert recorder.counters.get('log_lines_dropped') > 0
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/tests/test_messages.py
@@ -0,0 +1,43 @@
+"""Headers between daemons."""
+
+import pytest
+from multidict import CIMultiDict
+
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_proxy.messages import Answer, Outcome, Placed
+from tanagerbend_routing import LoadReport, Repeat
+
+ANSWER = Answer(200, CIMultiDict(), b'body')
+PLACED = Placed('i-1', 'browse', 2, Repeat.NEVER, -0.25, 1.5)
+
+
+def test_placement_is_read_as_written():
+    """Guards against an order that another daemon takes as repeatable."""
+    assert Placed.decode(PLACED.encode()) == PLACED
+
+
+@pytest.mark.parametrize('text', ('', '7', '[]', '["i-1"]', '{}', '[' * 99))
+def test_broken_placement_is_refused(text):
+    """Guards against running a request that no daemon has placed."""
+    match Placed.decode(text):
+        case Refusal(code=code, ran=ran):
+            assert code is ResultCode.HEADER_INVALID
+            assert ran is Ran.NO
+        case found:
+            pytest.fail(f'taken as {found}')
+
+
+def test_outcome_is_read_as_written():
+    """Guards against a promise that the owner did not give."""
+    refusal = Refusal(ResultCode.CONNECTION_LOST, 'why', Ran.UNKNOWN)
+    sent = Outcome(refusal, LoadReport(3, 6, 0.5), is_offered=True)
+    carrier = Answer(200, CIMultiDict(), b'why')
+    assert Outcome.decode(sent.encode(), carrier) == sent
+
+
+@pytest.mark.parametrize('text', ('', '[]', '[999,"no",0,0,0,0]', 'x'))
+def test_answer_that_is_not_from_a_daemon_promises_nothing(text):
+    """Guards against a false "not run" from bytes of somebody else."""
+    end = Outcome.decode(text, ANSWER).end
+    assert isinstance(end, Refusal)
+    assert end.ran is Ran.UNKNOWN
