--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -102,7 +102,13 @@
         log,
         chance,
     )
-    door = CallerDoor(entry, names, recorder, terms.service)
+    door = CallerDoor(
+        entry,
+        names,
+        recorder,
+        terms.service,
+        terms.instance_host,
+    )
     return Parts(
         terms,
         recorder,
