--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -139,14 +139,15 @@
                 return route
         service = route.pick_service(self.random)
         self.allowance.requested(service, request.arrived)
-        deadline = request.arrived + min(route.timeout, request.time_left)
-        on_time_until = request.arrived + route.objective
         if request.is_nested:
-            # The work that it belongs to holds a slot already and is lost
-            # if it is refused, so it goes first and may use all its time.
-            route = attrs.evolve(route, rank=NESTED_RANK)
-            on_time_until = deadline
-        journey = Journey(request, route, service, deadline, on_time_until)
+            route = nested_route(route)
+        journey = Journey(
+            request,
+            route,
+            service,
+            request.arrived + min(route.timeout, request.time_left),
+            request.arrived + route.objective,
+        )
         end = await self._travel(journey)
         match end:
             case Refusal():
@@ -372,3 +373,12 @@
             left_ms=round((journey.deadline - now) * MILLISECONDS),
             version=self.knowledge.version,
         )
+
+
+def nested_route(route: PrefixRoute) -> PrefixRoute:
+    """Return the route of a request that an instance needs for another.
+
+    The work that it belongs to holds a slot already and is lost if it is
+    refused, so it goes before new work and may use all of its time.
+    """
+    return attrs.evolve(route, rank=NESTED_RANK, objective=route.timeout)
