--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -52,8 +52,6 @@
 # Time to come back where nothing is known of the request.
 UNKNOWN_RETURN_SECONDS: Final = 1.0
 NOBODY: Final[frozenset[str]] = frozenset()
-# Goes before all ranks of a configuration.
-NESTED_RANK: Final = -1
 BUSY: Final = frozenset(
     (
         ResultCode.QUEUE_FULL,
@@ -139,8 +137,6 @@
                 return route
         service = route.pick_service(self.random)
         self.allowance.requested(service, request.arrived)
-        if request.is_nested:
-            route = nested_route(route)
         journey = Journey(
             request,
             route,
@@ -373,12 +369,3 @@
             left_ms=round((journey.deadline - now) * MILLISECONDS),
             version=self.knowledge.version,
         )
-
-
-def nested_route(route: PrefixRoute) -> PrefixRoute:
-    """Return the route of a request that an instance needs for another.
-
-    The work that it belongs to holds a slot already and is lost if it is
-    refused, so it goes before new work and may use all of its time.
-    """
-    return attrs.evolve(route, rank=NESTED_RANK, objective=route.timeout)
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -114,7 +114,6 @@
     names: HeaderNames
     recorder: Recorder
     caller_service: str
-    instance_host: str
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a caller."""
@@ -151,7 +150,6 @@
             body,
             time_left(http.headers.get(self.names.time_left)),
             arrived,
-            http.remote == self.instance_host,
         )
 
     def refuse(
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -39,9 +39,6 @@
         Seconds for which the caller waits; infinite if it did not say.
     arrived : float
         Monotonic seconds.
-    is_nested : bool
-        Whether the instance on this host sent it while it runs another
-        request, which fails if this one does.
     """
 
     identifier: str
@@ -52,7 +49,6 @@
     body: bytes = attrs.field(repr=False)
     time_left: float
     arrived: float
-    is_nested: bool = False
 
 
 @attrs.frozen
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -102,13 +102,7 @@
         log,
         chance,
     )
-    door = CallerDoor(
-        entry,
-        names,
-        recorder,
-        terms.service,
-        terms.instance_host,
-    )
+    door = CallerDoor(entry, names, recorder, terms.service)
     return Parts(
         terms,
         recorder,
--- a/packages/proxy/tanagerbend_proxy/terms.py
+++ b/packages/proxy/tanagerbend_proxy/terms.py
@@ -69,11 +69,6 @@
     stop: StopTerms
     budget: BudgetTerms
 
-    @property
-    def instance_host(self) -> str:
-        """Address of this host, from which its instance calls others."""
-        return self.instance_address.rpartition(':')[0]
-
     @property
     def peer_port(self) -> str:
         """Port at which every daemon listens to its peers."""
