Name the parts of the platform path by the terms of the field

Renames only: the state of a request, endpoints and their handlers, settled and preferred instances, routes with a relaxed objective.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -62,7 +62,7 @@
 
 
 @attrs.define
-class Journey:
+class RequestState:
     """State of one request at its entry daemon.
 
     Parameters
@@ -80,6 +80,8 @@
     tried : frozenset of str
     last : Answer or Refusal or None
         The best end so far.
+    has_run : bool
+        Whether an instance may have run the request.
     """
 
     request: Request
@@ -137,17 +139,17 @@
                 return route
         service = route.pick_service(self.random)
         self.allowance.requested(service, request.arrived)
-        journey = Journey(
+        state = RequestState(
             request,
             route,
             service,
             request.arrived + min(route.timeout, request.time_left),
             request.arrived + route.objective,
         )
-        end = await self._travel(journey)
+        end = await self._try_instances(state)
         match end:
             case Refusal():
-                self._explain(journey, end)
+                self._explain(state, end)
             case Answer():
                 self.recorder.histograms.record(
                     ANSWER_TIME,
@@ -157,50 +159,50 @@
                 )
         return end
 
-    async def _travel(self, journey: Journey) -> Answer | Refusal:
-        while journey.placed < MOST_PLACEMENTS:
-            instance = self._choose(journey)
+    async def _try_instances(self, state: RequestState) -> Answer | Refusal:
+        while state.placed < MOST_PLACEMENTS:
+            instance = self._choose(state)
             if instance is None:
                 break
-            journey.placed += 1
-            outcome = await self._place(journey, instance)
-            self._learn(journey, instance, outcome)
-            if not self._may_go_on(journey, outcome):
+            state.placed += 1
+            outcome = await self._place(state, instance)
+            self._learn(state, instance, outcome)
+            if not self._may_go_on(state, outcome):
                 break
-        return self._final(journey)
+        return self._final(state)
 
-    def _choose(self, journey: Journey) -> ListedInstance | None:
+    def _choose(self, state: RequestState) -> ListedInstance | None:
         return self.placement.choose(
-            self.knowledge.registry.usable(journey.service),
-            journey.route,
-            journey.tried,
+            self.knowledge.registry.usable(state.service),
+            state.route,
+            state.tried,
         )
 
     async def _place(
         self,
-        journey: Journey,
+        state: RequestState,
         instance: ListedInstance,
     ) -> Outcome:
         """Ask the owner of an instance to run the request."""
         now = self.recorder.timer.now()
-        left = journey.deadline - now - RETURN_SECONDS
+        left = state.deadline - now - RETURN_SECONDS
         if left < LEAST_SECONDS:
             reason = 'no time is left to reach an instance'
             return Outcome(Refusal(ResultCode.DEADLINE_PASSED, reason))
         placed = Placed(
             instance.identity,
-            journey.route.name,
-            journey.route.rank,
-            journey.route.repeat,
-            journey.on_time_until - now,
+            state.route.name,
+            state.route.rank,
+            state.route.repeat,
+            state.on_time_until - now,
             left,
         )
-        load = self.placement.of(instance).of_rank(journey.route.rank)
+        load = self.placement.of(instance).of_rank(state.route.rank)
         load.outstanding += 1
         try:
             if instance.address == self.terms.instance_address:
-                return await self.owner.run(journey.request, placed)
-            return await self._forward(journey.request, instance, placed)
+                return await self.owner.run(state.request, placed)
+            return await self._forward(state.request, instance, placed)
         finally:
             load.outstanding -= 1
 
@@ -234,90 +236,90 @@
 
     def _learn(
         self,
-        journey: Journey,
+        state: RequestState,
         instance: ListedInstance,
         outcome: Outcome,
     ) -> None:
         """Take what an outcome tells of the instance."""
-        journey.tried |= {instance.identity}
-        journey.offered += outcome.is_offered
+        state.tried |= {instance.identity}
+        state.offered += outcome.is_offered
         if outcome.load is not None:
-            rank = journey.route.rank
+            rank = state.route.rank
             self.placement.reported(instance, rank, outcome.load)
         match outcome.end:
             case Answer(status=status, body=body):
-                journey.last = outcome.end
+                state.last = outcome.end
                 if status >= SERVER_ERROR:
                     self.placement.failed(instance)
                     return
                 served = outcome.load.served if outcome.load else 0.0
                 self.placement.served(
                     instance,
-                    journey.route.name,
+                    state.route.name,
                     served,
                     len(body) / KILOBYTE,
                 )
             case Refusal():
-                self._learn_refusal(journey, instance, outcome.end)
+                self._learn_refusal(state, instance, outcome.end)
 
     def _learn_refusal(
         self,
-        journey: Journey,
+        state: RequestState,
         instance: ListedInstance,
         refusal: Refusal,
     ) -> None:
-        journey.has_run |= refusal.ran is not Ran.NO
-        if not isinstance(journey.last, Answer):
-            journey.last = refusal
+        state.has_run |= refusal.ran is not Ran.NO
+        if not isinstance(state.last, Answer):
+            state.last = refusal
         if refusal.ran is Ran.UNKNOWN or (
             refusal.code is ResultCode.BACKEND_SHED_LOAD
         ):
             self.placement.failed(instance)
         elif refusal.code in BUSY:
-            self.placement.full(instance, journey.route.rank)
+            self.placement.full(instance, state.route.rank)
         else:
             self.placement.unreachable(instance)
 
-    def _may_go_on(self, journey: Journey, outcome: Outcome) -> bool:
+    def _may_go_on(self, state: RequestState, outcome: Outcome) -> bool:
         """Tell whether the request is sent to one more instance."""
         now = self.recorder.timer.now()
-        if journey.deadline - now < self._useful_seconds(journey):
+        if state.deadline - now < self._useful_seconds(state):
             return False
         match outcome.end:
             case Answer(status=status):
                 is_free = status < SERVER_ERROR
-                is_free |= journey.route.repeat is Repeat.NEVER
+                is_free |= state.route.repeat is Repeat.NEVER
                 if is_free:
                     return False
             case Refusal(ran=Ran.NO) if not outcome.is_offered:
                 return True
             case Refusal(ran=ran):
                 is_doubtful = ran is not Ran.NO
-                if is_doubtful and journey.route.repeat is Repeat.NEVER:
+                if is_doubtful and state.route.repeat is Repeat.NEVER:
                     return False
-        if journey.offered >= journey.route.most_attempts:
+        if state.offered >= state.route.most_attempts:
             return False
         daemons = self.knowledge.daemons
-        return self.allowance.take(journey.service, now, daemons)
+        return self.allowance.take(state.service, now, daemons)
 
-    def _useful_seconds(self, journey: Journey) -> float:
+    def _useful_seconds(self, state: RequestState) -> float:
         """Return the time below which sending once more is of no use."""
-        typical = self.placement.work_of(journey.route.name).seconds
+        typical = self.placement.work_of(state.route.name).seconds
         return RETURN_SECONDS + max(LEAST_SECONDS, typical / 2)
 
-    def _final(self, journey: Journey) -> Answer | Refusal:
-        last = journey.last
+    def _final(self, state: RequestState) -> Answer | Refusal:
+        last = state.last
         if last is None:
-            return self._no_place(journey)
+            return self._no_place(state)
         match last:
-            case Refusal(ran=Ran.NO) if journey.has_run:
+            case Refusal(ran=Ran.NO) if state.has_run:
                 # An earlier send may have run, so nothing is promised.
                 return attrs.evolve(last, ran=Ran.UNKNOWN)
         return last
 
-    def _no_place(self, journey: Journey) -> Refusal:
+    def _no_place(self, state: RequestState) -> Refusal:
         """Return why no owner was asked."""
-        service = journey.service
+        service = state.service
         if self.knowledge.registry.usable(service):
             reason = f'all instances of {service!r} refused work just now'
             return Refusal(ResultCode.QUEUE_FULL, reason)
@@ -351,21 +353,21 @@
         passed = self.recorder.timer.now() - request.arrived
         return max(route.objective - passed - 2 * work.seconds, 0.0)
 
-    def _explain(self, journey: Journey, refusal: Refusal) -> None:
+    def _explain(self, state: RequestState, refusal: Refusal) -> None:
         now = self.recorder.timer.now()
         self.recorder.count(REFUSALS, refusal.code.name)
         self.log.request(
             'request_refused',
-            journey.request.identifier,
+            state.request.identifier,
             code=refusal.code.name,
             ran=refusal.ran.value,
             reason=refusal.reason,
-            route=journey.route.name,
-            service=journey.service,
-            rank=journey.route.rank,
-            offered=journey.offered,
-            placed=journey.placed,
-            age_ms=round((now - journey.request.arrived) * MILLISECONDS),
-            left_ms=round((journey.deadline - now) * MILLISECONDS),
+            route=state.route.name,
+            service=state.service,
+            rank=state.route.rank,
+            offered=state.offered,
+            placed=state.placed,
+            age_ms=round((now - state.request.arrived) * MILLISECONDS),
+            left_ms=round((state.deadline - now) * MILLISECONDS),
             version=self.knowledge.version,
         )
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -39,7 +39,7 @@
 
 
 @attrs.define
-class Door:
+class Endpoint:
     """One listening socket and its requests.
 
     Parameters
@@ -107,7 +107,7 @@
 
 
 @attrs.define
-class CallerDoor:
+class CallerHandler:
     """Turns the requests of callers into answers."""
 
     entry: Entry
@@ -173,7 +173,7 @@
 
 
 @attrs.define
-class PeerDoor:
+class PeerHandler:
     """Runs the requests that other daemons place at the instance here."""
 
     owner: Owner
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -16,7 +16,7 @@
 from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.exchange import make_session
 from tanagerbend_proxy.following import EXPIRY_SECONDS, Follower, ItemService
-from tanagerbend_proxy.front import CallerDoor, Door, PeerDoor
+from tanagerbend_proxy.front import CallerHandler, Endpoint, PeerHandler
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.owner import Owner
@@ -53,8 +53,8 @@
     follower: Follower
     owner: Owner
     entry: Entry
-    callers: Door
-    peers: Door
+    callers: Endpoint
+    peers: Endpoint
     is_stopping: bool = False
 
     @property
@@ -102,7 +102,7 @@
         log,
         chance,
     )
-    door = CallerDoor(entry, names, recorder, terms.service)
+    endpoint = CallerHandler(entry, names, recorder, terms.service)
     return Parts(
         terms,
         recorder,
@@ -111,8 +111,8 @@
         Follower(connect(recorder), knowledge, recorder, chance),
         owner,
         entry,
-        Door(door.handle, recorder),
-        Door(PeerDoor(owner, names, recorder).handle, recorder),
+        Endpoint(endpoint.handle, recorder),
+        Endpoint(PeerHandler(owner, names, recorder).handle, recorder),
     )
 
 
@@ -128,15 +128,15 @@
     def __init__(self, parts: Parts) -> None:
         super().__init__()
         self.parts = parts
-        self.ready_door = Door(self.answer_ready, parts.recorder)
-        self.metrics_door = Door(self.answer_metrics, parts.recorder)
+        self.ready_endpoint = Endpoint(self.answer_ready, parts.recorder)
+        self.metrics_endpoint = Endpoint(self.answer_metrics, parts.recorder)
 
     async def on_start(self) -> None:
         """Listen; callers are served once a configuration is known."""
         parts = self.parts
         listening = parts.terms.listening
-        await self.ready_door.open(listening.ready)
-        await self.metrics_door.open(listening.metrics)
+        await self.ready_endpoint.open(listening.ready)
+        await self.metrics_endpoint.open(listening.metrics)
         await parts.peers.open(listening.peers)
         await parts.callers.open(listening.callers)
         timer = parts.recorder.timer
@@ -190,7 +190,7 @@
         left = started + grace - EXIT_SECONDS - timer.now()
         try:
             async with asyncio.timeout(max(left, 0)):
-                await self._close_doors()
+                await self._close_endpoints()
         except TimeoutError:
             parts.log.write('stop_took_too_long', active=parts.callers.active)
         parts.log.write(
@@ -198,7 +198,7 @@
             seconds=round(timer.now() - started, 3),
         )
 
-    async def _close_doors(self) -> None:
+    async def _close_endpoints(self) -> None:
         parts = self.parts
         await asyncio.gather(parts.callers.close(), parts.peers.close())
         await self.stop()
@@ -210,13 +210,13 @@
         """Close what is open."""
         parts = self.parts
         await parts.recorder.timer.close()
-        doors = (
-            self.ready_door,
-            self.metrics_door,
+        endpoints = (
+            self.ready_endpoint,
+            self.metrics_endpoint,
             parts.peers,
             parts.callers,
         )
-        await asyncio.gather(*(door.close() for door in doors))
+        await asyncio.gather(*(endpoint.close() for endpoint in endpoints))
 
     async def on_shutdown(self) -> None:
         """Close the connections, after all tasks have ended."""
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -36,16 +36,16 @@
 DISTANCE_SECONDS: Final = 0.005
 DISTANCE_SECONDS_PER_KB: Final = 0.003
 # A route whose objective is longer than this many times its work can wait
-# at a slow instance, and counts a fast one dearer by this many times its
+# at a slow instance, and counts a fast one as slower by this many times its
 # work there.
-PATIENT_RATIO: Final = 4.0
-PATIENT_WEIGHT: Final = 2.0
+RELAXED_RATIO: Final = 4.0
+RELAXED_WEIGHT: Final = 2.0
 JITTER: Final = 0.1
 # Time in which an instance of today's sizes frees two or three slots.
 FULL_SECONDS: Final = 0.04
 # Bytes between failure domains that count as more of the objective than
 # this are spared while the own domain has an instance.
-DEAR_SHARE: Final = 0.25
+COSTLY_SHARE: Final = 0.25
 # Share of failures above which an instance is used only as the last.
 FAILING_SHARE: Final = 0.5
 # One answer moves the estimate of a speed at most this far.
@@ -205,12 +205,16 @@
         domain only if it has no instance that can be reached.
         """
         now = self.timer.now()
-        calm = [each for each in instances if self._is_calm(each, now)]
-        if self._is_dear(route):
-            near = [each for each in calm if self._is_near(each)]
-            calm = near or calm
+        preferred = [
+            each for each in instances if self._is_preferred(each, now)
+        ]
+        if self._is_costly_to_move(route):
+            near = [each for each in preferred if self._is_near(each)]
+            preferred = near or preferred
         left = [
-            each for each in calm or instances if each.identity not in exclude
+            each
+            for each in preferred or instances
+            if each.identity not in exclude
         ]
         rank = route.rank
         return min(
@@ -219,7 +223,7 @@
             default=None,
         )
 
-    def _is_calm(self, instance: ListedInstance, now: float) -> bool:
+    def _is_preferred(self, instance: ListedInstance, now: float) -> bool:
         seen = self.of(instance)
         is_failing = seen.failing(now) > FAILING_SHARE
         return seen.avoid_until <= now and not is_failing
@@ -235,10 +239,10 @@
     def _is_near(self, instance: ListedInstance) -> bool:
         return instance.failure_domain == self.failure_domain
 
-    def _is_dear(self, route: PrefixRoute) -> bool:
+    def _is_costly_to_move(self, route: PrefixRoute) -> bool:
         work = self.work_of(route.name)
         cost = DISTANCE_SECONDS_PER_KB * work.kilobytes
-        return cost > DEAR_SHARE * route.objective
+        return cost > COSTLY_SHARE * route.objective
 
     def _jittered(
         self,
@@ -265,9 +269,9 @@
         load = (busy + 1) / max(instance.slots, 1)
         seconds *= max(load, 1.0) + CROWDING * load
         seconds *= 1 + FAILURE_FACTOR * seen.failing(now)
-        if route.objective > PATIENT_RATIO * work.seconds:
+        if route.objective > RELAXED_RATIO * work.seconds:
             # Fast instances are left to work that needs them.
-            seconds += PATIENT_WEIGHT * work.seconds / seen.speed
+            seconds += RELAXED_WEIGHT * work.seconds / seen.speed
         if self._is_near(instance):
             return seconds
         return (
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -1,7 +1,7 @@
 """Instances that the platform lists, and what an outage hides of them.
 
 The load it answers: instances that leave, crash and lapse while requests
-go on.  An entry that disappears while the service is calm is gone at once.
+go on.  An entry that disappears while the service is settled is gone at once.
 One that disappears around an outage of the service may have lapsed only
 because its instance could not renew it, so it stays usable for a while.
 """
@@ -75,21 +75,21 @@
         self.timer = recorder.timer
         self.entries: dict[str, Held] = {}
         self.services: dict[str, tuple[ListedInstance, ...]] = {}
-        self.calm_from = 0.0
+        self.settled_from = 0.0
 
     def service_lost(self) -> None:
         """Note that the service does not answer this daemon."""
-        self.calm_from = float('inf')
+        self.settled_from = float('inf')
 
     def service_regained(self) -> None:
         """Note that the service answers again."""
-        if self.calm_from == float('inf'):
-            self.calm_from = self.timer.now() + LAPSE_SECONDS
+        if self.settled_from == float('inf'):
+            self.settled_from = self.timer.now() + LAPSE_SECONDS
 
     @property
-    def is_calm(self) -> bool:
+    def is_settled(self) -> bool:
         """Whether a missing entry says that its instance is gone."""
-        return self.timer.now() >= self.calm_from
+        return self.timer.now() >= self.settled_from
 
     def put(self, instance: ListedInstance) -> None:
         """Take an entry that was written."""
@@ -103,17 +103,17 @@
         held = self.entries.get(identity)
         if held is None:
             return
-        if self.is_calm or held.instance.is_leaving:
+        if self.is_settled or held.instance.is_leaving:
             self.entries.pop(identity)
         else:
-            held.usable_until = min(held.usable_until, self.calm_end)
+            held.usable_until = min(held.usable_until, self.settled_at)
             self.recorder.count('entries_kept_after_outage')
         self._rebuild()
 
     @property
-    def calm_end(self) -> float:
+    def settled_at(self) -> float:
         """Monotonic seconds until which missing entries are kept."""
-        return max(self.calm_from, self.timer.now())
+        return max(self.settled_from, self.timer.now())
 
     def replace(self, listed: Mapping[str, ListedInstance]) -> None:
         """Take a whole listing."""
@@ -129,7 +129,7 @@
         over = [
             identity
             for identity, held in self.entries.items()
-            if held.usable_until <= now and self.is_calm
+            if held.usable_until <= now and self.is_settled
         ]
         for identity in over:
             self.entries.pop(identity)
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -42,7 +42,7 @@
 
 
 def test_own_domain_first(placement):
-    """Guards against bytes between failure domains on a calm day."""
+    """Guards against bytes between failure domains on a quiet day."""
     for _ in range(50):
         placement.served(NEAR, 'browse', 0.1, 90.0)
         placement.served(FAR, 'browse', 0.1, 90.0)
