Drop entries that were kept after an outage before the daemon is in touch

The entry of an instance was removed at 13.84 s; since entries are kept for 2.5 s after an outage and checked each 0.5 s, it was used until after 16.0 s, when the daemon counted as in touch.

--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -17,7 +17,8 @@
 ANSWER_SECONDS: Final = 0.7
 FIRST_BACKOFF_SECONDS: Final = 0.05
 LONGEST_BACKOFF_SECONDS: Final = 0.5
-EXPIRY_SECONDS: Final = 0.5
+# How often entries that were kept after an outage are checked.
+EXPIRY_SECONDS: Final = 0.1
 # Changes that come together are read together; well below the two seconds
 # within which a configuration must be in force.
 GATHER_SECONDS: Final = 0.4
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -14,8 +14,9 @@
 from tanagerbend_metrics import Recorder
 
 # Lapsed entries of live instances are back about two seconds after the
-# service returns (statement of the platform); half a second is margin.
-LAPSE_SECONDS: Final = 2.5
+# service returns (statement of the platform).  Counted from the moment at
+# which this daemon hears it again, which is up to 0.9 s later.
+LAPSE_SECONDS: Final = 1.95
 
 
 @attrs.frozen
