Refuse requests that waited when their instance began to leave

The queue handed out slots without looking at the registry. Change: the registry remembers for 30 s when an instance began to leave or disappeared; the owner starts no waiting request later than one second after that and promises "not run", so the entry daemon places it elsewhere. A start under the same identity takes work at once.

--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -20,7 +20,7 @@
     Placed,
     Request,
 )
-from tanagerbend_routing import LoadReport, Repeat
+from tanagerbend_routing import InstanceRegistry, LoadReport, Repeat
 
 OK: Final = 200
 REDIRECTS: Final = 300
@@ -43,6 +43,7 @@
     queue : ObjectiveQueue
     names : HeaderNames
     recorder : Recorder
+    registry : InstanceRegistry
     is_leaving : bool
         Whether requests of other hosts are refused.
     """
@@ -52,6 +53,7 @@
     queue: ObjectiveQueue
     names: HeaderNames
     recorder: Recorder
+    registry: InstanceRegistry
     is_leaving: bool = False
 
     async def run(self, request: Request, placed: Placed) -> Outcome:
@@ -67,6 +69,10 @@
         refusal = await self.queue.enter(work)
         if refusal is not None:
             return Outcome(refusal, self.report(placed.rank))
+        if not self.registry.takes_work(placed.instance):
+            self.queue.leave(work, 0.0, is_whole=False)
+            reason = 'the instance left while the request waited'
+            return Outcome(Refusal(ResultCode.DRAINING, reason))
         started = self.recorder.timer.now()
         self._record(QUEUE_TIME, placed, started - now)
         is_whole = False
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -89,6 +89,7 @@
         ObjectiveQueue(recorder.timer, FIRST_SLOTS),
         names,
         recorder,
+        knowledge.registry,
     )
     entry = Entry(
         terms,
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/tests/test_owner.py
@@ -0,0 +1,48 @@
+"""Requests that wait at the owner of an instance."""
+
+import asyncio
+
+import attrs
+import pytest
+from multidict import CIMultiDict
+
+from tanagerbend_admission import ObjectiveQueue, Work
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Ran, ResultCode
+from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.messages import Placed, Request
+from tanagerbend_proxy.owner import Owner
+from tanagerbend_routing import InstanceRegistry, ListedInstance, Repeat
+from tanagerbend_routing.registry import LEAVING_SECONDS
+from tanagerbend_timer import ManualTimer
+
+INSTANCE = ListedInstance('i-1', '10.0.0.1:80', 'shop', 'north', 1)
+NAMES = HeaderNames(**dict.fromkeys(attrs.fields_dict(HeaderNames), 'X'))
+
+
+@pytest.fixture
+def owner():
+    """Owner of an instance with one slot and without a connection."""
+    recorder = Recorder(ManualTimer())
+    registry = InstanceRegistry(recorder)
+    registry.put(INSTANCE)
+    queue = ObjectiveQueue(recorder.timer, 1)
+    return Owner('10.0.0.1:80', None, queue, NAMES, recorder, registry)
+
+
+async def test_waiting_request_is_refused_after_its_instance_left(owner):
+    """Guards against a request that starts long after the news."""
+    first = Work('browse', 0, 30.0, 30.0)
+    assert await owner.queue.enter(first) is None
+    request = Request('1', 'GET', 'shop', '/', CIMultiDict(), b'', 30.0, 0.0)
+    placed = Placed('i-1', 'browse', 0, Repeat.FREELY, 30.0, 30.0)
+    waiting = asyncio.create_task(owner.run(request, placed))
+    await asyncio.sleep(0)
+    owner.registry.put(attrs.evolve(INSTANCE, is_leaving=True))
+    await owner.recorder.timer.advance(LEAVING_SECONDS + 0.1)
+    owner.queue.leave(first, 0.1)
+    outcome = await waiting
+    assert outcome.end.code is ResultCode.DRAINING
+    assert outcome.end.ran is Ran.NO
+    assert not outcome.is_offered
+    assert owner.queue.running == 0
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -17,6 +17,13 @@
 # service returns (statement of the platform).  Counted from the moment at
 # which this daemon hears it again, which is up to 0.9 s later.
 LAPSE_SECONDS: Final = 1.95
+# New work reaches an instance for this long after the news that it leaves.
+# Platforms grant two seconds or more from the acknowledged entry, and the
+# news takes up to 0.9 s (watch, gathering of changes).
+LEAVING_SECONDS: Final = 1.0
+# How long it is remembered that an instance left, in seconds; longer than
+# any request waits.
+DEPARTED_SECONDS: Final = 30.0
 
 
 @attrs.frozen
@@ -77,6 +84,7 @@
         self.entries: dict[str, Held] = {}
         self.services: dict[str, tuple[ListedInstance, ...]] = {}
         self.settled_from = 0.0
+        self.departed: dict[str, float] = {}
 
     def service_lost(self) -> None:
         """Note that the service does not answer this daemon."""
@@ -96,6 +104,7 @@
         """Take an entry that was written."""
         known = self.entries.get(instance.identity)
         self.entries[instance.identity] = Held(instance)
+        self._note_leaving(instance)
         if known is None or known.instance != instance:
             self._rebuild()
 
@@ -105,7 +114,7 @@
         if held is None:
             return
         if self.is_settled or held.instance.is_leaving:
-            self.entries.pop(identity)
+            self._drop(identity)
         else:
             held.usable_until = min(held.usable_until, self.settled_at)
             self.recorder.count('entries_kept_after_outage')
@@ -122,6 +131,7 @@
             self.remove(identity)
         for instance in listed.values():
             self.entries[instance.identity] = Held(instance)
+            self._note_leaving(instance)
         self._rebuild()
 
     def expire(self) -> None:
@@ -133,10 +143,23 @@
             if held.usable_until <= now and self.is_settled
         ]
         for identity in over:
-            self.entries.pop(identity)
+            self._drop(identity)
             self.recorder.count('entries_dropped_after_outage')
         if over:
             self._rebuild()
+        self.departed = {
+            identity: since
+            for identity, since in self.departed.items()
+            if now - since < DEPARTED_SECONDS
+        }
+
+    def takes_work(self, identity: str) -> bool:
+        """Return whether a request that waited may still be started.
+
+        An instance that is not known may be new, so it takes work.
+        """
+        since = self.departed.get(identity, float('inf'))
+        return self.timer.now() - since < LEAVING_SECONDS
 
     def usable(self, service: str) -> tuple[ListedInstance, ...]:
         """Return the instances of a service that take new work."""
@@ -151,6 +174,16 @@
         ]
         return max(found, key=_born, default=None)
 
+    def _note_leaving(self, instance: ListedInstance) -> None:
+        if instance.is_leaving:
+            self.departed.setdefault(instance.identity, self.timer.now())
+        else:
+            self.departed.pop(instance.identity, None)
+
+    def _drop(self, identity: str) -> None:
+        self.entries.pop(identity)
+        self.departed.setdefault(identity, self.timer.now())
+
     def _rebuild(self) -> None:
         services: dict[str, list[ListedInstance]] = {}
         for held in self.entries.values():
--- a/packages/routing/tanagerbend_routing/tests/test_registry.py
+++ b/packages/routing/tanagerbend_routing/tests/test_registry.py
@@ -7,7 +7,11 @@
 
 from tanagerbend_metrics import Recorder
 from tanagerbend_routing import InstanceRegistry, ListedInstance
-from tanagerbend_routing.registry import LAPSE_SECONDS
+from tanagerbend_routing.registry import (
+    DEPARTED_SECONDS,
+    LAPSE_SECONDS,
+    LEAVING_SECONDS,
+)
 from tanagerbend_timer import ManualTimer
 
 ONE = ListedInstance('i-1', '10.0.0.1:80', 'shop', 'north', 6)
@@ -77,3 +81,39 @@
     """Guards against the identity of an earlier start at one address."""
     registry.put(attrs.evolve(TWO, identity='i-3', born=5))
     assert registry.at_address(TWO.address).identity == 'i-3'
+
+
+def leave(registry):
+    registry.put(attrs.evolve(ONE, is_leaving=True))
+
+
+def vanish(registry):
+    registry.remove('i-1')
+
+
+@pytest.mark.parametrize('end', [leave, vanish])
+def test_waiting_work_may_start_only_for_a_moment(registry, end):
+    """Guards against work that starts long after an instance left."""
+    assert registry.takes_work('i-1')
+    end(registry)
+    pass_time(registry, LEAVING_SECONDS - 0.1)
+    assert registry.takes_work('i-1')
+    leave(registry)
+    pass_time(registry, 0.2)
+    assert not registry.takes_work('i-1')
+    assert registry.takes_work('i-2')
+
+
+def test_start_under_the_same_identity_takes_work(registry):
+    """Guards against refusing an instance that has started again."""
+    leave(registry)
+    pass_time(registry, LEAVING_SECONDS + 0.1)
+    registry.put(attrs.evolve(ONE, born=5))
+    assert registry.takes_work('i-1')
+
+
+def test_instances_that_left_are_forgotten(registry):
+    """Guards against memory that grows with each replaced instance."""
+    vanish(registry)
+    pass_time(registry, DEPARTED_SECONDS + 0.1)
+    assert not registry.departed
