Explain failed requests from the log lines of all daemons

Cause: a refused request had one line; requests that were sent again, failed at their instance, came late, were left by their caller or had no route had none, and nothing put the lines of several hosts together. A test checks that docs/logs.md lists the events of the code. Ruled out: lines at the owner, since its refusals come back with their inputs.

--- a/packages/operator/tanagerbend_operator/explain.py
+++ b/packages/operator/tanagerbend_operator/explain.py
@@ -10,6 +10,7 @@
 from tanagerbend_operator.access import Access, find_access
 from tanagerbend_operator.client import DaemonClient, run_with
 from tanagerbend_operator.explain_order import ORDER_KEY, explain_order
+from tanagerbend_operator.explain_request import Selection, explain_logged
 from tanagerbend_operator.output import (
     console,
     describe,
@@ -26,9 +27,13 @@
 
 
 def explain(
-    subject: str,
+    subject: str = '',
     path: str = '',
     *,
+    log: Sequence[pathlib.Path] = (),
+    route: str = '',
+    since: str = '',
+    until: str = '',
     method: str = 'GET',
     daemon: Sequence[str] = (),
     access: pathlib.Path | None = None,
@@ -43,6 +48,10 @@
     owns it. Anything else (a host, a version, a request id) is looked up
     in the journals of the given daemons.
 
+    With log files, the subject is the identifier of a request, and its
+    lines of all daemons are put together; without a subject the failed
+    requests of a route or a time are listed by cause.
+
     Exit codes: 0 explained; 1 nothing covers or mentions the subject;
     2 access is not valid; 3 no daemon answered.
 
@@ -51,14 +60,26 @@
         tanagerbend explain 402
         tanagerbend explain artwork /plates/7 --method POST
         tanagerbend explain host-3 --daemon 10.3.0.1:9003
+        tanagerbend explain 9c41d07be2a35f68 --log day.log
+        tanagerbend explain --log day.log --route orders --since 5m
 
     :param subject: service, result code, or text to look up.
     :param path: path of a request.
+    :param log: files with the lines of daemons on a platform.
+    :param route: route whose failed requests are listed.
+    :param since: begin of the time, such as 90m, 2h or a date and time.
+    :param until: end of the time.
     :param method: HTTP method of the request.
     :param daemon: operators' addresses.
     :param access: TOML file with daemons and token.
     :param json: write JSON.
     """
+    if log:
+        selection = Selection(subject, route, since, until)
+        return explain_logged(log, selection, json)
+    if not subject:
+        write_error('a subject or --log is needed')
+        return exits.USAGE
     code = None if path else find_code(subject)
     if code is not None:
         return _explain_code(code, json)
--- a/packages/operator/tanagerbend_operator/tests/test_docs.py
+++ b/packages/operator/tanagerbend_operator/tests/test_docs.py
@@ -153,3 +153,32 @@
         for name in command.COMMANDS
         if name != 'check'
     )
+
+
+def logged_events():
+    """Return the event literals of the log lines on a platform."""
+    found = set()
+    for name in ('write', '_log', 'tell'):
+        for node, path in calls_of(name):
+            if path in {'logs.py', 'output.py'} or not node.args:
+                continue
+            found |= {
+                part.value
+                for part in ast.walk(node.args[0])
+                if isinstance(part, ast.Constant)
+                and re.fullmatch('[a-z]+(_[a-z]+)+', str(part.value))
+            }
+    return found
+
+
+def test_every_log_line_is_in_the_table():
+    """Guards against a log line that no page explains, and the reverse."""
+    rows = re.findall(
+        '^\\| `([a-z_]+)` \\|', (DOCS / 'logs.md').read_text(), re.M
+    )
+    assert 'request_refused' in rows
+    events = logged_events()
+    assert {row for row in rows if row.count('_')} == events | {
+        'settings_rejected',
+        'settings_reloaded',
+    }
--- a/packages/proxy/tanagerbend_proxy/decisions.py
+++ b/packages/proxy/tanagerbend_proxy/decisions.py
@@ -4,6 +4,7 @@
 change of what the daemon believes.
 """
 
+import collections
 import json
 import os
 import sys
@@ -13,8 +14,16 @@
 
 from tanagerbend_metrics import Recorder
 
-# Lines of one event in one second; the rest is counted.
+# Lines of one event in one second, and requests that begin to have lines
+# in one second; the rest is counted.
 LINES_PER_SECOND: Final = 20
+# Requests of which it is remembered whether they have lines; more than a
+# host has at once.
+REQUESTS_REMEMBERED: Final = 2000
+# A smaller change of the time of day is the ordinary slewing of a clock.
+CLOCK_STEP_SECONDS: Final = 0.5
+# Budget of the requests that begin to have lines.
+REQUESTS: Final = 'requests'
 
 
 class PipeHandler(logbook.Handler):
@@ -67,25 +76,51 @@
         self.second: dict[str, int] = {}
         self.written: dict[str, int] = {}
         self.left_out: dict[str, int] = {}
+        self.shown: collections.OrderedDict[str, bool] = (
+            collections.OrderedDict()
+        )
+        self.clock_offset = self.timer.wall() - self.timer.now()
 
     def open(self) -> None:
         """Send the lines to standard output."""
         handler = PipeHandler(sys.stdout.fileno(), self.recorder)
         handler.push_application()
 
+    def paused(self, seconds: float) -> None:
+        """Note that this process did not run for a while."""
+        self.write('daemon_paused', seconds=round(seconds, 3))
+
+    async def check_clock(self) -> None:
+        """Note a step of the time of day; called periodically."""
+        offset = self.timer.wall() - self.timer.now()
+        step = offset - self.clock_offset
+        if abs(step) >= CLOCK_STEP_SECONDS:
+            self.clock_offset = offset
+            self.write('clock_stepped', seconds=round(step, 3))
+
     def request(self, event: str, identifier: str, **inputs: Any) -> None:
-        """Write a decision about a request."""
-        self.write(event, request=identifier, **inputs)
+        """Write a decision about a request.
+
+        A request has all of its lines or none.
+        """
+        now = self.timer.now()
+        if identifier not in self.shown:
+            self.shown[identifier] = self._admit(REQUESTS, now)
+            if len(self.shown) > REQUESTS_REMEMBERED:
+                self.shown.popitem(last=False)
+        if self.shown[identifier]:
+            self._write(event, REQUESTS, {'request': identifier, **inputs})
 
     def write(self, event: str, **fields: Any) -> None:
         """Write one line, unless the event repeats too often."""
-        now = self.timer.now()
-        if not self._admit(event, now):
-            return
-        left_out = self.left_out.pop(event, 0)
+        if self._admit(event, self.timer.now()):
+            self._write(event, event, fields)
+
+    def _write(self, event: str, budget: str, fields: dict[str, Any]) -> None:
+        left_out = self.left_out.pop(budget, 0)
         line = {
             'time': round(self.timer.wall(), 3),
-            'steady': round(now, 3),
+            'steady': round(self.timer.now(), 3),
             'host': self.host,
             'event': event,
             **fields,
@@ -94,14 +129,14 @@
             line['left_out'] = left_out
         self.logger.info(event, extra={'line': json.dumps(line)})
 
-    def _admit(self, event: str, now: float) -> bool:
+    def _admit(self, budget: str, now: float) -> bool:
         second = int(now)
-        if self.second.get(event) != second:
-            self.second[event] = second
-            self.written[event] = 0
-        self.written[event] += 1
-        if self.written[event] <= LINES_PER_SECOND:
+        if self.second.get(budget) != second:
+            self.second[budget] = second
+            self.written[budget] = 0
+        self.written[budget] += 1
+        if self.written[budget] <= LINES_PER_SECOND:
             return True
-        self.left_out[event] = self.left_out.get(event, 0) + 1
-        self.recorder.count('log_lines_left_out', event)
+        self.left_out[budget] = self.left_out.get(budget, 0) + 1
+        self.recorder.count('log_lines_left_out', budget)
         return False
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -1,8 +1,9 @@
 """Entry side: route, choice of an instance, sending again, refusing."""
 
+import asyncio
 import math
 import random
-from typing import Final
+from typing import Any, Final
 
 import aiohttp
 import attrs
@@ -82,6 +83,12 @@
         The best end so far.
     has_run : bool
         Whether an instance may have run the request.
+    instance : ListedInstance or None
+        The instance that was asked last.
+    served : float
+        Seconds that the last instance took.
+    stopped_by : str
+        Why the request was not sent once more.
     """
 
     request: Request
@@ -94,6 +101,9 @@
     tried: frozenset[str] = NOBODY
     last: Answer | Refusal | None = None
     has_run: bool = False
+    instance: ListedInstance | None = None
+    served: float = 0.0
+    stopped_by: str = ''
 
 
 @attrs.define
@@ -136,6 +146,14 @@
         route = configuration.match(request.host, request.path)
         match route:
             case Refusal():
+                self.log.request(
+                    'request_refused',
+                    request.identifier,
+                    code=route.code.name,
+                    ran=route.ran.value,
+                    reason=route.reason,
+                    version=self.knowledge.version,
+                )
                 return route
         service = route.pick_service(self.random)
         self.allowance.requested(service, request.arrived)
@@ -146,29 +164,47 @@
             request.arrived + min(route.timeout, request.time_left),
             request.arrived + route.objective,
         )
-        end = await self._try_instances(state)
+        try:
+            end = await self._try_instances(state)
+        except asyncio.CancelledError:
+            self._log('request_left', state)
+            raise
         match end:
             case Refusal():
-                self._explain(state, end)
-            case Answer():
-                self.recorder.histograms.record(
-                    ANSWER_TIME,
-                    route.name,
-                    route.rank,
-                    self.recorder.timer.now() - request.arrived,
-                )
+                self.recorder.count(REFUSALS, end.code.name)
+                self._log('request_refused', state, end)
+            case Answer(status=status):
+                self._answered(state, status)
         return end
 
+    def _answered(self, state: RequestState, status: int) -> None:
+        now = self.recorder.timer.now()
+        route = state.route
+        self.recorder.histograms.record(
+            ANSWER_TIME,
+            route.name,
+            route.rank,
+            now - state.request.arrived,
+        )
+        if status >= SERVER_ERROR:
+            self._log('request_failed', state, status=status)
+        elif now > state.on_time_until:
+            self._log('request_late', state, status=status)
+
     async def _try_instances(self, state: RequestState) -> Answer | Refusal:
         while state.placed < MOST_PLACEMENTS:
             instance = self._choose(state)
             if instance is None:
+                state.stopped_by = 'no other instance takes it now'
                 break
             state.placed += 1
+            state.instance = instance
             outcome = await self._place(state, instance)
             self._learn(state, instance, outcome)
-            if not self._may_go_on(state, outcome):
+            state.stopped_by = self._reason_to_stop(state, outcome)
+            if state.stopped_by:
                 break
+            self._log_again(state, outcome)
         return self._final(state)
 
     def _choose(self, state: RequestState) -> ListedInstance | None:
@@ -246,17 +282,18 @@
         if outcome.load is not None:
             rank = state.route.rank
             self.placement.reported(instance, rank, outcome.load)
+            state.served = outcome.load.served
         match outcome.end:
             case Answer(status=status, body=body):
                 state.last = outcome.end
                 if status >= SERVER_ERROR:
                     self.placement.failed(instance)
                     return
-                served = outcome.load.served if outcome.load else 0.0
+                self._note_back(instance)
                 self.placement.served(
                     instance,
                     state.route.name,
-                    served,
+                    state.served,
                     len(body) / KILOBYTE,
                 )
             case Refusal():
@@ -279,28 +316,40 @@
             self.placement.full(instance, state.route.rank)
         else:
             self.placement.unreachable(instance)
+            self.log.write(
+                'instance_avoided',
+                instance=instance.identity,
+                instance_host=instance.host_address,
+                code=refusal.code.name,
+                reason=refusal.reason,
+                seconds=self.placement.of(instance).avoid_seconds,
+            )
+
+    def _note_back(self, instance: ListedInstance) -> None:
+        if self.placement.of(instance).avoid_seconds:
+            self.log.write(
+                'instance_back',
+                instance=instance.identity,
+                instance_host=instance.host_address,
+            )
 
-    def _may_go_on(self, state: RequestState, outcome: Outcome) -> bool:
-        """Tell whether the request is sent to one more instance."""
+    def _reason_to_stop(self, state: RequestState, outcome: Outcome) -> str:
+        """Return why the request is not sent again, empty if it is."""
         now = self.recorder.timer.now()
+        reason = forbidden(outcome.end, state.route.repeat)
+        if reason:
+            return reason
         if state.deadline - now < self._useful_seconds(state):
-            return False
+            return 'too little time is left'
         match outcome.end:
-            case Answer(status=status):
-                is_free = status < SERVER_ERROR
-                is_free |= state.route.repeat is Repeat.NEVER
-                if is_free:
-                    return False
             case Refusal(ran=Ran.NO) if not outcome.is_offered:
-                return True
-            case Refusal(ran=ran):
-                is_doubtful = ran is not Ran.NO
-                if is_doubtful and state.route.repeat is Repeat.NEVER:
-                    return False
+                return ''
         if state.offered >= state.route.most_attempts:
-            return False
+            return 'the route allows no more attempts'
         daemons = self.knowledge.daemons
-        return self.allowance.take(state.service, now, daemons)
+        if self.allowance.take(state.service, now, daemons):
+            return ''
+        return 'the budget of repeats is spent'
 
     def _useful_seconds(self, state: RequestState) -> float:
         """Return the time below which sending once more is of no use."""
@@ -353,21 +402,66 @@
         passed = self.recorder.timer.now() - request.arrived
         return max(route.objective - passed - 2 * work.seconds, 0.0)
 
-    def _explain(self, state: RequestState, refusal: Refusal) -> None:
+    def _log_again(self, state: RequestState, outcome: Outcome) -> None:
+        """Write why a request is sent to one more instance."""
+        match outcome.end:
+            case Refusal():
+                self._log('request_sent_again', state, outcome.end)
+            case Answer(status=status):
+                self._log('request_sent_again', state, status=status)
+
+    def _log(
+        self,
+        event: str,
+        state: RequestState,
+        refusal: Refusal | None = None,
+        **fields: Any,
+    ) -> None:
+        """Write a decision with the inputs that decided it."""
         now = self.recorder.timer.now()
-        self.recorder.count(REFUSALS, refusal.code.name)
+        if refusal is not None:
+            fields['code'] = refusal.code.name
+            fields['ran'] = refusal.ran.value
+            fields['reason'] = refusal.reason
+        instance = state.instance
+        if instance is not None:
+            fields['instance'] = instance.identity
+            fields['instance_host'] = instance.host_address
         self.log.request(
-            'request_refused',
+            event,
             state.request.identifier,
-            code=refusal.code.name,
-            ran=refusal.ran.value,
-            reason=refusal.reason,
+            **fields,
+            stopped_by=state.stopped_by,
             route=state.route.name,
             service=state.service,
             rank=state.route.rank,
             offered=state.offered,
             placed=state.placed,
+            served_ms=round(state.served * MILLISECONDS),
             age_ms=round((now - state.request.arrived) * MILLISECONDS),
             left_ms=round((state.deadline - now) * MILLISECONDS),
+            late_ms=round((now - state.on_time_until) * MILLISECONDS),
             version=self.knowledge.version,
         )
+
+
+def forbidden(end: Answer | Refusal, repeat: Repeat) -> str:
+    """Return why a request must not be sent again, empty if it may.
+
+    Examples
+    ========
+
+    >>> lost = Refusal(ResultCode.CONNECTION_LOST, '', Ran.UNKNOWN)
+    >>> forbidden(lost, Repeat.NEVER)
+    'it may have run and must not run twice'
+    >>> forbidden(lost, Repeat.FREELY)
+    ''
+    """
+    match end:
+        case Answer(status=status) if status < SERVER_ERROR:
+            return 'answered'
+        case Answer() if repeat is Repeat.NEVER:
+            return 'it has run and must not run twice'
+        case Refusal(ran=ran) if ran is not Ran.NO and repeat is Repeat.NEVER:
+            return 'it may have run and must not run twice'
+    return ''
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -172,6 +172,11 @@
                 case Unreadable(reason=reason):
                     self._count_unreadable(item.identity, reason)
         self.knowledge.registry.replace(listed)
+        self.knowledge.log.write(
+            'service_listed',
+            instances=len(listed),
+            revision=batch.revision,
+        )
         self.revision = batch.revision
 
     def _take(self, batch: Batch) -> None:
--- a/packages/proxy/tanagerbend_proxy/knowledge.py
+++ b/packages/proxy/tanagerbend_proxy/knowledge.py
@@ -2,7 +2,11 @@
 
 from tanagerbend_metrics import Recorder
 from tanagerbend_proxy.decisions import DecisionLog
-from tanagerbend_routing import InstanceRegistry, RoutingConfiguration
+from tanagerbend_routing import (
+    InstanceRegistry,
+    ListedInstance,
+    RoutingConfiguration,
+)
 
 
 class Knowledge:
@@ -18,7 +22,7 @@
     def __init__(self, recorder: Recorder, log: DecisionLog) -> None:
         self.recorder = recorder
         self.log = log
-        self.registry = InstanceRegistry(recorder)
+        self.registry = InstanceRegistry(recorder, self.instance_changed)
         self.configuration: RoutingConfiguration | None = None
         self.is_store_lost = False
 
@@ -46,6 +50,15 @@
         )
         return True
 
+    def instance_changed(self, event: str, instance: ListedInstance) -> None:
+        """Write what changed about an instance."""
+        self.log.write(
+            event,
+            instance=instance.identity,
+            instance_host=instance.host_address,
+            service=instance.service,
+        )
+
     def store_lost(self, reason: str) -> None:
         """Note that the configuration service does not answer."""
         self.registry.service_lost()
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -22,7 +22,7 @@
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_routing import Placement, RetryAllowance
-from tanagerbend_timer import SystemTimer
+from tanagerbend_timer import SystemTimer, Timer
 
 # Idle connections to the instance; below the ten seconds after which
 # instances of today's deployments close them.
@@ -40,6 +40,7 @@
 EXIT_SECONDS: Final = 0.4
 POLL_SECONDS: Final = 0.05
 REFRESH_SECONDS: Final = 0.2
+CLOCK_CHECK_SECONDS: Final = 1.0
 
 
 @attrs.define
@@ -140,10 +141,19 @@
         await self.metrics_endpoint.open(listening.metrics)
         await parts.peers.open(listening.peers)
         await parts.callers.open(listening.callers)
-        timer = parts.recorder.timer
+        self._subscribe(parts.recorder.timer)
+        parts.log.write(
+            'daemon_started',
+            service=parts.terms.service,
+            address=listening.peers,
+        )
+
+    def _subscribe(self, timer: Timer) -> None:
+        parts = self.parts
         timer.every(EXPIRY_SECONDS, parts.follower.expire)
         timer.every(REFRESH_SECONDS, self.refresh)
-        parts.log.write('daemon_started', service=parts.terms.service)
+        timer.every(CLOCK_CHECK_SECONDS, parts.log.check_clock)
+        timer.on_pause(parts.log.paused)
 
     async def refresh(self) -> None:
         """Take the slots of the own instance from its entry."""
--- a/packages/proxy/tanagerbend_proxy/tests/test_decisions.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_decisions.py
@@ -67,3 +67,32 @@
         log.write('request_refused', reason='x' * 1000)
         await recorder.timer.advance(1.0)
     assert recorder.counters.get('log_lines_dropped') > 0
+
+
+async def test_request_has_all_of_its_lines_or_none(pipe, recorder):
+    """Guards against a request of which only a part can be explained."""
+    log = DecisionLog('host-1', recorder)
+    for event in ('request_sent_again', 'request_refused'):
+        for number in range(2 * LINES_PER_SECOND):
+            log.request(event, f'a{number}')
+        await recorder.timer.advance(1.0)
+    log.request('request_refused', 'b')
+    found = lines(pipe)
+    shown = [line['request'] for line in found]
+    assert shown.count('a0') == 2
+    assert shown.count(f'a{2 * LINES_PER_SECOND - 1}') == 0
+    assert len(shown) == 2 * LINES_PER_SECOND + 1
+    assert sum(line.get('left_out', 0) for line in found) == LINES_PER_SECOND
+
+
+async def test_step_of_the_clock_and_pause_are_told(pipe, recorder):
+    """Guards against times of lines that nobody can put in order."""
+    log = DecisionLog('host-1', recorder)
+    recorder.timer.on_pause(log.paused)
+    recorder.timer.pause(4.0)
+    await log.check_clock()
+    recorder.timer.started_wall -= 30.0
+    await log.check_clock()
+    await log.check_clock()
+    found = [(line['event'], line['seconds']) for line in lines(pipe)]
+    assert found == [('daemon_paused', 4.0), ('clock_stepped', -30.0)]
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -6,7 +6,7 @@
 because its instance could not renew it, so it stays usable for a while.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import attrs
@@ -61,6 +61,10 @@
         return self.address.rpartition(':')[0]
 
 
+def say_nothing(_event: str, _instance: ListedInstance) -> None:
+    """Take a change without telling anyone."""
+
+
 @attrs.define
 class Held:
     """An entry, and until when it may be used although it is missing."""
@@ -76,10 +80,17 @@
     ==========
 
     recorder : Recorder
+    tell : callable
+        Is told of each change: name of the event, instance.
     """
 
-    def __init__(self, recorder: Recorder) -> None:
+    def __init__(
+        self,
+        recorder: Recorder,
+        tell: Callable[[str, ListedInstance], None] = say_nothing,
+    ) -> None:
         self.recorder = recorder
+        self.tell = tell
         self.timer = recorder.timer
         self.entries: dict[str, Held] = {}
         self.services: dict[str, tuple[ListedInstance, ...]] = {}
@@ -102,11 +113,29 @@
 
     def put(self, instance: ListedInstance) -> None:
         """Take an entry that was written."""
+        if self._take(instance):
+            self._rebuild()
+
+    def _take(
+        self,
+        instance: ListedInstance,
+        *,
+        is_told: bool = True,
+    ) -> bool:
+        """Keep an entry; return whether it is news."""
         known = self.entries.get(instance.identity)
         self.entries[instance.identity] = Held(instance)
+        if known is not None and known.instance == instance:
+            return False
         self._note_leaving(instance)
-        if known is None or known.instance != instance:
-            self._rebuild()
+        is_leaving = instance.is_leaving
+        is_change = known is None or known.instance.is_leaving != is_leaving
+        if is_told and is_change:
+            self.tell(
+                'instance_leaving' if is_leaving else 'instance_listed',
+                instance,
+            )
+        return True
 
     def remove(self, identity: str) -> None:
         """Take the news that an entry was removed."""
@@ -118,6 +147,7 @@
         else:
             held.usable_until = min(held.usable_until, self.settled_at)
             self.recorder.count('entries_kept_after_outage')
+            self.tell('instance_kept', held.instance)
         self._rebuild()
 
     @property
@@ -126,12 +156,12 @@
         return max(self.settled_from, self.timer.now())
 
     def replace(self, listed: Mapping[str, ListedInstance]) -> None:
-        """Take a whole listing."""
+        """Take a whole listing; changes are told after the first one."""
+        is_first = not self.entries
         for identity in self.entries.keys() - listed.keys():
             self.remove(identity)
         for instance in listed.values():
-            self.entries[instance.identity] = Held(instance)
-            self._note_leaving(instance)
+            self._take(instance, is_told=not is_first)
         self._rebuild()
 
     def expire(self) -> None:
@@ -181,7 +211,8 @@
             self.departed.pop(instance.identity, None)
 
     def _drop(self, identity: str) -> None:
-        self.entries.pop(identity)
+        held = self.entries.pop(identity)
+        self.tell('instance_removed', held.instance)
         self.departed.setdefault(identity, self.timer.now())
 
     def _rebuild(self) -> None:
--- a/packages/routing/tanagerbend_routing/tests/test_registry.py
+++ b/packages/routing/tanagerbend_routing/tests/test_registry.py
@@ -117,3 +117,23 @@
     vanish(registry)
     pass_time(registry, DEPARTED_SECONDS + 0.1)
     assert not registry.departed
+
+
+def test_changes_are_told_after_the_first_listing():
+    """Guards against a change of belief that no log line shows."""
+    told = []
+    registry = InstanceRegistry(
+        Recorder(ManualTimer()),
+        lambda event, instance: told.append((event, instance.identity)),
+    )
+    registry.replace({'i-1': ONE})
+    assert not told
+    registry.put(attrs.evolve(ONE, cold_until=3.0))
+    registry.put(TWO)
+    leave(registry)
+    vanish(registry)
+    assert told == [
+        ('instance_listed', 'i-2'),
+        ('instance_leaving', 'i-1'),
+        ('instance_removed', 'i-1'),
+    ]
