Let one daemon of a large failure domain read the store and tell the others

Every daemon read every version over its own link, beside its requests. Change: from six instances in a failure domain on, the daemons ask one of them, the oldest or the one that measured the fastest reading; it tells the differences of routes and the changed instances, compressed. A peer that fails, is frozen or heard the service too long ago is left for 5 s for the next, and after two of them a daemon reads by itself. Readers watch for 0.8 s so that a lost answer is noticed in time. Waiting requests of an instance that leaves start within 0.5 s of the news instead of 1 s.

--- a/packages/proxy/tanagerbend_proxy/__init__.py
+++ b/packages/proxy/tanagerbend_proxy/__init__.py
@@ -1,13 +1,13 @@
 """Path of requests that follow a routing configuration."""
 
-from tanagerbend_proxy.following import (
+from tanagerbend_proxy.changes import (
     Batch,
     HistoryGone,
     Item,
-    ItemService,
     Removed,
     Unreadable,
 )
+from tanagerbend_proxy.following import ItemService
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.service import Parts, ProxyService, assemble
 from tanagerbend_proxy.terms import Listening, StopTerms, Terms
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -1,20 +1,43 @@
-"""Follows the configuration service: one listing, then its changes."""
+"""Follows the configuration service: one listing, then its changes.
+
+In a failure domain of many hosts one daemon reads and the others ask it.
+"""
 
 import asyncio
+import contextlib
 import random
 from typing import Final, Protocol
 
-import attrs
+import aiohttp
 
 from tanagerbend_metrics import Recorder
-from tanagerbend_model import Refusal
+from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_proxy.changes import (
+    Batch,
+    HistoryGone,
+    Item,
+    Question,
+    Removed,
+    Told,
+    Unreadable,
+    encode_told,
+)
 from tanagerbend_proxy.knowledge import Knowledge
-from tanagerbend_routing import ListedInstance, RoutingConfiguration
+from tanagerbend_proxy.relaying import ChangeLog, ask_peer
+from tanagerbend_proxy.sources import RELAY_FROM, Sources
+from tanagerbend_proxy.terms import Terms
+from tanagerbend_routing import (
+    InstanceRegistry,
+    ListedInstance,
+    RoutingConfiguration,
+)
 
 # A watch whose answer was lost must end, and the next one begin, within
 # the three seconds after which a daemon counts as in touch again.
 WATCH_SECONDS: Final = 2.0
 ANSWER_SECONDS: Final = 0.7
+# Shortest time for which a reading speed is computed.
+LEAST_SECONDS: Final = 0.001
 FIRST_BACKOFF_SECONDS: Final = 0.05
 LONGEST_BACKOFF_SECONDS: Final = 0.5
 # How often entries that were kept after an outage are checked.
@@ -24,54 +47,19 @@
 GATHER_SECONDS: Final = 0.4
 
 
-@attrs.frozen
-class Unreadable:
-    """Value that names no configuration and no instance.
-
-    Parameters
-    ==========
-
-    reason : str
-    """
-
-    reason: str
-
-
-@attrs.frozen
-class Removed:
-    """Value that was removed."""
-
-
-Fact = RoutingConfiguration | ListedInstance | Unreadable | Removed
-
-
-@attrs.frozen
-class Item:
-    """One key and what its value says.
-
-    Parameters
-    ==========
-
-    identity : str
-        Identity of an instance; empty for a configuration.
-    fact : RoutingConfiguration, ListedInstance, Unreadable or Removed
-    """
-
-    identity: str
-    fact: Fact
-
-
-@attrs.frozen
-class Batch:
-    """Items up to one revision of the service."""
-
-    items: tuple[Item, ...]
-    revision: int
-
-
-@attrs.frozen
-class HistoryGone:
-    """The changes since a revision are no longer available."""
+# A daemon that peers ask notices a lost answer within the time in which its
+# peers must still hear of a change elsewhere.
+READER_WATCH_SECONDS: Final = 0.8
+READER_GATHER_SECONDS: Final = 0.2
+# What a peer tells is used if it heard the service at most this long ago:
+# a whole watch of a reader, its answer, and the gathering before it.
+MOST_AGE_SECONDS: Final = (
+    READER_GATHER_SECONDS + READER_WATCH_SECONDS + ANSWER_SECONDS
+)
+# How long a peer holds a question, and how much later it has answered; a
+# frozen peer is left after their sum.
+QUESTION_SECONDS: Final = 0.5
+PEER_SECONDS: Final = 0.4
 
 
 class ItemService(Protocol):
@@ -100,6 +88,7 @@
 
     service : ItemService
     knowledge : Knowledge
+    peers : Peers
     recorder : Recorder
     random : random.Random
     """
@@ -108,57 +97,152 @@
         self,
         service: ItemService,
         knowledge: Knowledge,
+        peers: 'Peers',
         recorder: Recorder,
         chance: random.Random,
     ) -> None:
         self.service = service
         self.knowledge = knowledge
+        self.peers = peers
         self.recorder = recorder
         self.timer = recorder.timer
         self.random = chance
         self.revision: int | None = None
+        self.heard_at = float('-inf')
+        self.speed = 0.0
         self.backoff = FIRST_BACKOFF_SECONDS
-        self.is_heard = asyncio.Event()
+        self.log = ChangeLog()
+
+    @property
+    def age(self) -> float:
+        """Seconds since the service was heard, here or by a peer."""
+        return self.timer.now() - self.heard_at
 
     async def run(self) -> None:
-        """Follow the service until cancelled."""
+        """Follow the service, or a peer that does, until cancelled."""
         while True:
-            got = await self.step()
-            match got:
-                case Refusal(reason=reason):
-                    self.knowledge.store_lost(reason)
-                    await self._back_off()
-                case Batch(items=items) if items:
-                    self.backoff = FIRST_BACKOFF_SECONDS
-                    await self.timer.sleep(GATHER_SECONDS)
-                case _:
-                    self.backoff = FIRST_BACKOFF_SECONDS
+            peer = self._choose_peer()
+            if peer is None:
+                await self._follow_service()
+            else:
+                await self.follow_peer(peer)
+
+    def _choose_peer(self) -> ListedInstance | None:
+        if self.revision is None:
+            return None
+        peer = self.peers.choose(self.knowledge.registry)
+        source = '' if peer is None else peer.identity
+        if source != self.peers.source:
+            self.peers.source = source
+            self.knowledge.log.write('source_changed', instance=source)
+        return peer
+
+    async def _follow_service(self) -> None:
+        got = await self.step()
+        match got:
+            case Refusal(reason=reason):
+                self.knowledge.store_lost(reason)
+                await self._back_off()
+            case Batch(items=items) if items:
+                self.backoff = FIRST_BACKOFF_SECONDS
+                await self.timer.sleep(self.peers.gather_seconds)
+            case _:
+                self.backoff = FIRST_BACKOFF_SECONDS
 
     async def step(self) -> Batch | HistoryGone | Refusal:
         """Read once and take what was read."""
         if self.revision is None:
             return await self._list()
+        wait = self.peers.watch_seconds
         got = await self.service.changes(
             self.revision,
-            WATCH_SECONDS,
-            WATCH_SECONDS + ANSWER_SECONDS,
+            wait,
+            wait + ANSWER_SECONDS,
         )
         match got:
             case Batch():
-                self.knowledge.store_regained()
+                self._heard(0.0)
                 self._take(got)
             case HistoryGone():
                 self.revision = None
         return got
 
+    async def follow_peer(self, peer: ListedInstance) -> Told | Refusal:
+        """Ask a peer once and take what it tells."""
+        question = Question(
+            self.revision or 0,
+            self.knowledge.version,
+            QUESTION_SECONDS,
+            self.peers.own_identity(self.knowledge.registry),
+            self.speed,
+        )
+        told = await self.peers.ask(
+            peer,
+            question,
+            self.knowledge.configuration,
+        )
+        match told:
+            case Told(age=age) if age <= MOST_AGE_SECONDS:
+                self.peers.sources.preferred = told.reader
+                self._heard(age)
+                self._take(told.batch)
+                return told
+            case Told(age=age):
+                reason = f'heard the service {age:.1f} s ago'
+                told = Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
+        self.peers.sources.failed(peer.identity)
+        self.recorder.count('peers_left')
+        self.knowledge.log.write(
+            'peer_left',
+            instance=peer.identity,
+            reason=told.reason,
+        )
+        return told
+
+    async def answer(self, question: Question) -> bytes | Refusal:
+        """Answer a peer when there is a change, or after its wait."""
+        self.peers.sources.asked(question.host, question.speed)
+        due = self.timer.now() + min(question.wait, QUESTION_SECONDS)
+        while True:
+            if self.age > MOST_AGE_SECONDS:
+                reason = f'heard the service {self.age:.1f} s ago'
+                return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
+            items = self.log.since(question.revision)
+            if items is None:
+                reason = f'changes after {question.revision} are not kept'
+                return Refusal(ResultCode.VERSION_OLDER, reason)
+            left = min(due - self.timer.now(), MOST_AGE_SECONDS - self.age)
+            if items or left <= 0:
+                return self._tell(question, items)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left):
+                    await self.log.changed.wait()
+
+    def _tell(self, question: Question, items: tuple[Item, ...]) -> bytes:
+        own = self.peers.own_identity(self.knowledge.registry)
+        self.peers.sources.asked(own, self.speed)
+        told = Told(
+            Batch(items, self.revision or 0),
+            self.age,
+            self.peers.sources.fastest[0],
+        )
+        base = self.log.versions.get(question.version)
+        return encode_told(told, base, self.timer.now())
+
+    def _heard(self, age: float) -> None:
+        self.heard_at = self.timer.now() - age
+        self.knowledge.store_regained()
+
     async def _list(self) -> Batch | Refusal:
+        started = self.timer.now()
         got = await self.service.listing(ANSWER_SECONDS)
         match got:
             case Refusal():
                 return got
-        self.knowledge.store_regained()
+        seconds = self.timer.now() - started
+        self.speed = got.size / max(seconds, LEAST_SECONDS)
+        self._heard(0.0)
         self._take_listing(got)
-        self.is_heard.set()
         return got
 
     def _take_listing(self, batch: Batch) -> None:
@@ -168,21 +252,31 @@
                 case ListedInstance():
                     listed[item.identity] = item.fact
                 case RoutingConfiguration():
-                    self.knowledge.adopt(item.fact)
+                    self._adopt(item.fact)
                 case Unreadable(reason=reason):
                     self._count_unreadable(item.identity, reason)
-        self.knowledge.registry.replace(listed)
+        registry = self.knowledge.registry
+        gone = registry.entries.keys() - listed.keys()
+        registry.replace(listed)
         self.knowledge.log.write(
             'service_listed',
             instances=len(listed),
             revision=batch.revision,
         )
+        removed = tuple(Item(identity, Removed()) for identity in gone)
+        whole = Batch((*removed, *batch.items), batch.revision)
+        # A first listing says nothing of what was before it.
+        known = self.log.batches[-1].revision if self.log.batches else None
+        self.log.add(batch.revision if known is None else known, whole)
         self.revision = batch.revision
 
     def _take(self, batch: Batch) -> None:
+        before = self.revision or 0
         for item in batch.items:
             self._take_item(item)
-        self.revision = max(batch.revision, self.revision or 0)
+        self.revision = max(batch.revision, before)
+        if batch.items:
+            self.log.add(before, batch)
 
     def _take_item(self, item: Item) -> None:
         registry = self.knowledge.registry
@@ -190,13 +284,18 @@
             case ListedInstance():
                 registry.put(item.fact)
             case RoutingConfiguration():
-                self.knowledge.adopt(item.fact)
+                self._adopt(item.fact)
             case Removed():
                 registry.remove(item.identity)
             case Unreadable(reason=reason):
                 self._count_unreadable(item.identity, reason)
                 registry.remove(item.identity)
 
+    def _adopt(self, offered: RoutingConfiguration) -> None:
+        self.knowledge.adopt(offered)
+        if self.knowledge.configuration is not None:
+            self.log.remember(self.knowledge.configuration)
+
     def _count_unreadable(self, identity: str, reason: str) -> None:
         self.recorder.count('entries_unreadable')
         self.knowledge.log.write(
@@ -213,3 +312,63 @@
     async def expire(self) -> None:
         """Drop entries that did not come back after an outage."""
         self.knowledge.registry.expire()
+
+
+class Peers:
+    """The daemons of the own failure domain as a source of changes.
+
+    Parameters
+    ==========
+
+    terms : Terms
+    sources : Sources
+    session : aiohttp.ClientSession
+    """
+
+    def __init__(
+        self,
+        terms: Terms,
+        sources: Sources,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.terms = terms
+        self.sources = sources
+        self.session = session
+        self.source = ''
+        self.is_asked = False
+
+    def choose(self, registry: InstanceRegistry) -> ListedInstance | None:
+        """Return the instance whose daemon is asked, None to read."""
+        near = registry.near(self.terms.failure_domain)
+        self.is_asked = len(near) >= RELAY_FROM
+        return self.sources.choose(near)
+
+    @property
+    def watch_seconds(self) -> float:
+        """How long a watch of the service lasts."""
+        return READER_WATCH_SECONDS if self.is_asked else WATCH_SECONDS
+
+    @property
+    def gather_seconds(self) -> float:
+        """How long further changes are waited for after one."""
+        return READER_GATHER_SECONDS if self.is_asked else GATHER_SECONDS
+
+    def own_identity(self, registry: InstanceRegistry) -> str:
+        """Return the identity of the instance on this host, or nothing."""
+        own = registry.at_address(self.terms.instance_address)
+        return '' if own is None else own.identity
+
+    async def ask(
+        self,
+        peer: ListedInstance,
+        question: Question,
+        known: RoutingConfiguration | None,
+    ) -> Told | Refusal:
+        """Ask the daemon beside an instance for changes."""
+        return await ask_peer(
+            self.session,
+            f'{peer.host_address}:{self.terms.peer_port}',
+            question,
+            known,
+            QUESTION_SECONDS + PEER_SECONDS,
+        )
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -14,7 +14,9 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
+from tanagerbend_proxy.changes import Question
 from tanagerbend_proxy.entry import Entry
+from tanagerbend_proxy.following import Follower
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.messages import (
     MILLISECONDS,
@@ -174,14 +176,35 @@
 
 @attrs.define
 class PeerHandler:
-    """Runs the requests that other daemons place at the instance here."""
+    """Answers other daemons: runs what they place here, tells changes."""
 
     owner: Owner
+    follower: Follower
     names: HeaderNames
-    recorder: Recorder
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of another daemon."""
+        question = http.headers.get(own_headers.FOLLOW)
+        if question is not None:
+            return await self.tell(question)
+        return await self.run(http)
+
+    async def tell(self, text: str) -> web.Response:
+        """Tell the changes that another daemon asks for."""
+        question = Question.decode(text)
+        match question:
+            case Question():
+                told = await self.follower.answer(question)
+            case _:
+                told = question
+        match told:
+            case Refusal(reason=reason):
+                status = HTTPStatus.SERVICE_UNAVAILABLE
+                return web.Response(status=status, text=reason)
+        return web.Response(body=told)
+
+    async def run(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Run one request at the instance here."""
         placed = Placed.decode(http.headers.get(own_headers.PLACED, ''))
         identifier = http.headers.get(self.names.request_id, '')
         body = await http.content.read(-1)
@@ -202,7 +225,7 @@
             headers,
             body,
             placed.time_left,
-            self.recorder.timer.now(),
+            self.owner.recorder.timer.now(),
         )
         outcome = await self.owner.run(request, placed)
         return self._respond(identifier, outcome)
--- a/packages/proxy/tanagerbend_proxy/headers.py
+++ b/packages/proxy/tanagerbend_proxy/headers.py
@@ -40,3 +40,4 @@
 # Headers between daemons, on top of those of the platform.
 PLACED: str = 'Tanagerbend-Placed'
 OUTCOME: str = 'Tanagerbend-Outcome'
+FOLLOW: str = 'Tanagerbend-Follow'
--- a/packages/proxy/tanagerbend_proxy/knowledge.py
+++ b/packages/proxy/tanagerbend_proxy/knowledge.py
@@ -41,7 +41,7 @@
         if offered.version <= self.version:
             return False
         before = self.version
-        self.configuration = offered
+        self.configuration = offered.sharing(self.configuration)
         self.recorder.count('versions_adopted')
         self.log.write(
             'version_adopted',
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -15,11 +15,17 @@
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.exchange import make_session
-from tanagerbend_proxy.following import EXPIRY_SECONDS, Follower, ItemService
+from tanagerbend_proxy.following import (
+    EXPIRY_SECONDS,
+    Follower,
+    ItemService,
+    Peers,
+)
 from tanagerbend_proxy.front import CallerHandler, Endpoint, PeerHandler
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.sources import Sources
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_routing import Placement, RetryAllowance
 from tanagerbend_timer import SystemTimer, Timer
@@ -92,29 +98,37 @@
         recorder,
         knowledge.registry,
     )
+    session = make_session(PEER_KEEP_SECONDS, 0)
     entry = Entry(
         terms,
         knowledge,
         Placement(terms.failure_domain, chance, recorder),
         owner,
         RetryAllowance(terms.budget),
-        make_session(PEER_KEEP_SECONDS, 0),
+        session,
         names,
         recorder,
         log,
         chance,
     )
+    follower = Follower(
+        connect(recorder),
+        knowledge,
+        Peers(terms, Sources(terms.instance_address, recorder), session),
+        recorder,
+        chance,
+    )
     endpoint = CallerHandler(entry, names, recorder, terms.service)
     return Parts(
         terms,
         recorder,
         log,
         knowledge,
-        Follower(connect(recorder), knowledge, recorder, chance),
+        follower,
         owner,
         entry,
         Endpoint(endpoint.handle, recorder),
-        Endpoint(PeerHandler(owner, names, recorder).handle, recorder),
+        Endpoint(PeerHandler(owner, follower, names).handle, recorder),
     )
 
 
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/tests/test_changes.py
@@ -0,0 +1,136 @@
+"""Changes that daemons tell each other."""
+
+import zlib
+
+import attrs
+import pytest
+
+from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_proxy.changes import (
+    MOST_BYTES,
+    Batch,
+    Item,
+    Question,
+    Removed,
+    Told,
+    decode_told,
+    encode_told,
+)
+from tanagerbend_routing import (
+    CallerLimits,
+    ListedInstance,
+    Part,
+    PrefixRoute,
+    Repeat,
+    RoutingConfiguration,
+)
+
+LIMITS = CallerLimits(16384, 100000, 3.0, 15.0)
+INSTANCE = ListedInstance('i-1', '10.0.0.1:80', 'shop', 'north', 3)
+
+
+def route(name, **changes):
+    made = PrefixRoute(
+        name,
+        'shop.example',
+        f'/{name}/',
+        (Part('shop', 3.0), Part('docs')),
+        Repeat.NEVER,
+        2.0,
+        1.0,
+        2,
+        1,
+    )
+    return attrs.evolve(made, **changes)
+
+
+OLD = RoutingConfiguration.build(
+    7,
+    (route('gone'), route('kept'), route('moved')),
+    LIMITS,
+)
+NEW = RoutingConfiguration.build(
+    9,
+    (route('kept'), route('moved', parts=(Part('docs'),)), route('added')),
+    attrs.evolve(LIMITS, body_bytes=5),
+)
+
+
+def told(*items):
+    return Told(Batch(items, 120), 0.25, 'i-5')
+
+
+def passed_on(found, base, known, now=50.0):
+    raw = encode_told(found, base, 10.0)
+    return decode_told(raw, known, now), len(raw)
+
+
+@pytest.mark.parametrize(('base', 'known'), [(OLD, OLD), (None, OLD)])
+def test_configuration_arrives_unchanged(base, known):
+    """Guards against routes that differ after they were passed on."""
+    found, _ = passed_on(told(Item('', NEW)), base, known)
+    assert found.batch.items == (Item('', NEW),)
+    assert (found.batch.revision, found.reader, found.age) == (120, 'i-5', 0.25)
+
+
+def test_instances_arrive_unchanged():
+    """Guards against a cold time that counts from another clock."""
+    cold = attrs.evolve(INSTANCE, cold_until=13.0)
+    found, _ = passed_on(
+        told(Item('i-1', cold), Item('i-2', Removed())), OLD, OLD
+    )
+    items = {item.identity: item.fact for item in found.batch.items}
+    assert items == {
+        'i-1': attrs.evolve(INSTANCE, cold_until=53.0),
+        'i-2': Removed(),
+    }
+
+
+def test_difference_of_a_large_configuration_is_small():
+    """Guards against passing on a whole configuration for one route."""
+    routes = [route(f'r{number}') for number in range(1000)]
+    before = RoutingConfiguration.build(7, tuple(routes), LIMITS)
+    routes[5] = route('r5', rank=4)
+    after = RoutingConfiguration.build(8, tuple(routes), LIMITS)
+    found, size = passed_on(told(Item('', after)), before, before)
+    assert found.batch.items[0].fact == after
+    assert size < 500
+
+
+def test_equal_routes_are_shared():
+    """Guards against memory that grows with each kept version."""
+    shared = NEW.sharing(OLD)
+    assert shared == NEW
+    key = ('shop.example', '/kept/')
+    assert shared.routes[key] is OLD.routes[key]
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'',
+        b'plain',
+        zlib.compress(b'[]'),
+        zlib.compress(b'{"revision": 3}'),
+        zlib.compress(b' ' * (MOST_BYTES + 9)),
+        encode_told(told(Item('', NEW)), OLD, 0.0)[:-9],
+    ],
+)
+def test_malformed_answer_is_refused(raw):
+    """Guards against a peer that breaks the following of others."""
+    found = decode_told(raw, OLD, 0.0)
+    assert isinstance(found, Refusal)
+    assert found.code is ResultCode.FRAME_MALFORMED
+
+
+def test_difference_from_another_version_is_refused():
+    """Guards against routes that are put on top of the wrong version."""
+    found, _ = passed_on(told(Item('', NEW)), OLD, attrs.evolve(OLD, version=3))
+    assert isinstance(found, Refusal)
+
+
+def test_question_arrives_unchanged():
+    """Guards against a question that asks for something else."""
+    question = Question(120, 7, 0.5, 'i-1', 9000.5)
+    assert Question.decode(question.encode()) == question
+    assert isinstance(Question.decode('[1]'), Refusal)
--- a/packages/routing/tanagerbend_routing/__init__.py
+++ b/packages/routing/tanagerbend_routing/__init__.py
@@ -9,6 +9,7 @@
     Part,
     PrefixRoute,
     Repeat,
+    RouteDifference,
     RoutingConfiguration,
 )
 from tanagerbend_routing.registry import InstanceRegistry, ListedInstance
@@ -31,6 +32,7 @@
     'RetryAllowance',
     'RetryBudget',
     'Route',
+    'RouteDifference',
     'RouteTable',
     'RoutingConfiguration',
     'plain_path',
--- a/packages/routing/tanagerbend_routing/prefixes.py
+++ b/packages/routing/tanagerbend_routing/prefixes.py
@@ -100,6 +100,29 @@
 NO_ROUTES: Final[Routes] = ()
 
 
+@attrs.frozen
+class RouteDifference:
+    """What makes one version out of another.
+
+    Parameters
+    ==========
+
+    version, base : int
+        The version that results, and the one that is changed; 0 for none.
+    put : tuple of PrefixRoute
+        Routes that are new or changed.
+    removed : tuple of pair of str
+        Host and prefix of each route that is gone.
+    limits : CallerLimits or None
+    """
+
+    version: int
+    base: int
+    put: Routes
+    removed: tuple[tuple[str, str], ...]
+    limits: CallerLimits | None
+
+
 @attrs.frozen
 class RoutingConfiguration:
     """One version of the routes; replaced as a whole, never changed.
@@ -149,6 +172,64 @@
             limits,
         )
 
+    @property
+    def routes(self) -> dict[tuple[str, str], PrefixRoute]:
+        """Return the routes by host and prefix."""
+        return {
+            (route.host, route.prefix): route
+            for found in self.hosts.values()
+            for route in found
+        }
+
+    def difference_from(
+        self,
+        base: 'RoutingConfiguration | None',
+    ) -> RouteDifference:
+        """Return what makes this version out of another, or of none."""
+        before = {} if base is None else base.routes
+        after = self.routes
+        return RouteDifference(
+            self.version,
+            0 if base is None else base.version,
+            tuple(
+                route
+                for key, route in after.items()
+                if before.get(key) != route
+            ),
+            tuple(before.keys() - after.keys()),
+            self.limits,
+        )
+
+    @classmethod
+    def changed_by(
+        cls,
+        difference: RouteDifference,
+        base: 'RoutingConfiguration | None',
+    ) -> 'RoutingConfiguration':
+        """Return the version that a difference makes out of its base."""
+        routes = {} if base is None else base.routes
+        for key in difference.removed:
+            routes.pop(key, None)
+        for route in difference.put:
+            routes[(route.host, route.prefix)] = route
+        return cls.build(
+            difference.version,
+            tuple(routes.values()),
+            difference.limits,
+        )
+
+    def sharing(
+        self,
+        other: 'RoutingConfiguration | None',
+    ) -> 'RoutingConfiguration':
+        """Return this version with the equal routes of another one.
+
+        Versions that are kept beside each other then take little memory.
+        """
+        if other is None:
+            return self
+        return self.changed_by(self.difference_from(other), other)
+
     def match(self, host: str, path: str) -> PrefixRoute | Refusal:
         """Return the route of a request; ``path`` may hold a query."""
         plain = path.partition('?')[0]
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -19,8 +19,8 @@
 LAPSE_SECONDS: Final = 1.95
 # New work reaches an instance for this long after the news that it leaves.
 # Platforms grant two seconds or more from the acknowledged entry, and the
-# news takes up to 0.9 s (watch, gathering of changes).
-LEAVING_SECONDS: Final = 1.0
+# news takes up to 1.4 s (watch, gathering, a peer that fails on the way).
+LEAVING_SECONDS: Final = 0.5
 # How long it is remembered that an instance left, in seconds; longer than
 # any request waits.
 DEPARTED_SECONDS: Final = 30.0
@@ -195,6 +195,15 @@
         """Return the instances of a service that take new work."""
         return self.services.get(service, ())
 
+    def near(self, failure_domain: str) -> list[ListedInstance]:
+        """Return the instances of a failure domain that are not leaving."""
+        return [
+            held.instance
+            for held in self.entries.values()
+            if held.instance.failure_domain == failure_domain
+            and not held.instance.is_leaving
+        ]
+
     def at_address(self, address: str) -> ListedInstance | None:
         """Return the newest instance at ``address:port``."""
         found = [
