Write the lines of a request when it ends, with a limit for each way to end

The reason to stop was empty after three owners. Change: lines are collected and written at the end, 20 requests a second for each way to end; bytes that are no answer are ANSWER_TRUNCATED; a request without lines shows which daemons started again without a stop.

--- a/packages/operator/tanagerbend_operator/explain_request.py
+++ b/packages/operator/tanagerbend_operator/explain_request.py
@@ -8,7 +8,7 @@
 import attrs
 
 from tanagerbend_operator import exits
-from tanagerbend_operator.logged import Logs, read_logs
+from tanagerbend_operator.logged import STARTED, Logs, read_logs
 from tanagerbend_operator.output import (
     console,
     table,
@@ -23,6 +23,7 @@
 )
 from tanagerbend_operator.times import clock, parse_since
 
+STOPPED: Final = 'daemon_stopped'
 # Requests that are shown for a route or a window.
 MOST_SHOWN: Final = 20
 
@@ -71,8 +72,10 @@
     if story is None:
         write_error(
             f'no line mentions {identifier!r}: it was served on time, its '
-            'lines were left out under load, or it reached no daemon',
+            'lines were left out under load, or it reached no daemon that '
+            'lived until its end',
         )
+        _tell_restarts(logs)
         return exits.PROBLEM
     if as_json:
         write_json(story.encode())
@@ -82,6 +85,18 @@
     return exits.FINE
 
 
+def _tell_restarts(logs: Logs) -> None:
+    """Write which daemons started again without having stopped."""
+    running = set()
+    for line in logs.lines:
+        if line.event == STOPPED:
+            running.discard(line.host)
+        if line.event == STARTED:
+            if line.host in running:
+                write_error(f'{clock(line.time)} {line.host} started again')
+            running.add(line.host)
+
+
 def _print_lines(story: RequestStory) -> None:
     rows = [
         (
--- a/packages/operator/tanagerbend_operator/request_story.py
+++ b/packages/operator/tanagerbend_operator/request_story.py
@@ -30,6 +30,7 @@
     INSTANCE_FAILED = 'the instance failed or broke off its answer'
     INSTANCE_SLOW = 'the instance took most of the time'
     WAITED = 'most of the time was spent waiting or at other instances'
+    NONE = 'none, it was answered on time'
     CALLER_LEFT = 'the caller closed its connection'
     CONFIGURATION = 'the configuration in force does not allow the request'
     STOPPING = 'the instance or its daemon was leaving'
@@ -111,6 +112,8 @@
     match end.event:
         case 'request_left':
             return Cause.CALLER_LEFT
+        case 'request_answered':
+            return Cause.NONE
         case 'request_failed':
             return Cause.INSTANCE_FAILED
         case 'request_late':
@@ -179,6 +182,8 @@
         f'its deadline; {last}, which had it for {fields["served_ms"]} ms'
     )
     match end.event:
+        case 'request_answered':
+            return f'It was answered {-fields["late_ms"]} ms early, {times}.'
         case 'request_refused':
             ran = 'had not run' if fields['ran'] == 'no' else 'may have run'
             return (
--- a/packages/proxy/tanagerbend_proxy/decisions.py
+++ b/packages/proxy/tanagerbend_proxy/decisions.py
@@ -4,26 +4,22 @@
 change of what the daemon believes.
 """
 
-import collections
 import json
 import os
 import sys
+from collections.abc import Iterable
 from typing import Any, Final
 
 import logbook
 
 from tanagerbend_metrics import Recorder
 
-# Lines of one event in one second, and requests that begin to have lines
-# in one second; the rest is counted.
+# Lines of one event in one second, and requests that end in one way; the
+# rest is counted.
 LINES_PER_SECOND: Final = 20
-# Requests of which it is remembered whether they have lines; more than a
-# host has at once.
-REQUESTS_REMEMBERED: Final = 2000
 # A smaller change of the time of day is the ordinary slewing of a clock.
 CLOCK_STEP_SECONDS: Final = 0.5
-# Budget of the requests that begin to have lines.
-REQUESTS: Final = 'requests'
+Fields = dict[str, Any]
 
 
 class PipeHandler(logbook.Handler):
@@ -76,9 +72,6 @@
         self.second: dict[str, int] = {}
         self.written: dict[str, int] = {}
         self.left_out: dict[str, int] = {}
-        self.shown: collections.OrderedDict[str, bool] = (
-            collections.OrderedDict()
-        )
         self.clock_offset = self.timer.wall() - self.timer.now()
 
     def open(self) -> None:
@@ -98,45 +91,45 @@
             self.clock_offset = offset
             self.write('clock_stepped', seconds=round(step, 3))
 
-    def request(self, event: str, identifier: str, **inputs: Any) -> None:
-        """Write a decision about a request.
+    def request(self, kind: str, lines: Iterable[Fields]) -> None:
+        """Write all lines of a request that has ended, or none.
 
-        A request has all of its lines or none.
+        ``kind`` names how it ended; each kind has its own limit, so that
+        a flood of one does not hide the others.
         """
-        now = self.timer.now()
-        if identifier not in self.shown:
-            self.shown[identifier] = self._admit(REQUESTS, now)
-            if len(self.shown) > REQUESTS_REMEMBERED:
-                self.shown.popitem(last=False)
-        if self.shown[identifier]:
-            self._write(event, REQUESTS, {'request': identifier, **inputs})
-
-    def write(self, event: str, **fields: Any) -> None:
-        """Write one line, unless the event repeats too often."""
-        if self._admit(event, self.timer.now()):
-            self._write(event, event, fields)
+        if self._admit(kind, self.timer.now()):
+            for line in lines:
+                self._write(kind, line)
 
-    def _write(self, event: str, budget: str, fields: dict[str, Any]) -> None:
-        left_out = self.left_out.pop(budget, 0)
-        line = {
+    def line(self, event: str, fields: Fields) -> Fields:
+        """Return a line as of now."""
+        return {
             'time': round(self.timer.wall(), 3),
             'steady': round(self.timer.now(), 3),
             'host': self.host,
             'event': event,
             **fields,
         }
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Write one line, unless the event repeats too often."""
+        if self._admit(event, self.timer.now()):
+            self._write(event, self.line(event, fields))
+
+    def _write(self, kind: str, line: Fields) -> None:
+        left_out = self.left_out.pop(kind, 0)
         if left_out:
             line['left_out'] = left_out
-        self.logger.info(event, extra={'line': json.dumps(line)})
+        self.logger.info(line['event'], extra={'line': json.dumps(line)})
 
-    def _admit(self, budget: str, now: float) -> bool:
+    def _admit(self, kind: str, now: float) -> bool:
         second = int(now)
-        if self.second.get(budget) != second:
-            self.second[budget] = second
-            self.written[budget] = 0
-        self.written[budget] += 1
-        if self.written[budget] <= LINES_PER_SECOND:
+        if self.second.get(kind) != second:
+            self.second[kind] = second
+            self.written[kind] = 0
+        self.written[kind] += 1
+        if self.written[kind] <= LINES_PER_SECOND:
             return True
-        self.left_out[budget] = self.left_out.get(budget, 0) + 1
-        self.recorder.count('log_lines_left_out', budget)
+        self.left_out[kind] = self.left_out.get(kind, 0) + 1
+        self.recorder.count('log_lines_left_out', kind)
         return False
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -89,6 +89,8 @@
         Seconds that the last instance took.
     stopped_by : str
         Why the request was not sent once more.
+    lines : list of dict
+        Log lines so far.
     """
 
     request: Request
@@ -104,6 +106,7 @@
     instance: ListedInstance | None = None
     served: float = 0.0
     stopped_by: str = ''
+    lines: list[dict[str, Any]] = attrs.field(factory=list)
 
 
 @attrs.define
@@ -146,14 +149,7 @@
         route = configuration.match(request.host, request.path)
         match route:
             case Refusal():
-                self.log.request(
-                    'request_refused',
-                    request.identifier,
-                    code=route.code.name,
-                    ran=route.ran.value,
-                    reason=route.reason,
-                    version=self.knowledge.version,
-                )
+                self._log_without_route(request, route)
                 return route
         service = route.pick_service(self.random)
         self.allowance.requested(service, request.arrived)
@@ -168,11 +164,13 @@
             end = await self._try_instances(state)
         except asyncio.CancelledError:
             self._log('request_left', state)
+            self.log.request('request_left', state.lines)
             raise
         match end:
-            case Refusal():
-                self.recorder.count(REFUSALS, end.code.name)
+            case Refusal(code=code):
+                self.recorder.count(REFUSALS, code.name)
                 self._log('request_refused', state, end)
+                self.log.request(code.name, state.lines)
             case Answer(status=status):
                 self._answered(state, status)
         return end
@@ -186,13 +184,19 @@
             route.rank,
             now - state.request.arrived,
         )
+        kind = 'request_answered'
         if status >= SERVER_ERROR:
-            self._log('request_failed', state, status=status)
+            kind = 'request_failed'
         elif now > state.on_time_until:
-            self._log('request_late', state, status=status)
+            kind = 'request_late'
+        elif not state.lines:
+            # Served on time at the first try.
+            return
+        self._log(kind, state, status=status)
+        self.log.request(kind, state.lines)
 
     async def _try_instances(self, state: RequestState) -> Answer | Refusal:
-        while state.placed < MOST_PLACEMENTS:
+        while True:
             instance = self._choose(state)
             if instance is None:
                 state.stopped_by = 'no other instance takes it now'
@@ -202,6 +206,8 @@
             outcome = await self._place(state, instance)
             self._learn(state, instance, outcome)
             state.stopped_by = self._reason_to_stop(state, outcome)
+            if not state.stopped_by and state.placed >= MOST_PLACEMENTS:
+                state.stopped_by = f'{MOST_PLACEMENTS} owners were asked'
             if state.stopped_by:
                 break
             self._log_again(state, outcome)
@@ -427,10 +433,8 @@
         if instance is not None:
             fields['instance'] = instance.identity
             fields['instance_host'] = instance.host_address
-        self.log.request(
-            event,
-            state.request.identifier,
-            **fields,
+        fields.update(
+            request=state.request.identifier,
             stopped_by=state.stopped_by,
             route=state.route.name,
             service=state.service,
@@ -443,6 +447,18 @@
             late_ms=round((now - state.on_time_until) * MILLISECONDS),
             version=self.knowledge.version,
         )
+        state.lines.append(self.log.line(event, fields))
+
+    def _log_without_route(self, request: Request, refusal: Refusal) -> None:
+        fields = {
+            'request': request.identifier,
+            'code': refusal.code.name,
+            'ran': refusal.ran.value,
+            'reason': refusal.reason,
+            'version': self.knowledge.version,
+        }
+        line = self.log.line('request_refused', fields)
+        self.log.request(refusal.code.name, [line])
 
 
 def forbidden(end: Answer | Refusal, repeat: Repeat) -> str:
--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -33,6 +33,11 @@
 # Answers of earlier requests that are skipped on one connection.
 MOST_SKIPPED: Final = 4
 UNREAD_LIMIT: Final = 262144
+# Raised by bytes that are no answer, and by answers that end early.
+BROKEN_ANSWERS: Final = (
+    aiohttp.ClientPayloadError,
+    aiohttp.ClientResponseError,
+)
 
 
 @attrs.define
@@ -253,4 +258,6 @@
         return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
     if isinstance(error, TimeoutError) and attempt.limit.expired():
         return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+    if isinstance(error, BROKEN_ANSWERS):
+        return Refusal(ResultCode.ANSWER_TRUNCATED, reason, Ran.UNKNOWN)
     return Refusal(ResultCode.CONNECTION_LOST, reason, Ran.UNKNOWN)
