Let the oldest daemon of a failure domain name the reader

Change: only the daemon beside the oldest instance names the reader, and the others check that every 5 s without waiting.

--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -141,7 +141,7 @@
     age : float
         Seconds since the peer last heard the service.
     reader : str
-        Identity of the instance whose daemon reads fastest.
+        Identity of the instance whose daemon reads, by the peer.
     """
 
     batch: Batch
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -24,7 +24,7 @@
 )
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.relaying import ChangeLog, ask_peer
-from tanagerbend_proxy.sources import RELAY_FROM, Sources
+from tanagerbend_proxy.sources import RELAY_FROM, Source, Sources
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_routing import (
     InstanceRegistry,
@@ -127,11 +127,13 @@
             else:
                 await self.follow_peer(peer)
 
-    def _choose_peer(self) -> ListedInstance | None:
+    def _choose_peer(self) -> Source | None:
         if self.revision is None:
             return None
         peer = self.peers.choose(self.knowledge.registry)
-        source = '' if peer is None else peer.identity
+        if peer is not None and peer.is_check:
+            return peer
+        source = '' if peer is None else peer.instance.identity
         if source != self.peers.source:
             self.peers.source = source
             self.knowledge.log.write('source_changed', instance=source)
@@ -167,12 +169,13 @@
                 self.revision = None
         return got
 
-    async def follow_peer(self, peer: ListedInstance) -> Told | Refusal:
+    async def follow_peer(self, source: Source) -> Told | Refusal:
         """Ask a peer once and take what it tells."""
+        peer = source.instance
         question = Question(
             self.revision or 0,
             self.knowledge.version,
-            QUESTION_SECONDS,
+            0.0 if source.is_check else QUESTION_SECONDS,
             self.peers.own_identity(self.knowledge.registry),
             self.speed,
         )
@@ -183,7 +186,8 @@
         )
         match told:
             case Told(age=age) if age <= MOST_AGE_SECONDS:
-                self.peers.sources.preferred = told.reader
+                if source.is_check:
+                    self.peers.sources.named = told.reader
                 self._heard(age)
                 self._take(told.batch)
                 return told
@@ -337,8 +341,8 @@
         self.source = ''
         self.is_asked = False
 
-    def choose(self, registry: InstanceRegistry) -> ListedInstance | None:
-        """Return the instance whose daemon is asked, None to read."""
+    def choose(self, registry: InstanceRegistry) -> Source | None:
+        """Return who is asked, None to read the service."""
         near = registry.near(self.terms.failure_domain)
         self.is_asked = len(near) >= RELAY_FROM
         return self.sources.choose(near)
--- a/packages/proxy/tanagerbend_proxy/sources.py
+++ b/packages/proxy/tanagerbend_proxy/sources.py
@@ -8,6 +8,8 @@
 from collections.abc import Iterable
 from typing import Final
 
+import attrs
+
 from tanagerbend_metrics import Recorder
 from tanagerbend_routing import ListedInstance
 
@@ -18,13 +20,35 @@
 FAILING_SECONDS: Final = 5.0
 # With this many failing peers in front of it a daemon reads by itself.
 MOST_FAILING: Final = 2
+# How often it is asked who reads, in seconds; the reader seldom changes.
+CHECK_SECONDS: Final = 5.0
 # A host takes over reading if it is faster by this factor.
 FASTER: Final = 1.5
 
 
+@attrs.frozen
+class Source:
+    """A peer that is asked.
+
+    Parameters
+    ==========
+
+    instance : ListedInstance
+        The one beside the peer.
+    is_check : bool
+        Whether the peer only has to say who reads, without waiting.
+    """
+
+    instance: ListedInstance
+    is_check: bool = False
+
+
 class Sources:
     """Peers of one daemon in its failure domain.
 
+    The daemon beside the oldest instance names the reader: itself, or the
+    fastest of those that asked it.  The others check with it now and then.
+
     Parameters
     ==========
 
@@ -37,43 +61,79 @@
         self.own_address = own_address
         self.timer = recorder.timer
         self.failed_at: dict[str, float] = {}
-        self.preferred = ''
+        self.named = ''
+        self.named_at = float('-inf')
         self.fastest = ('', 0.0)
 
-    def choose(
-        self,
-        near: Iterable[ListedInstance],
-    ) -> ListedInstance | None:
-        """Return the instance whose daemon is asked, None to read.
+    def choose(self, near: Iterable[ListedInstance]) -> Source | None:
+        """Return who is asked, None to read the service.
 
-        ``near`` holds the instances of the own failure domain.  All
-        daemons use the same order: the preferred one, then the oldest.
+        ``near`` holds the instances of the own failure domain.
         """
-        order = sorted(near, key=self._order)
+        order = sorted(near, key=_age)
         if len(order) < RELAY_FROM:
             return None
         failing = 0
         for each in order:
-            if each.address == self.own_address or failing >= MOST_FAILING:
+            if each.address == self.own_address:
+                return self._named_by_this(order)
+            if failing >= MOST_FAILING:
                 return None
             if not self._is_failing(each.identity):
-                return each
+                return self._named_by(each, order)
             failing += 1
         return None
 
+    def _named_by_this(self, order: list[ListedInstance]) -> Source | None:
+        """Return the fastest that asked, None if this daemon reads."""
+        return self._found(self.fastest[0], order)
+
+    def _named_by(
+        self,
+        oldest: ListedInstance,
+        order: list[ListedInstance],
+    ) -> Source | None:
+        if self.timer.now() - self.named_at >= CHECK_SECONDS:
+            self.named_at = self.timer.now()
+            return Source(oldest, is_check=True)
+        named = self._found(self.named, order)
+        if named is None and not self._is_own(self.named, order):
+            return Source(oldest)
+        return named
+
+    def _found(
+        self,
+        identity: str,
+        order: list[ListedInstance],
+    ) -> Source | None:
+        """Return a peer by its identity if it can be asked."""
+        for each in order:
+            is_other = each.address != self.own_address
+            if each.identity == identity and is_other:
+                return None if self._is_failing(identity) else Source(each)
+        return None
+
+    def _is_own(self, identity: str, order: list[ListedInstance]) -> bool:
+        return any(
+            each.identity == identity and each.address == self.own_address
+            for each in order
+        )
+
     def failed(self, identity: str) -> None:
-        """Ask a peer no more for a while."""
+        """Ask a peer no more for a while, and name another reader."""
         self.failed_at[identity] = self.timer.now()
+        if identity == self.fastest[0]:
+            self.fastest = ('', 0.0)
 
     def asked(self, identity: str, speed: float) -> None:
-        """Take the reading speed of a peer that asks, bytes a second."""
-        if speed > FASTER * self.fastest[1] or identity == self.fastest[0]:
+        """Take the reading speed of a daemon, bytes a second."""
+        if speed > FASTER * self.fastest[1]:
             self.fastest = (identity, speed)
 
-    def _order(self, instance: ListedInstance) -> tuple[bool, int, str]:
-        is_preferred = instance.identity == self.preferred
-        return not is_preferred, instance.born, instance.identity
-
     def _is_failing(self, identity: str) -> bool:
         failed_at = self.failed_at.get(identity, float('-inf'))
         return self.timer.now() - failed_at < FAILING_SECONDS
+
+
+def _age(instance: ListedInstance) -> tuple[int, str]:
+    return instance.born, instance.identity
--- a/packages/proxy/tanagerbend_proxy/tests/test_sources.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_sources.py
@@ -8,6 +8,7 @@
 from tanagerbend_proxy.changes import Batch, Item, Removed
 from tanagerbend_proxy.relaying import KEPT_BATCHES, ChangeLog
 from tanagerbend_proxy.sources import (
+    CHECK_SECONDS,
     FAILING_SECONDS,
     FASTER,
     RELAY_FROM,
@@ -36,6 +37,14 @@
     return Sources(NEAR[0].address, Recorder(ManualTimer()))
 
 
+def chosen(sources, near=NEAR):
+    """Return the identity that is asked once it is known who reads."""
+    source = sources.choose(near)
+    if source is not None and source.is_check:
+        source = sources.choose(near)
+    return source and source.instance.identity
+
+
 def test_few_hosts_read_by_themselves(sources):
     """Guards against depending on a peer where reading costs little."""
     assert sources.choose(NEAR[1:]) is None
@@ -43,9 +52,9 @@
 
 def test_all_ask_the_oldest(sources):
     """Guards against several readers in one failure domain."""
-    assert sources.choose(NEAR) is OLDEST
+    assert chosen(sources) == OLDEST.identity
     sources.own_address = NEAR[2].address
-    assert sources.choose(reversed(NEAR)) is OLDEST
+    assert chosen(sources, NEAR[::-1]) == OLDEST.identity
 
 
 def test_the_oldest_reads(sources):
@@ -57,22 +66,52 @@
 def test_failing_peer_is_left_for_a_while(sources):
     """Guards against changes that are missed behind a dead reader."""
     sources.failed(OLDEST.identity)
-    assert sources.choose(NEAR) is NEAR[-2]
+    assert chosen(sources) == NEAR[-2].identity
     sources.failed(NEAR[-2].identity)
     assert sources.choose(NEAR) is None
     asyncio.run(sources.timer.advance(FAILING_SECONDS))
-    assert sources.choose(NEAR) is OLDEST
+    assert chosen(sources) == OLDEST.identity
 
 
-def test_fastest_host_reads(sources):
+def test_oldest_names_the_fastest(sources):
     """Guards against a reader on the thinnest link."""
+    sources.own_address = OLDEST.address
     sources.asked(OLDEST.identity, 100.0)
     sources.asked('i-2', 100.0 * FASTER + 1)
     sources.asked('i-3', 100.0 * FASTER + 2)
-    sources.preferred = sources.fastest[0]
-    assert sources.choose(NEAR).identity == 'i-2'
-    sources.preferred = 'i-that-left'
-    assert sources.choose(NEAR) is OLDEST
+    assert chosen(sources) == 'i-2'
+    sources.failed('i-2')
+    assert sources.choose(NEAR) is None
+
+
+def test_named_reader_is_asked(sources):
+    """Guards against peers that follow each other in turn.
+
+    Seen on a grown deployment: each answer named another reader, and the
+    peers changed their source twice a second.
+    """
+    sources.named = 'i-2'
+    assert chosen(sources) == 'i-2'
+    assert chosen(sources) == 'i-2'
+    sources.own_address = NEAR[2].address
+    assert chosen(sources) is None
+
+
+def test_named_reader_that_left_is_not_asked(sources):
+    """Guards against peers that wait for a reader that is gone."""
+    sources.named = 'i-that-left'
+    assert chosen(sources) == OLDEST.identity
+    sources.named = 'i-2'
+    sources.failed('i-2')
+    assert chosen(sources) == OLDEST.identity
+
+
+def test_it_is_checked_now_and_then_who_reads(sources):
+    """Guards against a reader that is never replaced by a faster one."""
+    assert sources.choose(NEAR).is_check
+    assert not sources.choose(NEAR).is_check
+    asyncio.run(sources.timer.advance(CHECK_SECONDS))
+    assert sources.choose(NEAR).is_check
 
 
 def item(identity, fact=None):
