Add an emulator of served deployments and the command that compares policies

The emulator runs the entry, owner, queue, placement and budget of all daemons on emulated instances, links and callers in virtual time; the same seed gives the same verdict. `tanagerbend experiment` plays load files under several policies over seeds.

--- /dev/null
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -0,0 +1,321 @@
+"""Instances, owners and entries of an emulated deployment."""
+
+import asyncio
+import functools
+import random
+from collections.abc import Callable
+from typing import Any, Final
+
+import attrs
+from multidict import CIMultiDict
+
+from tanagerbend_admission import ObjectiveQueue
+from tanagerbend_emulator.loads import KindLoad, Load, ServiceLoad
+from tanagerbend_emulator.virtual import LoopTimer
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_proxy import HeaderNames, Listening, StopTerms, Terms
+from tanagerbend_proxy.entry import Entry
+from tanagerbend_proxy.knowledge import Knowledge
+from tanagerbend_proxy.messages import Answer, Outcome, Placed, Request
+from tanagerbend_proxy.owner import Owner
+from tanagerbend_routing import (
+    ListedInstance,
+    Part,
+    Placement,
+    PrefixRoute,
+    RetryAllowance,
+    RoutingConfiguration,
+)
+
+HOST: Final = 'load.example'
+OK: Final = 200
+FAILED: Final = 500
+OVER: Final = 504
+KILOBYTE: Final = 1024
+NAMES: Final = HeaderNames(
+    **{name: name for name in attrs.fields_dict(HeaderNames)},
+)
+MakeQueue = Callable[[LoopTimer, int], ObjectiveQueue]
+
+
+class SilentLog:
+    """Decision log that writes nothing."""
+
+    def write(self, _event: str, **_fields: Any) -> None:
+        """Drop a line."""
+
+    def line(self, _event: str, fields: dict[str, Any]) -> dict[str, Any]:
+        """Return the fields."""
+        return fields
+
+    def request(self, _kind: str, _lines: list[dict[str, Any]]) -> None:
+        """Drop the lines of a request."""
+
+
+@attrs.define(eq=False)
+class EmulatedInstance:
+    """Instance with slots, a short queue and a speed of its own.
+
+    Parameters
+    ==========
+
+    listed : ListedInstance
+    service : ServiceLoad
+    load : Load
+    random : random.Random
+    speed : float
+        Factor of the time that work takes.
+    """
+
+    listed: ListedInstance
+    service: ServiceLoad
+    load: Load
+    random: random.Random
+    speed: float
+    entry: Entry | None = None
+    waiting: int = 0
+    runs: int = 0
+    slots: asyncio.Semaphore = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.slots = asyncio.Semaphore(self.service.slots)
+
+    async def run(self, request: Request, limit: float) -> Answer | Refusal:
+        """Run a request within ``limit`` seconds."""
+        if self.slots.locked() and self.waiting >= self.service.queue:
+            if self.service.is_silent:
+                await asyncio.sleep(limit)
+                reason = 'a full instance does not answer'
+                return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+            return Refusal(ResultCode.BACKEND_SHED_LOAD, 'queue is full')
+        kind = self.load.kind(request.path.strip('/'))
+        started = asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout(limit):
+                return await self._work(kind, request, started + limit)
+        except TimeoutError:
+            return Answer(OVER, CIMultiDict(), b'')
+
+    async def _work(
+        self,
+        kind: KindLoad,
+        request: Request,
+        until: float,
+    ) -> Answer:
+        self.waiting += 1
+        try:
+            await self.slots.acquire()
+        finally:
+            self.waiting -= 1
+        self.runs += 1
+        try:
+            await asyncio.sleep(self._seconds(kind) / 2)
+            for name in kind.calls:
+                if not await self._call(name, request, until):
+                    return Answer(FAILED, CIMultiDict(), b'')
+            await asyncio.sleep(self._seconds(kind) / 2)
+        finally:
+            self.slots.release()
+        return Answer(OK, CIMultiDict(), body_of(kind.kilobytes))
+
+    def _seconds(self, kind: KindLoad) -> float:
+        now = asyncio.get_running_loop().time()
+        seconds = kind.work * self.speed
+        for slow in self.load.slowness:
+            number = int(self.listed.identity.rpartition('-')[2])
+            is_hit = slow.service == self.service.name
+            is_hit &= number < slow.instances
+            if is_hit and slow.begin <= now < slow.end:
+                seconds *= slow.factor
+        return seconds * self.random.lognormvariate(0, kind.work_spread)
+
+    async def _call(self, name: str, parent: Request, until: float) -> bool:
+        left = until - asyncio.get_running_loop().time()
+        call = make_request(f'{parent.identifier}.{name}', name, left)
+        end = await self.entry.handle(call)
+        match end:
+            case Answer(status=status):
+                return status == OK
+        return False
+
+
+@functools.cache
+def body_of(kilobytes: float) -> bytes:
+    """Return a body of a size."""
+    return bytes(int(kilobytes * KILOBYTE))
+
+
+def make_request(identifier: str, kind: str, time_left: float) -> Request:
+    """Return a request of a kind; ``time_left`` in seconds."""
+    return Request(
+        identifier,
+        'GET',
+        HOST,
+        f'/{kind}/',
+        CIMultiDict(),
+        b'',
+        time_left,
+        asyncio.get_running_loop().time(),
+    )
+
+
+@attrs.define(eq=False)
+class EmulatedOwner(Owner):
+    """Owner whose instance is emulated."""
+
+    instance: EmulatedInstance | None = None
+
+    async def _send(
+        self,
+        request: Request,
+        placed: Placed,
+        time_left: float,
+    ) -> Answer | Refusal:
+        if time_left <= 0:
+            return Refusal(ResultCode.DEADLINE_PASSED, 'no time is left')
+        return await self.instance.run(request, time_left)
+
+
+@attrs.define(eq=False)
+class EmulatedEntry(Entry):
+    """Entry that reaches other owners over emulated links."""
+
+    fleet: 'EmulatedFleet | None' = None
+
+    async def _forward(
+        self,
+        request: Request,
+        instance: ListedInstance,
+        placed: Placed,
+    ) -> Outcome:
+        delay = self.fleet.delay(self.terms.failure_domain, instance)
+        await asyncio.sleep(delay)
+        owner = self.fleet.owners[instance.identity]
+        outcome = await owner.run(request, placed)
+        await asyncio.sleep(delay)
+        return outcome
+
+
+class EmulatedFleet:
+    """All hosts of a load, each with the real decisions.
+
+    Parameters
+    ==========
+
+    load : Load
+    make_queue : callable
+        Returns the queue of an owner.
+    chance : random.Random
+    """
+
+    def __init__(
+        self,
+        load: Load,
+        make_queue: MakeQueue,
+        chance: random.Random,
+    ) -> None:
+        self.load = load
+        self.make_queue = make_queue
+        self.random = chance
+        self.recorder = Recorder(LoopTimer())
+        self.configuration = configure(load)
+        self.owners: dict[str, EmulatedOwner] = {}
+        self.entries: dict[str, list[EmulatedEntry]] = {
+            domain: [] for domain in load.domains
+        }
+        listed = {
+            instance.identity: (instance, service)
+            for service in load.services
+            for instance in list_instances(load, service)
+        }
+        self.listed = {name: pair[0] for name, pair in listed.items()}
+        for instance, service in listed.values():
+            self._add(instance, service)
+
+    def _add(self, listed: ListedInstance, service: ServiceLoad) -> None:
+        speed = self.random.lognormvariate(0, service.speed_spread)
+        instance = EmulatedInstance(
+            listed, service, self.load, self.random, speed
+        )
+        knowledge = Knowledge(self.recorder, SilentLog())
+        knowledge.adopt(self.configuration)
+        knowledge.registry.replace(self.listed)
+        queue = self.make_queue(self.recorder.timer, service.slots)
+        owner = EmulatedOwner(
+            listed.address,
+            None,
+            queue,
+            NAMES,
+            self.recorder,
+            knowledge.registry,
+            instance=instance,
+        )
+        entry = EmulatedEntry(
+            make_terms(self.load, listed),
+            knowledge,
+            Placement(listed.failure_domain, self.random, self.recorder),
+            owner,
+            RetryAllowance(self.load.budget),
+            None,
+            NAMES,
+            self.recorder,
+            SilentLog(),
+            self.random,
+            fleet=self,
+        )
+        instance.entry = entry
+        self.owners[listed.identity] = owner
+        self.entries[listed.failure_domain].append(entry)
+
+    def delay(self, domain: str, instance: ListedInstance) -> float:
+        """Return the one-way delay to an instance in seconds."""
+        is_near = instance.failure_domain == domain
+        return 0.0 if is_near else self.load.between_domains
+
+
+def list_instances(load: Load, service: ServiceLoad) -> list[ListedInstance]:
+    """Return the instances of a service, in the failure domains in turn."""
+    return [
+        ListedInstance(
+            f'{service.name}-{number}',
+            f'{service.name}-{number}:80',
+            service.name,
+            load.domains[number % len(load.domains)],
+            service.slots,
+        )
+        for number in range(service.instances)
+    ]
+
+
+def make_terms(load: Load, listed: ListedInstance) -> Terms:
+    """Return the terms of the daemon beside an instance."""
+    return Terms(
+        listed.identity,
+        listed.failure_domain,
+        listed.service,
+        listed.address,
+        '',
+        Listening('', ':1', '', ''),
+        StopTerms(1.0),
+        load.budget,
+    )
+
+
+def configure(load: Load) -> RoutingConfiguration:
+    """Return the configuration that routes the kinds of a load."""
+    routes = tuple(
+        PrefixRoute(
+            kind.name,
+            HOST,
+            f'/{kind.name}/',
+            (Part(kind.service),),
+            kind.repeat,
+            kind.timeout,
+            kind.objective,
+            2,
+            kind.rank,
+        )
+        for kind in load.kinds
+    )
+    return RoutingConfiguration.build(1, routes, None)
--- /dev/null
+++ b/packages/emulator/tanagerbend_emulator/loads.py
@@ -0,0 +1,187 @@
+"""Load files: a deployment, its requests, and what happens to them."""
+
+import pathlib
+import tomllib
+from typing import Any, Final
+
+import attrs
+
+from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_routing import BudgetTerms, Repeat
+
+# Raised by fields that are missing, unknown or of another type.
+UNFIT: Final = (LookupError, TypeError, ValueError)
+# Load files that come with the tool.
+LOADS: Final = pathlib.Path(__file__).parent / 'loads'
+
+
+@attrs.frozen
+class ServiceLoad:
+    """Instances of one service.
+
+    Parameters
+    ==========
+
+    name : str
+    instances, slots, queue : int
+        The queue is that of an instance, which rejects what doesn't fit.
+    speed_spread : float
+        Standard deviation of the logarithm of the speed of an instance.
+    is_silent : bool
+        Whether a full instance never answers.
+    """
+
+    name: str
+    instances: int
+    slots: int
+    queue: int = 4
+    speed_spread: float = 0.15
+    is_silent: bool = False
+
+
+@attrs.frozen
+class KindLoad:
+    """Requests of one kind; times in seconds.
+
+    Parameters
+    ==========
+
+    name, service : str
+    rate : float
+        Requests a second of callers; 0 for calls of instances only.
+    work, work_spread : float
+        Mean time at an instance, and the standard deviation of the
+        logarithm.
+    objective, deadline, timeout : float
+    rank : int
+    repeat : Repeat
+    kilobytes : float
+    worth, worth_late : float
+        What an answer on time, and a late one, are worth.
+    retries : int
+        Times that a caller comes back after a promise.
+    calls : tuple of str
+        Kinds that an instance calls while it runs the request.
+    """
+
+    name: str
+    service: str
+    rate: float
+    work: float
+    objective: float
+    deadline: float
+    timeout: float
+    rank: int = 0
+    repeat: Repeat = Repeat.FREELY
+    kilobytes: float = 1.0
+    worth: float = 1.0
+    worth_late: float = 0.3
+    retries: int = 1
+    calls: tuple[str, ...] = ()
+    work_spread: float = 0.25
+
+
+@attrs.frozen
+class Flood:
+    """More requests of a kind for a while; times in seconds."""
+
+    kind: str
+    begin: float
+    end: float
+    factor: float
+
+
+@attrs.frozen
+class Slowness:
+    """Instances of a service that are slower for a while."""
+
+    service: str
+    begin: float
+    end: float
+    instances: int
+    factor: float
+
+
+@attrs.frozen
+class Load:
+    """A deployment and the requests that it gets.
+
+    Parameters
+    ==========
+
+    title : str
+    seconds : float
+        Length of the load.
+    domains : tuple of str
+        Failure domains; instances are spread over them in turn.
+    between_domains, to_callers : float
+        One-way delays in seconds.
+    budget : BudgetTerms
+    services : tuple of ServiceLoad
+    kinds : tuple of KindLoad
+    floods : tuple of Flood
+    slowness : tuple of Slowness
+    """
+
+    title: str
+    seconds: float
+    domains: tuple[str, ...]
+    between_domains: float
+    to_callers: float
+    budget: BudgetTerms
+    services: tuple[ServiceLoad, ...]
+    kinds: tuple[KindLoad, ...]
+    floods: tuple[Flood, ...] = ()
+    slowness: tuple[Slowness, ...] = ()
+
+    def kind(self, name: str) -> KindLoad:
+        """Return the kind with a name."""
+        return next(kind for kind in self.kinds if kind.name == name)
+
+
+def read_load(path: pathlib.Path) -> Load | Refusal:
+    """Return the load of a TOML file, or what is wrong with it."""
+    try:
+        return _load(tomllib.loads(path.read_text()))
+    except OSError as error:
+        return Refusal(ResultCode.SETTINGS_UNREADABLE, str(error))
+    except tomllib.TOMLDecodeError as error:
+        return Refusal(ResultCode.SETTINGS_NOT_TOML, str(error))
+    except UNFIT as error:
+        reason = f'{type(error).__name__}: {error}'
+        return Refusal(ResultCode.SETTING_INVALID, reason)
+
+
+def _load(found: dict[str, Any]) -> Load:
+    found['domains'] = tuple(found['domains'])
+    found['budget'] = BudgetTerms(**found['budget'])
+    found['services'] = _all(ServiceLoad, found['services'])
+    found['kinds'] = tuple(_kind(fields) for fields in found['kinds'])
+    found['floods'] = _all(Flood, found.get('floods', ()))
+    found['slowness'] = _all(Slowness, found.get('slowness', ()))
+    load = Load(**found)
+    _check(load)
+    return load
+
+
+def _all(cls: type, found: Any) -> tuple[Any, ...]:
+    return tuple(cls(**fields) for fields in found)
+
+
+def _kind(fields: dict[str, Any]) -> KindLoad:
+    fields['repeat'] = Repeat(fields.get('repeat', Repeat.FREELY.value))
+    fields['calls'] = tuple(fields.get('calls', ()))
+    return KindLoad(**fields)
+
+
+def _check(load: Load) -> None:
+    """Raise an error for a name that the load does not explain."""
+    kinds = {kind.name for kind in load.kinds}
+    services = {service.name for service in load.services}
+    called = {name for kind in load.kinds for name in kind.calls}
+    flooded = {flood.kind for flood in load.floods}
+    slowed = {slow.service for slow in load.slowness}
+    served = {kind.service for kind in load.kinds}
+    unknown = (called | flooded) - kinds | (slowed | served) - services
+    if unknown:
+        raise ValueError(f'not in the load: {sorted(unknown)}')
--- /dev/null
+++ b/packages/emulator/tanagerbend_emulator/trial.py
@@ -0,0 +1,203 @@
+"""One load under one policy: callers, and what they get."""
+
+import asyncio
+import random
+from collections import Counter
+from typing import Final
+
+import attrs
+
+from tanagerbend_emulator.fleet import (
+    OK,
+    EmulatedEntry,
+    EmulatedFleet,
+    make_request,
+)
+from tanagerbend_emulator.loads import KindLoad, Load
+from tanagerbend_emulator.policies import POLICIES
+from tanagerbend_emulator.virtual import run_virtual
+from tanagerbend_model import Ran
+from tanagerbend_proxy.messages import Answer
+
+WINDOW_SECONDS: Final = 2.0
+# Callers honour a time to come back up to this part of what they have left.
+HONOURED_PART: Final = 3.0
+ON_TIME: Final = 'on time'
+LATE: Final = 'late'
+REFUSED: Final = 'refused'
+FAILED: Final = 'failed'
+
+
+@attrs.define
+class Share:
+    """Requests of one group, and what they were worth."""
+
+    ends: Counter[str] = attrs.field(factory=Counter)
+    earned: float = 0.0
+    owed: float = 0.0
+
+    def add(self, end: str, kind: KindLoad) -> None:
+        """Count a request by its end."""
+        worth = {ON_TIME: kind.worth, LATE: kind.worth_late}
+        self.ends[end] += 1
+        self.earned += worth.get(end, 0.0)
+        self.owed += kind.worth
+
+    @property
+    def worth(self) -> float:
+        """Earned part of what was owed, 1 if nothing was."""
+        return self.earned / self.owed if self.owed else 1.0
+
+
+@attrs.define
+class Verdict:
+    """What the callers of a load got.
+
+    Parameters
+    ==========
+
+    whole : Share
+    kinds, domains, ranks : dict of str to Share
+    windows : dict of int to Share
+        By the window of two seconds in which a request was first sent.
+    refused_again : int
+        Requests that came back after a refusal and were refused.
+    """
+
+    whole: Share = attrs.field(factory=Share)
+    kinds: dict[str, Share] = attrs.field(factory=dict)
+    domains: dict[str, Share] = attrs.field(factory=dict)
+    ranks: dict[str, Share] = attrs.field(factory=dict)
+    windows: dict[int, Share] = attrs.field(factory=dict)
+    refused_again: int = 0
+
+    def add(self, kind: KindLoad, domain: str, sent: float, end: str) -> None:
+        """Count a request in all groups."""
+        window = int(sent // WINDOW_SECONDS)
+        for share in (
+            self.whole,
+            self.kinds.setdefault(kind.name, Share()),
+            self.domains.setdefault(domain, Share()),
+            self.ranks.setdefault(str(kind.rank), Share()),
+            self.windows.setdefault(window, Share()),
+        ):
+            share.add(end, kind)
+
+    @property
+    def worst_windows(self) -> float:
+        """Mean worth of the two worst windows."""
+        worst = sorted(share.worth for share in self.windows.values())[:2]
+        return sum(worst) / max(len(worst), 1)
+
+
+def play(load: Load, policy: str, seed: int) -> Verdict:
+    """Play a load under a policy; the same seed gives the same verdict."""
+    return run_virtual(_play(load, policy, seed))
+
+
+async def _play(load: Load, policy: str, seed: int) -> Verdict:
+    # Arrivals do not depend on what the policy draws.
+    fleet = EmulatedFleet(load, POLICIES[policy], random.Random(seed))
+    verdict = Verdict()
+    async with asyncio.TaskGroup() as group:
+        for number, kind in enumerate(load.kinds):
+            callers = Callers(load, fleet, verdict, kind)
+            chance = random.Random(f'{seed}.{number}')
+            group.create_task(callers.arrive(chance, group))
+    return verdict
+
+
+@attrs.define(eq=False)
+class Callers:
+    """Callers of one kind of request."""
+
+    load: Load
+    fleet: EmulatedFleet
+    verdict: Verdict
+    kind: KindLoad
+    number: int = 0
+
+    async def arrive(
+        self,
+        chance: random.Random,
+        group: asyncio.TaskGroup,
+    ) -> None:
+        """Send requests at random until the load is over."""
+        loop = asyncio.get_running_loop()
+        most = max(
+            (flood.factor for flood in self._floods()),
+            default=1.0,
+        )
+        rate = self.kind.rate * max(most, 1.0)
+        if not rate:
+            return
+        while loop.time() < self.load.seconds:
+            await asyncio.sleep(chance.expovariate(rate))
+            is_sent = chance.random() * rate < self._rate(loop.time())
+            domain = chance.choice(self.load.domains)
+            entry = chance.choice(self.fleet.entries[domain])
+            if is_sent:
+                self.number += 1
+                group.create_task(self.send(entry, domain, self.number))
+
+    def _floods(self) -> list:
+        return [
+            flood for flood in self.load.floods if flood.kind == self.kind.name
+        ]
+
+    def _rate(self, now: float) -> float:
+        factor = 1.0
+        for flood in self._floods():
+            if flood.begin <= now < flood.end:
+                factor *= flood.factor
+        return self.kind.rate * factor
+
+    async def send(
+        self,
+        entry: EmulatedEntry,
+        domain: str,
+        number: int,
+    ) -> None:
+        """Send one request, and again after a promise."""
+        loop = asyncio.get_running_loop()
+        begun = loop.time()
+        over = begun + self.kind.deadline
+        end = FAILED
+        for attempt in range(self.kind.retries + 1):
+            left = over - loop.time()
+            if left <= 0:
+                break
+            name = f'{self.kind.name}.{number}.{attempt}'
+            end, wait = await self._attempt(entry, name, over)
+            if end != REFUSED:
+                break
+            self.verdict.refused_again += attempt > 0
+            left = over - loop.time()
+            await asyncio.sleep(min(wait, max(left, 0.0) / HONOURED_PART))
+        if end == ON_TIME and loop.time() - begun > self.kind.objective:
+            end = LATE
+        self.verdict.add(self.kind, domain, begun, end)
+
+    async def _attempt(
+        self,
+        entry: EmulatedEntry,
+        name: str,
+        over: float,
+    ) -> tuple[str, float]:
+        """Return how an attempt ended, and when to come back."""
+        loop = asyncio.get_running_loop()
+        delay = self.load.to_callers
+        try:
+            async with asyncio.timeout_at(over):
+                await asyncio.sleep(delay)
+                left = over - loop.time()
+                request = make_request(name, self.kind.name, left)
+                end = await entry.handle(request)
+                wait = entry.retry_after(request)
+                await asyncio.sleep(delay)
+        except TimeoutError:
+            return FAILED, 0.0
+        match end:
+            case Answer(status=status):
+                return (ON_TIME if status == OK else FAILED), 0.0
+        return (REFUSED if end.ran is Ran.NO else FAILED), wait
--- a/packages/operator/tanagerbend_operator/command.py
+++ b/packages/operator/tanagerbend_operator/command.py
@@ -8,6 +8,7 @@
 
 from tanagerbend_operator.check import check
 from tanagerbend_operator.drains import drain, undrain
+from tanagerbend_operator.experiment import experiment
 from tanagerbend_operator.explain import explain
 from tanagerbend_operator.histograms import histograms
 from tanagerbend_operator.replaying import replay
@@ -24,6 +25,7 @@
     'drain': drain,
     'undrain': undrain,
     'replay': replay,
+    'experiment': experiment,
     'report': report,
 }
 
