Forget instances that left, and find routes by their prefix

Placement.retain was never called, so what was seen of instances that left stayed; it is called every 5 s now. The two filters of headers are one function, and the time that a stop leaves for idle connections names its unit.

--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -22,6 +22,7 @@
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.messages import Answer
 
+Headers = CIMultiDict[str]
 # Unacknowledged bytes end a connection after this time: a host without
 # power answers nothing, and a request must still be placed elsewhere.
 SILENCE_MS: Final = 700
@@ -225,7 +226,9 @@
     if _is_cut(response, protocol):
         reason = f'{outgoing.address}: answer without length was reset'
         return Refusal(ResultCode.ANSWER_TRUNCATED, reason, Ran.UNKNOWN)
-    return Answer(response.status, _passed_on(response.headers), body)
+    return Answer(
+        response.status, without_connection(response.headers, HOP_BY_HOP), body
+    )
 
 
 def _is_cut(
@@ -242,9 +245,14 @@
     return protocol.lost_error is not None
 
 
-def _passed_on(found: Any) -> CIMultiDict[str]:
+def without_connection(found: Any, dropped: frozenset[str]) -> Headers:
+    """Return the headers that do not concern one connection.
+
+    ``dropped`` holds names in small letters; those that the header
+    ``Connection`` names are dropped as well.
+    """
     named = found.get('Connection', '').lower()
-    dropped = HOP_BY_HOP | {name.strip() for name in named.split(',')}
+    dropped |= {name.strip() for name in named.split(',')}
     return CIMultiDict(
         (name, text)
         for name, text in found.items()
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Any, Final
+from typing import Final
 
 import attrs
 from aiohttp import web
@@ -16,6 +16,7 @@
 from tanagerbend_proxy import headers as own_headers
 from tanagerbend_proxy.changes import Question
 from tanagerbend_proxy.entry import Entry
+from tanagerbend_proxy.exchange import without_connection
 from tanagerbend_proxy.following import Follower
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.messages import (
@@ -139,7 +140,7 @@
         match body:
             case Refusal():
                 return body
-        headers = copied(http.headers)
+        headers = without_connection(http.headers, NOT_COPIED)
         headers[self.names.caller_service] = self.caller_service
         headers.popall(self.names.expected_instance, None)
         headers.popall(own_headers.PLACED, None)
@@ -215,7 +216,7 @@
             reason = 'the daemon beside the instance is stopping'
             refusal = Refusal(ResultCode.DRAINING, reason)
             return self._respond(identifier, Outcome(refusal))
-        headers = copied(http.headers)
+        headers = without_connection(http.headers, NOT_COPIED)
         headers.popall(own_headers.PLACED, None)
         request = Request(
             identifier,
@@ -262,17 +263,6 @@
     return web.Response(status=answer.status, headers=headers, body=answer.body)
 
 
-def copied(found: Any) -> CIMultiDict[str]:
-    """Return the headers that do not concern one connection."""
-    named = found.get('Connection', '').lower()
-    dropped = NOT_COPIED | {name.strip() for name in named.split(',')}
-    return CIMultiDict(
-        (name, text)
-        for name, text in found.items()
-        if name.lower() not in dropped
-    )
-
-
 def time_left(text: str | None) -> float:
     """Return the seconds for which a caller waits.
 
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -42,11 +42,13 @@
 # Kept back from the time until the process is killed: for requests that
 # still run, for idle connections, and for the end of the process.
 FINISH_SECONDS: Final = 2.5
-LINGER: Final = 1.6
+LINGER_SECONDS: Final = 1.6
 EXIT_SECONDS: Final = 0.4
 POLL_SECONDS: Final = 0.05
 REFRESH_SECONDS: Final = 0.2
 CLOCK_CHECK_SECONDS: Final = 1.0
+# How often what was seen of instances that left is dropped.
+FORGET_SECONDS: Final = 5.0
 
 
 @attrs.define
@@ -166,6 +168,7 @@
         parts = self.parts
         timer.every(EXPIRY_SECONDS, parts.follower.expire)
         timer.every(REFRESH_SECONDS, self.refresh)
+        timer.every(FORGET_SECONDS, self.forget)
         timer.every(CLOCK_CHECK_SECONDS, parts.log.check_clock)
         timer.on_pause(parts.log.paused)
 
@@ -177,6 +180,13 @@
         if own is not None and own.slots != parts.owner.queue.slots:
             parts.owner.queue.resize(own.slots)
 
+    async def forget(self) -> None:
+        """Drop what was seen of instances that left."""
+        parts = self.parts
+        entries = parts.knowledge.registry.entries
+        parts.entry.placement.retain(held.instance for held in entries.values())
+        parts.follower.peers.sources.retain(entries)
+
     @Service.task
     async def follow(self) -> None:
         """Follow the platform's service."""
@@ -210,7 +220,9 @@
         grace = parts.terms.stop.grace
         await timer.sleep(min(NOTICE_SECONDS, grace - FINISH_SECONDS))
         parts.callers.is_shut = True
-        while self._is_busy() and timer.now() < started + grace - LINGER:
+        while (
+            self._is_busy() and timer.now() < started + grace - LINGER_SECONDS
+        ):
             await timer.sleep(POLL_SECONDS)
         left = started + grace - EXIT_SECONDS - timer.now()
         try:
--- a/packages/proxy/tanagerbend_proxy/sources.py
+++ b/packages/proxy/tanagerbend_proxy/sources.py
@@ -5,7 +5,7 @@
 pay for its calls.  One daemon of the domain reads; the others ask it.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Final
 
 import attrs
@@ -125,6 +125,13 @@
         if identity == self.fastest[0]:
             self.fastest = ('', 0.0)
 
+    def retain(self, identities: Collection[str]) -> None:
+        """Forget instances that are not listed any more."""
+        if self.fastest[0] not in identities:
+            self.fastest = ('', 0.0)
+        for gone in self.failed_at.keys() - identities:
+            self.failed_at.pop(gone)
+
     def asked(self, identity: str, speed: float) -> None:
         """Take the reading speed of a daemon, bytes a second."""
         if speed > FASTER * self.fastest[1]:
--- a/packages/routing/tanagerbend_routing/prefixes.py
+++ b/packages/routing/tanagerbend_routing/prefixes.py
@@ -97,7 +97,7 @@
 SHOWN: Final = 64
 
 Routes = tuple[PrefixRoute, ...]
-NO_ROUTES: Final[Routes] = ()
+NO_ROUTES: Final[Mapping[str, PrefixRoute]] = {}
 
 
 @attrs.frozen
@@ -143,13 +143,13 @@
     ==========
 
     version : int
-    hosts : mapping of str to tuple of PrefixRoute
-        The longest prefix of each host first.
+    hosts : mapping of str to mapping of str to PrefixRoute
+        Routes by host and prefix.
     limits : CallerLimits or None
     """
 
     version: int
-    hosts: Mapping[str, Routes]
+    hosts: Mapping[str, Mapping[str, PrefixRoute]]
     limits: CallerLimits | None = None
 
     @classmethod
@@ -159,18 +159,11 @@
         routes: Routes,
         limits: CallerLimits | None,
     ) -> 'RoutingConfiguration':
-        """Sort the routes by host and length of the prefix."""
-        hosts: dict[str, list[PrefixRoute]] = {}
+        """Put the routes in order of host and prefix."""
+        hosts: dict[str, dict[str, PrefixRoute]] = {}
         for route in routes:
-            hosts.setdefault(route.host, []).append(route)
-        return cls(
-            version,
-            {
-                host: tuple(sorted(found, key=_length, reverse=True))
-                for host, found in hosts.items()
-            },
-            limits,
-        )
+            hosts.setdefault(route.host, {})[route.prefix] = route
+        return cls(version, hosts, limits)
 
     @property
     def routes(self) -> dict[tuple[str, str], PrefixRoute]:
@@ -178,7 +171,7 @@
         return {
             (route.host, route.prefix): route
             for found in self.hosts.values()
-            for route in found
+            for route in found.values()
         }
 
     def difference_from(
@@ -233,12 +226,13 @@
     def match(self, host: str, path: str) -> PrefixRoute | Refusal:
         """Return the route of a request; ``path`` may hold a query."""
         plain = path.partition('?')[0]
-        for route in self.hosts.get(host, NO_ROUTES):
-            if plain.startswith(route.prefix):
+        routes = self.hosts.get(host, NO_ROUTES)
+        # Prefixes end with a slash, so only those of the path can match.
+        end = plain.rfind('/')
+        while end >= 0:
+            route = routes.get(plain[: end + 1])
+            if route is not None:
                 return route
+            end = plain.rfind('/', 0, end)
         reason = f'no route of {host!r} covers {plain[:SHOWN]!r}'
         return Refusal(ResultCode.ROUTE_UNKNOWN, reason)
-
-
-def _length(route: PrefixRoute) -> int:
-    return len(route.prefix)
