--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -72,11 +72,14 @@
     revision : int
     size : int
         Bytes that were read.
+    seconds : float
+        Time that their transfer took.
     """
 
     items: tuple[Item, ...]
     revision: int
     size: int = 0
+    seconds: float = 0.0
 
 
 @attrs.frozen
--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -66,6 +66,11 @@
         if due < (self.limit.when() or math.inf):
             self.limit.reschedule(due)
 
+    def extend(self, due: float) -> None:
+        """Wait longer; ``due`` is a time of the event loop."""
+        if due > (self.limit.when() or math.inf):
+            self.limit.reschedule(due)
+
     def is_foreign(self, headers: Any) -> bool:
         """Return whether an answer names another request."""
         if not self.header:
@@ -166,6 +171,8 @@
         Header and identifier that the answer must echo.
     after_foreign : float
         Seconds to wait on after an answer to another request.
+    body_limit : float
+        Seconds that the body may take even if ``limit`` passes meanwhile.
     """
 
     address: str
@@ -177,6 +184,7 @@
     header: str = ''
     identifier: str = ''
     after_foreign: float = math.inf
+    body_limit: float = 0.0
 
 
 async def send(
@@ -196,7 +204,7 @@
     token = ATTEMPT.set(attempt)
     try:
         async with attempt.limit:
-            return await _exchange(session, outgoing)
+            return await _exchange(session, outgoing, attempt)
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return _refuse(outgoing.address, error, attempt)
     finally:
@@ -206,6 +214,7 @@
 async def _exchange(
     session: aiohttp.ClientSession,
     outgoing: Outgoing,
+    attempt: IdentifiedAttempt,
 ) -> Answer | Refusal:
     response = await session.request(
         outgoing.method,
@@ -218,6 +227,8 @@
     )
     connection = response.connection
     protocol = None if connection is None else connection.protocol
+    started = asyncio.get_running_loop().time()
+    attempt.extend(started + outgoing.body_limit)
     try:
         body = await response.read()
     except BaseException:
@@ -226,9 +237,9 @@
     if _is_cut(response, protocol):
         reason = f'{outgoing.address}: answer without length was reset'
         return Refusal(ResultCode.ANSWER_TRUNCATED, reason, Ran.UNKNOWN)
-    return Answer(
-        response.status, without_connection(response.headers, HOP_BY_HOP), body
-    )
+    headers = without_connection(response.headers, HOP_BY_HOP)
+    seconds = asyncio.get_running_loop().time() - started
+    return Answer(response.status, headers, body, seconds)
 
 
 def _is_cut(
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -36,6 +36,8 @@
 # the three seconds after which a daemon counts as in touch again.
 WATCH_SECONDS: Final = 2.0
 ANSWER_SECONDS: Final = 0.7
+# Shorter transfers are in the buffers before their time can be measured.
+LEAST_MEASURED_BYTES: Final = 65536
 # Shortest time for which a reading speed is computed.
 LEAST_SECONDS: Final = 0.001
 FIRST_BACKOFF_SECONDS: Final = 0.05
@@ -163,6 +165,7 @@
         )
         match got:
             case Batch():
+                self._measure(got)
                 self._heard(0.0)
                 self._take(got)
             case HistoryGone():
@@ -233,18 +236,21 @@
         base = self.log.versions.get(question.version)
         return encode_told(told, base, self.timer.now())
 
+    def _measure(self, batch: Batch) -> None:
+        """Take the reading speed from a transfer that is long enough."""
+        if batch.size >= LEAST_MEASURED_BYTES:
+            self.speed = batch.size / max(batch.seconds, LEAST_SECONDS)
+
     def _heard(self, age: float) -> None:
         self.heard_at = self.timer.now() - age
         self.knowledge.store_regained()
 
     async def _list(self) -> Batch | Refusal:
-        started = self.timer.now()
         got = await self.service.listing(ANSWER_SECONDS)
         match got:
             case Refusal():
                 return got
-        seconds = self.timer.now() - started
-        self.speed = got.size / max(seconds, LEAST_SECONDS)
+        self._measure(got)
         self._heard(0.0)
         self._take_listing(got)
         return got
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -117,11 +117,14 @@
     status : int
     headers : CIMultiDict
     body : bytes
+    body_seconds : float
+        From the headers to the end of the body.
     """
 
     status: int
     headers: CIMultiDict[str] = attrs.field(repr=False)
     body: bytes = attrs.field(repr=False)
+    body_seconds: float = 0.0
 
 
 @attrs.frozen
