--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -73,7 +73,8 @@
 
     async def stop(self, node):
         """Stop a daemon as planned and start it again."""
-        assert await self.fleet.stop_daemon(node) == 0
+        status = await self.fleet.stop_daemon(node)
+        assert status == 0, f'{node.place.host} ended with status {status}'
         await self.fleet.start_daemon(node)
         await asyncio.sleep(1.0)
 
--- a/bench/orders.py
+++ b/bench/orders.py
@@ -30,13 +30,12 @@
 from tanagerbend_standins import Fleet, Place, eventually
 
 SHEET = (
-    b'service,work,rank,method,path,deadline_ms,order\n'
-    b'booking,truck,1,POST,/trucks,4000,yes\n'
-    b'booking,plain,1,POST,/plain,4000,no\n'
+    'service,work,rank,method,path,deadline_ms,order\n'
+    'booking,truck,1,POST,/trucks,{0},yes\n'
+    'booking,plain,1,POST,/plain,{0},no\n'
 )
 DOMAINS = ('leon', 'celaya', 'irapuato', 'silao')
 KEYS = '/.tanagerbend/orders'
-WORKERS = 96
 # An order without a verdict after this time counts as unanswered.
 ORDER_SECONDS = 60.0
 # After this time a caller takes "outcome unknown" for an answer.
@@ -205,7 +204,7 @@
     chaos = Chaos(fleet, arguments.seed)
     callers = Callers(fleet, arguments.seed + 1)
     try:
-        await fleet.start(SHEET)
+        await fleet.start(SHEET.format(arguments.deadline_ms).encode())
         assert await eventually(lambda: is_ready(callers, fleet), 60)
         begun = time.monotonic()
         await load(arguments, callers, chaos)
@@ -241,7 +240,7 @@
             job, number = jobs.pop()
             await job(number)
 
-    await asyncio.gather(*(work() for _ in range(WORKERS)))
+    await asyncio.gather(*(work() for _ in range(arguments.workers)))
     is_over.set()
     await faults
 
@@ -304,6 +303,8 @@
     parser.add_argument('--baseline', type=int, default=2_000)
     parser.add_argument('--hosts', type=int, default=6)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--workers', type=int, default=96)
+    parser.add_argument('--deadline-ms', type=int, default=4000)
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as directory:
         found = asyncio.run(run(arguments, pathlib.Path(directory)))
