--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -8,8 +8,6 @@
 import random
 from typing import Final, Protocol
 
-import aiohttp
-
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy.changes import (
@@ -23,14 +21,10 @@
     encode_told,
 )
 from tanagerbend_proxy.knowledge import Knowledge
-from tanagerbend_proxy.relaying import ChangeLog, ask_peer
-from tanagerbend_proxy.sources import RELAY_FROM, Source, Sources
-from tanagerbend_proxy.terms import Terms
-from tanagerbend_routing import (
-    InstanceRegistry,
-    ListedInstance,
-    RoutingConfiguration,
-)
+from tanagerbend_proxy.peers import QUESTION_SECONDS, Peers
+from tanagerbend_proxy.relaying import ChangeLog
+from tanagerbend_proxy.sources import Source
+from tanagerbend_routing import ListedInstance, RoutingConfiguration
 
 # A watch whose answer was lost must end, and the next one begin, within
 # the three seconds after which a daemon counts as in touch again.
@@ -58,10 +52,6 @@
 MOST_AGE_SECONDS: Final = (
     READER_GATHER_SECONDS + READER_WATCH_SECONDS + ANSWER_SECONDS
 )
-# How long a peer holds a question, and how much later it has answered; a
-# frozen peer is left after their sum.
-QUESTION_SECONDS: Final = 0.5
-PEER_SECONDS: Final = 0.4
 
 
 class ItemService(Protocol):
@@ -99,7 +89,7 @@
         self,
         service: ItemService,
         knowledge: Knowledge,
-        peers: 'Peers',
+        peers: Peers,
         recorder: Recorder,
         chance: random.Random,
     ) -> None:
@@ -120,6 +110,18 @@
         """Seconds since the service was heard, here or by a peer."""
         return self.timer.now() - self.heard_at
 
+    @property
+    def watch_seconds(self) -> float:
+        """How long a watch of the service lasts."""
+        is_asked = self.peers.is_asked
+        return READER_WATCH_SECONDS if is_asked else WATCH_SECONDS
+
+    @property
+    def gather_seconds(self) -> float:
+        """How long further changes are waited for after one."""
+        is_asked = self.peers.is_asked
+        return READER_GATHER_SECONDS if is_asked else GATHER_SECONDS
+
     async def run(self) -> None:
         """Follow the service, or a peer that does, until cancelled."""
         while True:
@@ -149,7 +151,7 @@
                 await self._back_off()
             case Batch(items=items) if items:
                 self.backoff = FIRST_BACKOFF_SECONDS
-                await self.timer.sleep(self.peers.gather_seconds)
+                await self.timer.sleep(self.gather_seconds)
             case _:
                 self.backoff = FIRST_BACKOFF_SECONDS
 
@@ -157,7 +159,7 @@
         """Read once and take what was read."""
         if self.revision is None:
             return await self._list()
-        wait = self.peers.watch_seconds
+        wait = self.watch_seconds
         got = await self.service.changes(
             self.revision,
             wait,
@@ -264,7 +266,7 @@
                 case RoutingConfiguration():
                     self._adopt(item.fact)
                 case Unreadable(reason=reason):
-                    self._count_unreadable(item.identity, reason)
+                    self.knowledge.unreadable(item.identity, reason)
         registry = self.knowledge.registry
         gone = registry.entries.keys() - listed.keys()
         registry.replace(listed)
@@ -298,7 +300,7 @@
             case Removed():
                 registry.remove(item.identity)
             case Unreadable(reason=reason):
-                self._count_unreadable(item.identity, reason)
+                self.knowledge.unreadable(item.identity, reason)
                 registry.remove(item.identity)
 
     def _adopt(self, offered: RoutingConfiguration) -> None:
@@ -306,14 +308,6 @@
         if self.knowledge.configuration is not None:
             self.log.remember(self.knowledge.configuration)
 
-    def _count_unreadable(self, identity: str, reason: str) -> None:
-        self.recorder.count('entries_unreadable')
-        self.knowledge.log.write(
-            'entry_unreadable',
-            instance=identity,
-            reason=reason,
-        )
-
     async def _back_off(self) -> None:
         share = 0.5 + self.random.random() / 2
         await self.timer.sleep(self.backoff * share)
@@ -322,63 +316,3 @@
     async def expire(self) -> None:
         """Drop entries that did not come back after an outage."""
         self.knowledge.registry.expire()
-
-
-class Peers:
-    """The daemons of the own failure domain as a source of changes.
-
-    Parameters
-    ==========
-
-    terms : Terms
-    sources : Sources
-    session : aiohttp.ClientSession
-    """
-
-    def __init__(
-        self,
-        terms: Terms,
-        sources: Sources,
-        session: aiohttp.ClientSession,
-    ) -> None:
-        self.terms = terms
-        self.sources = sources
-        self.session = session
-        self.source = ''
-        self.is_asked = False
-
-    def choose(self, registry: InstanceRegistry) -> Source | None:
-        """Return who is asked, None to read the service."""
-        near = registry.near(self.terms.failure_domain)
-        self.is_asked = len(near) >= RELAY_FROM
-        return self.sources.choose(near)
-
-    @property
-    def watch_seconds(self) -> float:
-        """How long a watch of the service lasts."""
-        return READER_WATCH_SECONDS if self.is_asked else WATCH_SECONDS
-
-    @property
-    def gather_seconds(self) -> float:
-        """How long further changes are waited for after one."""
-        return READER_GATHER_SECONDS if self.is_asked else GATHER_SECONDS
-
-    def own_identity(self, registry: InstanceRegistry) -> str:
-        """Return the identity of the instance on this host, or nothing."""
-        own = registry.at_address(self.terms.instance_address)
-        return '' if own is None else own.identity
-
-    async def ask(
-        self,
-        peer: ListedInstance,
-        question: Question,
-        known: RoutingConfiguration | None,
-    ) -> Told | Refusal:
-        """Ask the daemon beside an instance for changes."""
-        return await ask_peer(
-            self.session,
-            f'{peer.host_address}:{self.terms.peer_port}',
-            question,
-            known,
-            QUESTION_SECONDS + PEER_SECONDS,
-        )
--- a/packages/proxy/tanagerbend_proxy/knowledge.py
+++ b/packages/proxy/tanagerbend_proxy/knowledge.py
@@ -59,6 +59,11 @@
             service=instance.service,
         )
 
+    def unreadable(self, identity: str, reason: str) -> None:
+        """Count and write an entry that names nothing to use."""
+        self.recorder.count('entries_unreadable')
+        self.log.write('entry_unreadable', instance=identity, reason=reason)
+
     def store_lost(self, reason: str) -> None:
         """Note that the configuration service does not answer."""
         self.registry.service_lost()
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/peers.py
@@ -0,0 +1,71 @@
+"""The daemons of the own failure domain as a source of changes."""
+
+from typing import Final
+
+import aiohttp
+
+from tanagerbend_model import Refusal
+from tanagerbend_proxy.changes import Question, Told
+from tanagerbend_proxy.relaying import ask_peer
+from tanagerbend_proxy.sources import RELAY_FROM, Source, Sources
+from tanagerbend_proxy.terms import Terms
+from tanagerbend_routing import (
+    InstanceRegistry,
+    ListedInstance,
+    RoutingConfiguration,
+)
+
+# How long a peer holds a question, and how much later it has answered; a
+# frozen peer is left after their sum.
+QUESTION_SECONDS: Final = 0.5
+PEER_SECONDS: Final = 0.4
+
+
+class Peers:
+    """The daemons of the own failure domain as a source of changes.
+
+    Parameters
+    ==========
+
+    terms : Terms
+    sources : Sources
+    session : aiohttp.ClientSession
+    """
+
+    def __init__(
+        self,
+        terms: Terms,
+        sources: Sources,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        self.terms = terms
+        self.sources = sources
+        self.session = session
+        self.source = ''
+        self.is_asked = False
+
+    def choose(self, registry: InstanceRegistry) -> Source | None:
+        """Return who is asked, None to read the service."""
+        near = registry.near(self.terms.failure_domain)
+        self.is_asked = len(near) >= RELAY_FROM
+        return self.sources.choose(near)
+
+    def own_identity(self, registry: InstanceRegistry) -> str:
+        """Return the identity of the instance on this host, or nothing."""
+        own = registry.at_address(self.terms.instance_address)
+        return '' if own is None else own.identity
+
+    async def ask(
+        self,
+        peer: ListedInstance,
+        question: Question,
+        known: RoutingConfiguration | None,
+    ) -> Told | Refusal:
+        """Ask the daemon beside an instance for changes."""
+        return await ask_peer(
+            self.session,
+            f'{peer.host_address}:{self.terms.peer_port}',
+            question,
+            known,
+            QUESTION_SECONDS + PEER_SECONDS,
+        )
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -15,16 +15,12 @@
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.exchange import make_session
-from tanagerbend_proxy.following import (
-    EXPIRY_SECONDS,
-    Follower,
-    ItemService,
-    Peers,
-)
+from tanagerbend_proxy.following import EXPIRY_SECONDS, Follower, ItemService
 from tanagerbend_proxy.front import CallerHandler, Endpoint, PeerHandler
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.peers import Peers
 from tanagerbend_proxy.sources import Sources
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_routing import Placement, RetryAllowance
