--- a/packages/proxy/tanagerbend_proxy/sources.py
+++ b/packages/proxy/tanagerbend_proxy/sources.py
@@ -15,7 +15,7 @@
 
 # Hosts of a failure domain from which on peers are asked; below, direct
 # reading costs little and does not depend on another process.
-RELAY_FROM: Final = 6
+RELAY_FROM: Final = 8
 # A peer that failed is asked again after this time, in seconds.
 FAILING_SECONDS: Final = 5.0
 # With this many failing peers in front of it a daemon reads by itself.
