Test that the rest of a long body comes before the next request

Guards against an instance that answers early and reads on later: it must get the bytes of the body where they are due.

--- a/packages/proxy/tanagerbend_proxy/tests/test_exchange.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_exchange.py
@@ -13,6 +13,8 @@
 PARTS = 4
 PART_SECONDS = 0.1
 LIMIT_SECONDS = 0.2
+# More than fits into the buffers of a connection.
+LONG_BYTES = 8000000
 
 
 async def trickle(request):
@@ -67,3 +69,51 @@
 async def test_limit_holds_for_other_bodies(session, address):
     """Guards against an answer that is waited for past its limit."""
     assert isinstance(await ask(session, address), Refusal)
+
+
+class EarlyServer:
+    """Server that answers before it has read a long body."""
+
+    def __init__(self):
+        self.starts = []
+
+    async def serve(self, reader, writer):
+        """Answer each request after its headers, then read its body."""
+        while True:
+            head = await reader.readuntil(b'\r\n\r\n')
+            self.starts.append(head.split(b' ', 1)[0])
+            writer.write(b'HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n')
+            await writer.drain()
+            await asyncio.sleep(PART_SECONDS)
+            if head.startswith(b'POST'):
+                self.starts.append(await reader.readexactly(LONG_BYTES))
+
+
+@pytest.fixture
+async def early():
+    """Server that answers early, and its address."""
+    made = EarlyServer()
+    server = await asyncio.start_server(made.serve, '127.0.0.1', 0)
+    yield made, '{}:{}'.format(*server.sockets[0].getsockname())
+    server.close()
+
+
+async def test_rest_of_a_long_body_comes_before_the_next_request(
+    session,
+    early,
+):
+    """Guards against a request inside the body of another one."""
+    server, address = early
+    body = b'x' * LONG_BYTES
+    for method, sent in (('POST', body), ('GET', b''), ('GET', b'')):
+        outgoing = Outgoing(address, method, '/', CIMultiDict(), sent, 2.0)
+        got = await send(session, outgoing)
+        assert isinstance(got, Answer)
+        assert got.status == 503
+    await asyncio.sleep(3 * PART_SECONDS)
+    assert [start for start in server.starts if start != body] == [
+        b'POST',
+        b'GET',
+        b'GET',
+    ]
+    assert body in server.starts
