--- a/packages/emulator/tanagerbend_emulator/trial.py
+++ b/packages/emulator/tanagerbend_emulator/trial.py
@@ -13,7 +13,7 @@
     EmulatedFleet,
     make_request,
 )
-from tanagerbend_emulator.loads import KindLoad, Load
+from tanagerbend_emulator.loads import Flood, KindLoad, Load
 from tanagerbend_emulator.policies import POLICIES
 from tanagerbend_emulator.virtual import run_virtual
 from tanagerbend_model import Ran
@@ -140,7 +140,7 @@
                 self.number += 1
                 group.create_task(self.send(entry, domain, self.number))
 
-    def _floods(self) -> list:
+    def _floods(self) -> list[Flood]:
         return [
             flood for flood in self.load.floods if flood.kind == self.kind.name
         ]
