--- a/packages/operator/tanagerbend_operator/request_story.py
+++ b/packages/operator/tanagerbend_operator/request_story.py
@@ -10,7 +10,6 @@
 # Lines of the hosts of a request that are shown from this time before and
 # after its end, in seconds; restarts and outages last a few seconds.
 AROUND_SECONDS: Final = 5.0
-AGAIN: Final = 'request_sent_again'
 REFUSED: Final = 'request_refused'
 FAILED: Final = 'request_failed'
 LATE: Final = 'request_late'
