--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -88,7 +88,7 @@
 
 
 @attrs.frozen
-class Question:
+class PollRequest:
     """What a daemon asks a peer that reads the service.
 
     Parameters
@@ -117,24 +117,24 @@
         return json.dumps(attrs.astuple(self))
 
     @classmethod
-    def decode(cls, text: str) -> 'Question | Refusal':
+    def decode(cls, text: str) -> 'PollRequest | Refusal':
         """Read the header of another daemon."""
         try:
             fields = attrs.fields_dict(cls)
-            told = dict(zip(fields, json.loads(text), strict=True))
+            sent = dict(zip(fields, json.loads(text), strict=True))
             return cls(
-                int(told['revision']),
-                int(told['version']),
-                float(told['wait']),
-                str(told['host']),
-                float(told['speed']),
+                int(sent['revision']),
+                int(sent['version']),
+                float(sent['wait']),
+                str(sent['host']),
+                float(sent['speed']),
             )
         except MALFORMED as error:
-            return Refusal(ResultCode.HEADER_INVALID, f'question: {error}')
+            return Refusal(ResultCode.HEADER_INVALID, f'request: {error}')
 
 
 @attrs.frozen
-class Told:
+class PollReply:
     """What a peer tells.
 
     Parameters
@@ -152,8 +152,8 @@
     reader: str
 
 
-def encode_told(
-    told: Told,
+def encode_reply(
+    reply: PollReply,
     base: RoutingConfiguration | None,
     now: float,
 ) -> bytes:
@@ -165,7 +165,7 @@
     instances = []
     gone = []
     routes = None
-    for item in told.batch.items:
+    for item in reply.batch.items:
         match item.fact:
             case ListedInstance(cold_until=cold_until):
                 fields = attrs.asdict(item.fact)
@@ -176,9 +176,9 @@
             case _:
                 gone.append(item.identity)
     document = {
-        'revision': told.batch.revision,
-        'age_ms': round(told.age * MILLISECONDS),
-        'reader': told.reader,
+        'revision': reply.batch.revision,
+        'age_ms': round(reply.age * MILLISECONDS),
+        'reader': reply.reader,
         'instances': instances,
         'gone': gone,
         'routes': routes,
@@ -205,15 +205,15 @@
     return field.name not in {'parts', 'repeat'}
 
 
-def decode_told(
+def decode_reply(
     raw: bytes,
     known: RoutingConfiguration | None,
     now: float,
-) -> Told | Refusal:
+) -> PollReply | Refusal:
     """Read what a peer told; ``known`` is the configuration here."""
     try:
         document = json.loads(_inflate(raw))
-        return _told(document, known, now, len(raw))
+        return _read_reply(document, known, now, len(raw))
     except MALFORMED as error:
         reason = f'answer of a peer: {type(error).__name__}: {error}'
         return Refusal(ResultCode.FRAME_MALFORMED, reason)
@@ -226,12 +226,12 @@
     return unpacked
 
 
-def _told(
+def _read_reply(
     document: dict[str, Any],
     known: RoutingConfiguration | None,
     now: float,
     size: int,
-) -> Told:
+) -> PollReply:
     items = [Item(name, Removed()) for name in document['gone']]
     for fields in document['instances']:
         fields['cold_until'] += now
@@ -245,7 +245,7 @@
         base = known if difference.base else None
         made = RoutingConfiguration.changed_by(difference, base)
         items.append(Item('', made))
-    return Told(
+    return PollReply(
         Batch(tuple(items), int(document['revision']), size),
         document['age_ms'] / MILLISECONDS,
         str(document['reader']),
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -14,14 +14,14 @@
     Batch,
     HistoryGone,
     Item,
-    Question,
+    PollRequest,
     Removed,
-    Told,
+    PollReply,
     Unreadable,
-    encode_told,
+    encode_reply,
 )
 from tanagerbend_proxy.knowledge import Knowledge
-from tanagerbend_proxy.peers import QUESTION_SECONDS, Peers
+from tanagerbend_proxy.peers import POLL_WAIT_SECONDS, Peers
 from tanagerbend_proxy.relaying import ChangeLog
 from tanagerbend_proxy.sources import Source
 from tanagerbend_routing import ListedInstance, RoutingConfiguration
@@ -129,7 +129,7 @@
             if peer is None:
                 await self._follow_service()
             else:
-                await self.follow_peer(peer)
+                await self.poll(peer)
 
     def _choose_peer(self) -> Source | None:
         if self.revision is None:
@@ -174,69 +174,69 @@
                 self.revision = None
         return got
 
-    async def follow_peer(self, source: Source) -> Told | Refusal:
+    async def poll(self, source: Source) -> PollReply | Refusal:
         """Ask a peer once and take what it tells."""
         peer = source.instance
-        question = Question(
+        request = PollRequest(
             self.revision or 0,
             self.knowledge.version,
-            0.0 if source.is_check else QUESTION_SECONDS,
+            0.0 if source.is_check else POLL_WAIT_SECONDS,
             self.peers.own_identity(self.knowledge.registry),
             self.speed,
         )
-        told = await self.peers.ask(
+        reply = await self.peers.ask(
             peer,
-            question,
+            request,
             self.knowledge.configuration,
         )
-        match told:
-            case Told(age=age) if age <= MOST_AGE_SECONDS:
+        match reply:
+            case PollReply(age=age) if age <= MOST_AGE_SECONDS:
                 if source.is_check:
-                    self.peers.sources.named = told.reader
+                    self.peers.sources.named = reply.reader
                 self._heard(age)
-                self._take(told.batch)
-                return told
-            case Told(age=age):
+                self._take(reply.batch)
+                return reply
+            case PollReply(age=age):
                 reason = f'heard the service {age:.1f} s ago'
-                told = Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
+                reply = Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
         self.peers.sources.failed(peer.identity)
         self.recorder.count('peers_left')
         self.knowledge.log.write(
             'peer_left',
             instance=peer.identity,
-            reason=told.reason,
+            reason=reply.reason,
         )
-        return told
+        return reply
 
-    async def answer(self, question: Question) -> bytes | Refusal:
+    async def answer(self, request: PollRequest) -> bytes | Refusal:
         """Answer a peer when there is a change, or after its wait."""
-        self.peers.sources.asked(question.host, question.speed)
-        due = self.timer.now() + min(question.wait, QUESTION_SECONDS)
+        self.peers.sources.asked(request.host, request.speed)
+        due = self.timer.now() + min(request.wait, POLL_WAIT_SECONDS)
         while True:
             if self.age > MOST_AGE_SECONDS:
                 reason = f'heard the service {self.age:.1f} s ago'
                 return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
-            items = self.log.since(question.revision)
+            items = self.log.since(request.revision)
             if items is None:
-                reason = f'changes after {question.revision} are not kept'
+                reason = f'changes after {request.revision} are not kept'
                 return Refusal(ResultCode.VERSION_OLDER, reason)
             left = min(due - self.timer.now(), MOST_AGE_SECONDS - self.age)
             if items or left <= 0:
-                return self._tell(question, items)
+                return self._tell(request, items)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(left):
                     await self.log.changed.wait()
 
-    def _tell(self, question: Question, items: tuple[Item, ...]) -> bytes:
+    def _tell(self, request: PollRequest, items: tuple[Item, ...]) -> bytes:
         own = self.peers.own_identity(self.knowledge.registry)
         self.peers.sources.asked(own, self.speed)
-        told = Told(
+        reply = PollReply(
             Batch(items, self.revision or 0),
             self.age,
             self.peers.sources.fastest[0],
         )
-        base = self.log.versions.get(question.version)
-        return encode_told(told, base, self.timer.now())
+        base = self.log.versions.get(request.version)
+        return encode_reply(reply, base, self.timer.now())
 
     def _measure(self, batch: Batch) -> None:
         """Take the reading speed from a transfer that is long enough."""
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -14,7 +14,7 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
-from tanagerbend_proxy.changes import Question
+from tanagerbend_proxy.changes import PollRequest
 from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.exchange import without_connection
 from tanagerbend_proxy.following import Follower
@@ -192,17 +192,17 @@
 
     async def tell(self, text: str) -> web.Response:
         """Tell the changes that another daemon asks for."""
-        question = Question.decode(text)
-        match question:
-            case Question():
-                told = await self.follower.answer(question)
+        request = PollRequest.decode(text)
+        match request:
+            case PollRequest():
+                reply = await self.follower.answer(request)
             case _:
-                told = question
-        match told:
+                reply = request
+        match reply:
             case Refusal(reason=reason):
                 status = HTTPStatus.SERVICE_UNAVAILABLE
                 return web.Response(status=status, text=reason)
-        return web.Response(body=told)
+        return web.Response(body=reply)
 
     async def run(self, http: web.BaseRequest) -> web.StreamResponse:
         """Run one request at the instance here."""
--- a/packages/proxy/tanagerbend_proxy/peers.py
+++ b/packages/proxy/tanagerbend_proxy/peers.py
@@ -5,8 +5,8 @@
 import aiohttp
 
 from tanagerbend_model import Refusal
-from tanagerbend_proxy.changes import Question, Told
-from tanagerbend_proxy.relaying import ask_peer
+from tanagerbend_proxy.changes import PollRequest, PollReply
+from tanagerbend_proxy.relaying import poll_peer
 from tanagerbend_proxy.sources import RELAY_FROM, Source, Sources
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_routing import (
@@ -15,10 +15,10 @@
     RoutingConfiguration,
 )
 
-# How long a peer holds a question, and how much later it has answered; a
+# How long a peer holds a request, and how much later it has answered; a
 # frozen peer is left after their sum.
-QUESTION_SECONDS: Final = 0.5
-PEER_SECONDS: Final = 0.4
+POLL_WAIT_SECONDS: Final = 0.5
+PEER_ANSWER_SECONDS: Final = 0.4
 
 
 class Peers:
@@ -58,14 +58,14 @@
     async def ask(
         self,
         peer: ListedInstance,
-        question: Question,
+        request: PollRequest,
         known: RoutingConfiguration | None,
-    ) -> Told | Refusal:
+    ) -> PollReply | Refusal:
         """Ask the daemon beside an instance for changes."""
-        return await ask_peer(
+        return await poll_peer(
             self.session,
             f'{peer.host_address}:{self.terms.peer_port}',
-            question,
+            request,
             known,
-            QUESTION_SECONDS + PEER_SECONDS,
+            POLL_WAIT_SECONDS + PEER_ANSWER_SECONDS,
         )
--- a/packages/proxy/tanagerbend_proxy/relaying.py
+++ b/packages/proxy/tanagerbend_proxy/relaying.py
@@ -12,9 +12,9 @@
 from tanagerbend_proxy.changes import (
     Batch,
     Item,
-    Question,
-    Told,
-    decode_told,
+    PollRequest,
+    PollReply,
+    decode_reply,
 )
 from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.messages import Answer
@@ -73,15 +73,15 @@
         return tuple(newest.values())
 
 
-async def ask_peer(
+async def poll_peer(
     session: aiohttp.ClientSession,
     address: str,
-    question: Question,
+    request: PollRequest,
     known: RoutingConfiguration | None,
     limit: float,
-) -> Told | Refusal:
+) -> PollReply | Refusal:
     """Ask the daemon at ``address:port`` for changes; ``limit`` seconds."""
-    headers = CIMultiDict({own_headers.FOLLOW: question.encode()})
+    headers = CIMultiDict({own_headers.FOLLOW: request.encode()})
     got = await send(
         session,
         Outgoing(address, 'GET', FOLLOW_PATH, headers, b'', limit),
@@ -89,7 +89,7 @@
     match got:
         case Answer(status=status, body=body) if status == OK:
             now = asyncio.get_running_loop().time()
-            return decode_told(body, known, now)
+            return decode_reply(body, known, now)
         case Answer(body=body):
             reason = body.decode('utf-8', 'replace')
             return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
--- a/packages/proxy/tanagerbend_proxy/tests/test_changes.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_changes.py
@@ -10,11 +10,11 @@
     MOST_BYTES,
     Batch,
     Item,
-    Question,
+    PollRequest,
     Removed,
-    Told,
-    decode_told,
-    encode_told,
+    PollReply,
+    decode_reply,
+    encode_reply,
 )
 from tanagerbend_routing import (
     CallerLimits,
@@ -57,12 +57,12 @@
 
 
 def told(*items):
-    return Told(Batch(items, 120), 0.25, 'i-5')
+    return PollReply(Batch(items, 120), 0.25, 'i-5')
 
 
 def passed_on(found, base, known, now=50.0):
-    raw = encode_told(found, base, 10.0)
-    return decode_told(raw, known, now), len(raw)
+    raw = encode_reply(found, base, 10.0)
+    return decode_reply(raw, known, now), len(raw)
 
 
 @pytest.mark.parametrize(('base', 'known'), [(OLD, OLD), (None, OLD)])
@@ -113,12 +113,12 @@
         zlib.compress(b'[]'),
         zlib.compress(b'{"revision": 3}'),
         zlib.compress(b' ' * (MOST_BYTES + 9)),
-        encode_told(told(Item('', NEW)), OLD, 0.0)[:-9],
+        encode_reply(told(Item('', NEW)), OLD, 0.0)[:-9],
     ],
 )
 def test_malformed_answer_is_refused(raw):
     """Guards against a peer that breaks the following of others."""
-    found = decode_told(raw, OLD, 0.0)
+    found = decode_reply(raw, OLD, 0.0)
     assert isinstance(found, Refusal)
     assert found.code is ResultCode.FRAME_MALFORMED
 
@@ -131,6 +131,6 @@
 
 def test_question_arrives_unchanged():
     """Guards against a question that asks for something else."""
-    question = Question(120, 7, 0.5, 'i-1', 9000.5)
-    assert Question.decode(question.encode()) == question
-    assert isinstance(Question.decode('[1]'), Refusal)
+    question = PollRequest(120, 7, 0.5, 'i-1', 9000.5)
+    assert PollRequest.decode(question.encode()) == question
+    assert isinstance(PollRequest.decode('[1]'), Refusal)
