Set up servers and periodic calls in one place each

The server of the platform path and that of the sheet's path were set up by the same lines, and three timers made the task of a subscription themselves: make_runner and Subscription.start serve them now. Four names of events that were used once each are listed where they are used, and imports are in order.

--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -15,7 +15,7 @@
 from tanagerbend_daemon.cutting import cut
 from tanagerbend_daemon.drain import Drain
 from tanagerbend_daemon.entry import CallHandler
-from tanagerbend_daemon.listener import Listener
+from tanagerbend_daemon.listener import Listener, make_runner
 from tanagerbend_daemon.order_answers import order_headers
 from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_daemon.peer_hop import peer_proof
@@ -80,18 +80,7 @@
 
     async def start(self, address: str, port: int) -> str:
         """Listen; return ``address:port``."""
-        server = web.Server(
-            self.serve,
-            # A caller that goes away gives its slot back.
-            handler_cancellation=True,
-            auto_decompress=False,
-            access_log=None,
-        )
-        self.runner = web.ServerRunner(
-            server,
-            access_log=None,
-            shutdown_timeout=SHUTDOWN_SECONDS,
-        )
+        self.runner = make_runner(self.serve, SHUTDOWN_SECONDS)
         await self.runner.setup()
         self.listener = Listener(self.runner)
         return await self.listener.start(address, port)
--- a/packages/daemon/tanagerbend_daemon/listener.py
+++ b/packages/daemon/tanagerbend_daemon/listener.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import socket
-from typing import Final
+from collections.abc import Awaitable, Callable
+from typing import Any, Final
 
 from aiohttp import web
 
@@ -13,6 +14,30 @@
 LINGER_SECONDS: Final = 1.0
 
 
+def make_runner(
+    serve: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    shutdown_seconds: float,
+    **options: Any,
+) -> web.ServerRunner:
+    """Return a runner that answers requests with ``serve``.
+
+    ``options`` are those of the server for a connection.
+    """
+    server = web.Server(
+        serve,
+        # A caller that goes away gives its slot back.
+        handler_cancellation=True,
+        auto_decompress=False,
+        access_log=None,
+        **options,
+    )
+    return web.ServerRunner(
+        server,
+        access_log=None,
+        shutdown_timeout=shutdown_seconds,
+    )
+
+
 class Listener:
     """Accepts connections for a server runner.
 
--- a/packages/emulator/tanagerbend_emulator/virtual.py
+++ b/packages/emulator/tanagerbend_emulator/virtual.py
@@ -74,9 +74,7 @@
         spread: float = 0.0,
     ) -> Subscription:
         """Call back periodically until the subscription is cancelled."""
-        subscription = Subscription(seconds, callback, spread)
-        subscription.task = asyncio.create_task(subscription.run(self.sleep))
-        return subscription
+        return Subscription(seconds, callback, spread).start(self.sleep)
 
     def on_pause(self, listener: PauseListener) -> None:
         """Do nothing; virtual time has no pauses."""
--- a/packages/operator/tanagerbend_operator/request_story.py
+++ b/packages/operator/tanagerbend_operator/request_story.py
@@ -10,11 +10,10 @@
 # Lines of the hosts of a request that are shown from this time before and
 # after its end, in seconds; restarts and outages last a few seconds.
 AROUND_SECONDS: Final = 5.0
-REFUSED: Final = 'request_refused'
-FAILED: Final = 'request_failed'
-LATE: Final = 'request_late'
-LEFT: Final = 'request_left'
-ENDS: Final = frozenset((REFUSED, FAILED, LATE, LEFT))
+# Events that end a request which was not served on time.
+ENDS: Final = frozenset(
+    ('request_refused', 'request_failed', 'request_late', 'request_left'),
+)
 # What a host tells of itself when a request to it may have been cut.
 RESTARTS: Final = frozenset(('daemon_started', 'daemon_stopping'))
 
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -14,9 +14,9 @@
     Batch,
     HistoryGone,
     Item,
+    PollReply,
     PollRequest,
     Removed,
-    PollReply,
     Unreadable,
     encode_reply,
 )
@@ -41,8 +41,6 @@
 # Changes that come together are read together; well below the two seconds
 # within which a configuration must be in force.
 GATHER_SECONDS: Final = 0.4
-
-
 # A daemon that peers ask notices a lost answer within the time in which its
 # peers must still hear of a change elsewhere.
 READER_WATCH_SECONDS: Final = 0.8
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
-from tanagerbend_daemon.listener import Listener
+from tanagerbend_daemon.listener import Listener, make_runner
 from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode
@@ -68,20 +68,13 @@
 
     async def open(self, address: str) -> None:
         """Listen at ``address:port``."""
-        server = web.Server(
+        self.runner = make_runner(
             self.serve,
-            handler_cancellation=True,
-            auto_decompress=False,
-            access_log=None,
+            SHUTDOWN_SECONDS,
             keepalive_timeout=KEEP_SECONDS,
             max_line_size=HEADER_LIMIT,
             max_field_size=HEADER_LIMIT,
         )
-        self.runner = web.ServerRunner(
-            server,
-            access_log=None,
-            shutdown_timeout=SHUTDOWN_SECONDS,
-        )
         await self.runner.setup()
         self.listener = Listener(self.runner)
         host, _, port = address.rpartition(':')
--- a/packages/proxy/tanagerbend_proxy/peers.py
+++ b/packages/proxy/tanagerbend_proxy/peers.py
@@ -5,7 +5,7 @@
 import aiohttp
 
 from tanagerbend_model import Refusal
-from tanagerbend_proxy.changes import PollRequest, PollReply
+from tanagerbend_proxy.changes import PollReply, PollRequest
 from tanagerbend_proxy.relaying import poll_peer
 from tanagerbend_proxy.sources import RELAY_FROM, Source, Sources
 from tanagerbend_proxy.terms import Terms
--- a/packages/proxy/tanagerbend_proxy/relaying.py
+++ b/packages/proxy/tanagerbend_proxy/relaying.py
@@ -12,8 +12,8 @@
 from tanagerbend_proxy.changes import (
     Batch,
     Item,
-    PollRequest,
     PollReply,
+    PollRequest,
     decode_reply,
 )
 from tanagerbend_proxy.exchange import Outgoing, send
--- a/packages/timer/tanagerbend_timer/manual.py
+++ b/packages/timer/tanagerbend_timer/manual.py
@@ -54,9 +54,7 @@
         spread: float = 0.0,
     ) -> Subscription:
         """Call back periodically in manual time."""
-        subscription = Subscription(seconds, callback, spread)
-        subscription.task = asyncio.create_task(subscription.run(self.sleep))
-        return subscription
+        return Subscription(seconds, callback, spread).start(self.sleep)
 
     def on_pause(self, listener: PauseListener) -> None:
         """Register a listener for ``pause``."""
--- a/packages/timer/tanagerbend_timer/service.py
+++ b/packages/timer/tanagerbend_timer/service.py
@@ -93,7 +93,7 @@
     ) -> Subscription:
         """Call back periodically until the subscription is cancelled."""
         subscription = Subscription(seconds, callback, spread)
-        subscription.task = asyncio.create_task(subscription.run(self.sleep))
+        subscription.start(self.sleep)
         self.subscriptions.add(subscription)
         return subscription
 
--- a/packages/timer/tanagerbend_timer/subscription.py
+++ b/packages/timer/tanagerbend_timer/subscription.py
@@ -30,6 +30,14 @@
         self.task: asyncio.Task[None] | None = None
         self.is_cancelled = False
 
+    def start(
+        self,
+        sleep: Callable[[float], Awaitable[None]],
+    ) -> 'Subscription':
+        """Call back in a task of its own; return this subscription."""
+        self.task = asyncio.create_task(self.run(sleep))
+        return self
+
     async def run(self, sleep: Callable[[float], Awaitable[None]]) -> None:
         """Call back until cancelled."""
         await sleep(self.spread)
