Log failed readings, the age of news and the use of the link

The lines of incident late-changes could not tell a full link from a wait in the HTTP client or a blocked event loop, and further failed readings of the service had no line. Each failed reading and each peer that is left now has the age of the news, the bytes that wait and the rates of the last second, and says whether there was a connection and how long it took; news_late and news_heard bracket the time without news; loop_delayed shows a late event loop. The wiring of a daemon moves to a module of its own. No decision changes.

--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -17,6 +17,7 @@
 from tanagerbend_proxy import HeaderNames, Listening, StopTerms, Terms
 from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.knowledge import Knowledge
+from tanagerbend_proxy.link_use import LinkUse
 from tanagerbend_proxy.messages import Answer, Outcome, Placed, Request
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_routing import (
@@ -33,6 +34,8 @@
 FAILED: Final = 500
 OVER: Final = 504
 KILOBYTE: Final = 1024
+# Nothing changes in an emulation.
+APPLY_SECONDS: Final = 2.0
 NAMES: Final = HeaderNames(
     **{name: name for name in attrs.fields_dict(HeaderNames)},
 )
@@ -262,6 +265,7 @@
             self.recorder,
             SilentLog(),
             self.random,
+            LinkUse(self.recorder),
             fleet=self,
         )
         instance.entry = entry
@@ -299,6 +303,7 @@
         Listening('', ':1', '', ''),
         StopTerms(1.0),
         load.budget,
+        APPLY_SECONDS,
     )
 
 
--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -11,6 +11,13 @@
 
 # Time from the arrival of a request at its entry daemon to its answer.
 ANSWER_TIME: Final = 'answer'
+# How late a periodic call of the event loop runs, and the time until a
+# connection is open.
+LOOP_DELAY: Final = 'loop_delay'
+CONNECT_TIME: Final = 'connect'
+# Bytes of bodies between this host and others.
+BYTES_SENT: Final = 'bytes_sent'
+BYTES_RECEIVED: Final = 'bytes_received'
 
 # A call that the owner refuses to its entry daemon may be served by another
 # instance, so these are counted apart from what callers see.
@@ -45,6 +52,8 @@
     'records_refused': 'reason',
     'orders_ended': 'state',
     'store_calls': 'call',
+    BYTES_SENT: 'purpose',
+    BYTES_RECEIVED: 'purpose',
     'log_lines_left_out': 'event',
 }
 # Exposed from the start, so that an alert on them never lacks a series.
--- a/packages/proxy/tanagerbend_proxy/__init__.py
+++ b/packages/proxy/tanagerbend_proxy/__init__.py
@@ -1,5 +1,6 @@
 """Path of requests that follow a routing configuration."""
 
+from tanagerbend_proxy.assembly import Parts, assemble
 from tanagerbend_proxy.changes import (
     Batch,
     HistoryGone,
@@ -9,7 +10,7 @@
 )
 from tanagerbend_proxy.following import ItemService
 from tanagerbend_proxy.headers import HeaderNames
-from tanagerbend_proxy.service import Parts, ProxyService, assemble
+from tanagerbend_proxy.service import ProxyService
 from tanagerbend_proxy.terms import Listening, StopTerms, Terms
 
 __all__ = (
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -0,0 +1,124 @@
+"""The parts of one daemon, wired to each other."""
+
+import random
+from collections.abc import Callable
+from typing import Final
+
+import attrs
+
+from tanagerbend_admission import ObjectiveQueue
+from tanagerbend_metrics import Recorder
+from tanagerbend_proxy.decisions import DecisionLog
+from tanagerbend_proxy.entry import Entry
+from tanagerbend_proxy.exchange import make_session
+from tanagerbend_proxy.following import Follower, ItemService
+from tanagerbend_proxy.front import CallerHandler, Endpoint, PeerHandler
+from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.knowledge import Knowledge
+from tanagerbend_proxy.link_use import LinkUse
+from tanagerbend_proxy.news_age import NewsAge
+from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.peers import Peers
+from tanagerbend_proxy.sources import Sources
+from tanagerbend_proxy.terms import Terms
+from tanagerbend_routing import Placement, RetryAllowance
+from tanagerbend_timer import SystemTimer
+
+# Idle connections to the instance; below the ten seconds after which
+# instances of today's deployments close them.
+INSTANCE_KEEP_SECONDS: Final = 4.0
+PEER_KEEP_SECONDS: Final = 30.0
+# Slots of the instance until its entry has been read.
+FIRST_SLOTS: Final = 4
+
+
+@attrs.define
+class Parts:
+    """The parts of one daemon."""
+
+    terms: Terms
+    recorder: Recorder
+    log: DecisionLog
+    knowledge: Knowledge
+    follower: Follower
+    owner: Owner
+    entry: Entry
+    callers: Endpoint
+    peers: Endpoint
+    link: LinkUse
+    is_stopping: bool = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether this daemon takes requests."""
+        return not self.is_stopping and self.knowledge.configuration is not None
+
+    def adopt_terms(self, terms: Terms) -> None:
+        """Take new bounds; addresses stay as long as the process runs."""
+        is_changed = terms != self.terms
+        self.terms = terms
+        self.entry.allowance.terms = terms.budget
+        self.follower.news.bound = terms.apply_seconds
+        self.log.write('settings_reloaded', is_changed=is_changed)
+
+
+def assemble(
+    terms: Terms,
+    names: HeaderNames,
+    connect: Callable[[Recorder], ItemService],
+) -> Parts:
+    """Wire the parts of a daemon; needs a running event loop.
+
+    ``connect`` returns the client of the platform's service.
+    """
+    recorder = Recorder(SystemTimer())
+    chance = random.Random()  # noqa: S311
+    log = DecisionLog(terms.host, recorder)
+    knowledge = Knowledge(recorder, log)
+    link = LinkUse(recorder)
+    owner = Owner(
+        terms.instance_address,
+        make_session(INSTANCE_KEEP_SECONDS, 0),
+        ObjectiveQueue(recorder.timer, FIRST_SLOTS),
+        names,
+        recorder,
+        knowledge.registry,
+    )
+    session = make_session(PEER_KEEP_SECONDS, 0)
+    entry = Entry(
+        terms,
+        knowledge,
+        Placement(terms.failure_domain, chance, recorder),
+        owner,
+        RetryAllowance(terms.budget),
+        session,
+        names,
+        recorder,
+        log,
+        chance,
+        link,
+    )
+    follower = Follower(
+        connect(recorder),
+        knowledge,
+        Peers(terms, Sources(terms.instance_address, recorder), session),
+        recorder,
+        chance,
+        NewsAge(knowledge, link, terms.apply_seconds),
+    )
+    endpoint = CallerHandler(entry, names, recorder, terms.service)
+    callers = Endpoint(endpoint.handle, recorder)
+    peers = Endpoint(PeerHandler(owner, follower, names).handle, recorder)
+    link.count_unsent = lambda: callers.unsent + peers.unsent
+    return Parts(
+        terms,
+        recorder,
+        log,
+        knowledge,
+        follower,
+        owner,
+        entry,
+        callers,
+        peers,
+        link,
+    )
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -17,6 +17,7 @@
 from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.knowledge import Knowledge
+from tanagerbend_proxy.link_use import PLACED, LinkUse
 from tanagerbend_proxy.messages import (
     MILLISECONDS,
     Answer,
@@ -127,6 +128,7 @@
     recorder : Recorder
     log : DecisionLog
     random : random.Random
+    link : LinkUse
     """
 
     terms: Terms
@@ -139,6 +141,7 @@
     recorder: Recorder
     log: DecisionLog
     random: random.Random
+    link: LinkUse
 
     async def handle(self, request: Request) -> Answer | Refusal:
         """Answer a request, or refuse it with a reason."""
@@ -273,6 +276,7 @@
         match end:
             case Refusal():
                 return Outcome(end, is_offered=end.ran is not Ran.NO)
+        self.link.received(PLACED, len(end.body))
         told = end.headers.pop(own_headers.OUTCOME, '')
         return Outcome.decode(told, end)
 
--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -54,11 +54,22 @@
     after_foreign : float
         Seconds that are left once an answer to another request has come,
         infinite to wait until the limit.
+    started : float
+        Time of the event loop.
     """
 
     header: str = ''
     identifier: str = ''
     after_foreign: float = math.inf
+    started: float = 0.0
+
+    def describe(self) -> str:
+        """Return how far the attempt came, and in which time."""
+        seconds = asyncio.get_running_loop().time() - self.started
+        phase = 'new connection' if self.is_new else 'kept connection'
+        if not self.is_connected:
+            phase = 'no connection'
+        return f'{phase}, {seconds:.2f} s'
 
     def skipped(self) -> None:
         """Wait less, since the own answer may never come."""
@@ -200,6 +211,7 @@
         header=outgoing.header,
         identifier=outgoing.identifier,
         after_foreign=outgoing.after_foreign,
+        started=asyncio.get_running_loop().time(),
     )
     token = ATTEMPT.set(attempt)
     try:
@@ -271,8 +283,12 @@
     )
 
 
-def _refuse(address: str, error: Exception, attempt: Attempt) -> Refusal:
-    reason = f'{address}: {type(error).__name__}'
+def _refuse(
+    address: str,
+    error: Exception,
+    attempt: IdentifiedAttempt,
+) -> Refusal:
+    reason = f'{address}: {type(error).__name__}, {attempt.describe()}'
     if isinstance(error, NOT_SENT) or not attempt.is_connected:
         return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
     if isinstance(error, TimeoutError) and attempt.limit.expired():
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -21,6 +21,8 @@
     encode_reply,
 )
 from tanagerbend_proxy.knowledge import Knowledge
+from tanagerbend_proxy.link_use import CHANGES, SERVICE
+from tanagerbend_proxy.news_age import NewsAge
 from tanagerbend_proxy.peers import POLL_WAIT_SECONDS, Peers
 from tanagerbend_proxy.relaying import ChangeLog
 from tanagerbend_proxy.sources import Source
@@ -81,6 +83,7 @@
     peers : Peers
     recorder : Recorder
     random : random.Random
+    news : NewsAge
     """
 
     def __init__(
@@ -90,6 +93,7 @@
         peers: Peers,
         recorder: Recorder,
         chance: random.Random,
+        news: NewsAge,
     ) -> None:
         self.service = service
         self.knowledge = knowledge
@@ -97,17 +101,12 @@
         self.recorder = recorder
         self.timer = recorder.timer
         self.random = chance
+        self.news = news
         self.revision: int | None = None
-        self.heard_at = float('-inf')
         self.speed = 0.0
         self.backoff = FIRST_BACKOFF_SECONDS
         self.log = ChangeLog()
 
-    @property
-    def age(self) -> float:
-        """Seconds since the service was heard, here or by a peer."""
-        return self.timer.now() - self.heard_at
-
     @property
     def watch_seconds(self) -> float:
         """How long a watch of the service lasts."""
@@ -144,8 +143,8 @@
     async def _follow_service(self) -> None:
         got = await self.step()
         match got:
-            case Refusal(reason=reason):
-                self.knowledge.store_lost(reason)
+            case Refusal():
+                self._failed(got)
                 await self._back_off()
             case Batch(items=items) if items:
                 self.backoff = FIRST_BACKOFF_SECONDS
@@ -153,6 +152,10 @@
             case _:
                 self.backoff = FIRST_BACKOFF_SECONDS
 
+    def _failed(self, refusal: Refusal) -> None:
+        self.knowledge.store_lost(refusal.reason)
+        self.news.write('service_failed', reason=refusal.reason)
+
     async def step(self) -> Batch | HistoryGone | Refusal:
         """Read once and take what was read."""
         if self.revision is None:
@@ -165,6 +168,7 @@
         )
         match got:
             case Batch():
+                self.news.link.received(SERVICE, got.size)
                 self._measure(got)
                 self._heard(0.0)
                 self._take(got)
@@ -191,6 +195,7 @@
             case PollReply(age=age) if age <= MOST_AGE_SECONDS:
                 if source.is_check:
                     self.peers.sources.named = reply.reader
+                self.news.link.received(CHANGES, reply.batch.size)
                 self._heard(age)
                 self._take(reply.batch)
                 return reply
@@ -199,7 +204,7 @@
                 reply = Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
         self.peers.sources.failed(peer.identity)
         self.recorder.count('peers_left')
-        self.knowledge.log.write(
+        self.news.write(
             'peer_left',
             instance=peer.identity,
             reason=reply.reason,
@@ -211,14 +216,16 @@
         self.peers.sources.asked(request.host, request.speed)
         due = self.timer.now() + min(request.wait, POLL_WAIT_SECONDS)
         while True:
-            if self.age > MOST_AGE_SECONDS:
-                reason = f'heard the service {self.age:.1f} s ago'
+            if self.news.seconds > MOST_AGE_SECONDS:
+                reason = f'heard the service {self.news.seconds:.1f} s ago'
                 return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
             items = self.log.since(request.revision)
             if items is None:
                 reason = f'changes after {request.revision} are not kept'
                 return Refusal(ResultCode.VERSION_OLDER, reason)
-            left = min(due - self.timer.now(), MOST_AGE_SECONDS - self.age)
+            left = min(
+                due - self.timer.now(), MOST_AGE_SECONDS - self.news.seconds
+            )
             if items or left <= 0:
                 return self._tell(request, items)
             with contextlib.suppress(TimeoutError):
@@ -230,7 +237,7 @@
         self.peers.sources.asked(own, self.speed)
         reply = PollReply(
             Batch(items, self.revision or 0),
-            self.age,
+            self.news.seconds,
             self.peers.sources.fastest[0],
         )
         base = self.log.versions.get(request.version)
@@ -242,7 +249,7 @@
             self.speed = batch.size / max(batch.seconds, LEAST_SECONDS)
 
     def _heard(self, age: float) -> None:
-        self.heard_at = self.timer.now() - age
+        self.news.heard(age)
         self.knowledge.store_regained()
 
     async def _list(self) -> Batch | Refusal:
@@ -250,6 +257,7 @@
         match got:
             case Refusal():
                 return got
+        self.news.link.received(SERVICE, got.size)
         self._measure(got)
         self._heard(0.0)
         self._take_listing(got)
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -19,6 +19,7 @@
 from tanagerbend_proxy.exchange import without_connection
 from tanagerbend_proxy.following import Follower
 from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.link_use import ANSWERS, CHANGES, PLACED
 from tanagerbend_proxy.messages import (
     MILLISECONDS,
     Answer,
@@ -93,6 +94,18 @@
             response.force_close()
         return response
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that wait in this process."""
+        if self.runner is None or self.runner.server is None:
+            return 0
+        transports = (each.transport for each in self.runner.server.connections)
+        return sum(
+            each.get_write_buffer_size()
+            for each in transports
+            if each is not None
+        )
+
     async def close(self) -> None:
         """Stop listening and end the connections."""
         listener = self.listener
@@ -121,6 +134,7 @@
         match end:
             case Refusal():
                 return self.refuse(end, request)
+        self.entry.link.sent(ANSWERS, len(end.body))
         return respond(end)
 
     async def read(self, http: web.BaseRequest) -> Request | Refusal:
@@ -195,6 +209,7 @@
             case Refusal(reason=reason):
                 status = HTTPStatus.SERVICE_UNAVAILABLE
                 return web.Response(status=status, text=reason)
+        self.follower.news.link.sent(CHANGES, len(reply))
         return web.Response(body=reply)
 
     async def run(self, http: web.BaseRequest) -> web.StreamResponse:
@@ -226,7 +241,8 @@
 
     def _respond(self, identifier: str, outcome: Outcome) -> web.Response:
         match outcome.end:
-            case Answer():
+            case Answer(body=body):
+                self.follower.news.link.sent(PLACED, len(body))
                 response = respond(outcome.end)
             case Refusal(reason=reason):
                 response = web.Response(text=reason)
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -1,37 +1,25 @@
 """A whole daemon as `mode` services."""
 
 import asyncio
-import random
-from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
 
-import attrs
 from aiohttp import web
 from mode import Service
 
-from tanagerbend_admission import ObjectiveQueue
-from tanagerbend_metrics import Recorder, expose
-from tanagerbend_proxy.decisions import DecisionLog
-from tanagerbend_proxy.entry import Entry
-from tanagerbend_proxy.exchange import make_session
-from tanagerbend_proxy.following import EXPIRY_SECONDS, Follower, ItemService
-from tanagerbend_proxy.front import CallerHandler, Endpoint, PeerHandler
-from tanagerbend_proxy.headers import HeaderNames
-from tanagerbend_proxy.knowledge import Knowledge
-from tanagerbend_proxy.owner import Owner
-from tanagerbend_proxy.peers import Peers
-from tanagerbend_proxy.sources import Sources
-from tanagerbend_proxy.terms import Terms
-from tanagerbend_routing import Placement, RetryAllowance
-from tanagerbend_timer import SystemTimer, Timer
-
-# Idle connections to the instance; below the ten seconds after which
-# instances of today's deployments close them.
-INSTANCE_KEEP_SECONDS: Final = 4.0
-PEER_KEEP_SECONDS: Final = 30.0
-# Slots of the instance until its entry has been read.
-FIRST_SLOTS: Final = 4
+from tanagerbend_metrics import expose
+from tanagerbend_metrics.names import LOOP_DELAY
+from tanagerbend_proxy.assembly import Parts
+from tanagerbend_proxy.following import EXPIRY_SECONDS
+from tanagerbend_proxy.front import Endpoint
+from tanagerbend_timer import Timer
+
+# How often the age of what is known is checked.
+AGE_CHECK_SECONDS: Final = 0.1
+# How often the delay of the event loop is measured, and from which on it is
+# logged.
+DELAY_CHECK_SECONDS: Final = 0.1
+LONG_DELAY_SECONDS: Final = 0.25
 # The platform asks once each second and sends no more after two answers
 # that are not ready; a third second covers a question on its way.
 NOTICE_SECONDS: Final = 3.0
@@ -47,89 +35,6 @@
 FORGET_SECONDS: Final = 5.0
 
 
-@attrs.define
-class Parts:
-    """The parts of one daemon."""
-
-    terms: Terms
-    recorder: Recorder
-    log: DecisionLog
-    knowledge: Knowledge
-    follower: Follower
-    owner: Owner
-    entry: Entry
-    callers: Endpoint
-    peers: Endpoint
-    is_stopping: bool = False
-
-    @property
-    def is_ready(self) -> bool:
-        """Whether this daemon takes requests."""
-        return not self.is_stopping and self.knowledge.configuration is not None
-
-    def adopt_terms(self, terms: Terms) -> None:
-        """Take new bounds; addresses stay as long as the process runs."""
-        is_changed = terms != self.terms
-        self.terms = terms
-        self.entry.allowance.terms = terms.budget
-        self.log.write('settings_reloaded', is_changed=is_changed)
-
-
-def assemble(
-    terms: Terms,
-    names: HeaderNames,
-    connect: Callable[[Recorder], ItemService],
-) -> Parts:
-    """Wire the parts of a daemon; needs a running event loop.
-
-    ``connect`` returns the client of the platform's service.
-    """
-    recorder = Recorder(SystemTimer())
-    chance = random.Random()  # noqa: S311
-    log = DecisionLog(terms.host, recorder)
-    knowledge = Knowledge(recorder, log)
-    owner = Owner(
-        terms.instance_address,
-        make_session(INSTANCE_KEEP_SECONDS, 0),
-        ObjectiveQueue(recorder.timer, FIRST_SLOTS),
-        names,
-        recorder,
-        knowledge.registry,
-    )
-    session = make_session(PEER_KEEP_SECONDS, 0)
-    entry = Entry(
-        terms,
-        knowledge,
-        Placement(terms.failure_domain, chance, recorder),
-        owner,
-        RetryAllowance(terms.budget),
-        session,
-        names,
-        recorder,
-        log,
-        chance,
-    )
-    follower = Follower(
-        connect(recorder),
-        knowledge,
-        Peers(terms, Sources(terms.instance_address, recorder), session),
-        recorder,
-        chance,
-    )
-    endpoint = CallerHandler(entry, names, recorder, terms.service)
-    return Parts(
-        terms,
-        recorder,
-        log,
-        knowledge,
-        follower,
-        owner,
-        entry,
-        Endpoint(endpoint.handle, recorder),
-        Endpoint(PeerHandler(owner, follower, names).handle, recorder),
-    )
-
-
 class ProxyService(Service):
     """Serves callers and peers, and follows the platform.
 
@@ -142,6 +47,8 @@
     def __init__(self, parts: Parts) -> None:
         super().__init__()
         self.parts = parts
+        # When the delay of the event loop is measured next.
+        self.due = float('inf')
         self.ready_endpoint = Endpoint(self.answer_ready, parts.recorder)
         self.metrics_endpoint = Endpoint(self.answer_metrics, parts.recorder)
 
@@ -163,10 +70,13 @@
     def _subscribe(self, timer: Timer) -> None:
         parts = self.parts
         timer.every(EXPIRY_SECONDS, parts.follower.expire)
+        timer.every(AGE_CHECK_SECONDS, parts.follower.news.check)
         timer.every(REFRESH_SECONDS, self.refresh)
         timer.every(FORGET_SECONDS, self.forget)
         timer.every(CLOCK_CHECK_SECONDS, parts.log.check_clock)
         timer.on_pause(parts.log.paused)
+        self.due = timer.now() + DELAY_CHECK_SECONDS
+        timer.every(DELAY_CHECK_SECONDS, self.check_delay)
 
     async def refresh(self) -> None:
         """Take the slots of the own instance from its entry."""
@@ -176,6 +86,16 @@
         if own is not None and own.slots != parts.owner.queue.slots:
             parts.owner.queue.resize(own.slots)
 
+    async def check_delay(self) -> None:
+        """Note how late the event loop runs what is due."""
+        recorder = self.parts.recorder
+        now = recorder.timer.now()
+        delay = max(now - self.due, 0.0)
+        self.due = now + DELAY_CHECK_SECONDS
+        recorder.histograms.record(LOOP_DELAY, '', 0, delay)
+        if delay >= LONG_DELAY_SECONDS:
+            self.parts.log.write('loop_delayed', seconds=round(delay, 3))
+
     async def forget(self) -> None:
         """Drop what was seen of instances that left."""
         parts = self.parts
@@ -201,6 +121,8 @@
             ('ready', ''): {'': int(parts.is_ready)},
             ('version', ''): {'': parts.knowledge.version},
             ('busy', ''): {'': parts.owner.queue.busy},
+            ('news_age', ''): {'': parts.follower.news.seconds},
+            ('unsent_bytes', ''): {'': parts.link.count_unsent()},
         }
         return web.Response(body=await expose(parts.recorder, gauges))
 
--- a/packages/proxy/tanagerbend_proxy/terms.py
+++ b/packages/proxy/tanagerbend_proxy/terms.py
@@ -58,6 +58,9 @@
     listening : Listening
     stop : StopTerms
     budget : BudgetTerms
+    apply_seconds : float
+        Time within which a change must be in force: a configuration, or
+        an instance that leaves.
     """
 
     host: str
@@ -68,6 +71,7 @@
     listening: Listening
     stop: StopTerms
     budget: BudgetTerms
+    apply_seconds: float
 
     @property
     def peer_port(self) -> str:
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
@@ -0,0 +1,104 @@
+"""What explains changes that come late: bytes on the link, and ages."""
+
+import random
+
+import pytest
+
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_proxy.changes import Batch
+from tanagerbend_proxy.following import Follower
+from tanagerbend_proxy.knowledge import Knowledge
+from tanagerbend_proxy.link_use import ANSWERS, LinkUse
+from tanagerbend_proxy.news_age import NewsAge
+from tanagerbend_timer import ManualTimer
+
+BOUND = 2.0
+
+
+class Lines(list):
+    def write(self, event, **fields):
+        self.append((event, fields))
+
+    @property
+    def events(self):
+        return [event for event, _fields in self]
+
+
+class Silent:
+    """Service that was listed once and answers nothing since."""
+
+    async def listing(self, _limit):
+        return Batch((), 1)
+
+    async def changes(self, *_call):
+        reason = '10.0.0.1:1: TimeoutError, no connection, 0.40 s'
+        return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
+
+
+@pytest.fixture
+def recorder():
+    return Recorder(ManualTimer())
+
+
+@pytest.fixture
+def lines():
+    return Lines()
+
+
+@pytest.fixture
+def follower(recorder, lines):
+    knowledge = Knowledge(recorder, lines)
+    return Follower(
+        Silent(),
+        knowledge,
+        None,
+        recorder,
+        random.Random(1),
+        NewsAge(knowledge, LinkUse(recorder), BOUND),
+    )
+
+
+async def test_rate_forgets_what_is_older_than_a_second(recorder):
+    """Guards against a rate that hides how full the link is now."""
+    link = LinkUse(recorder)
+    link.sent(ANSWERS, 2048)
+    await recorder.timer.advance(0.5)
+    link.sent(ANSWERS, 1024)
+    assert link.rates()['sent_kb_s'] == 3.0
+    await recorder.timer.advance(0.6)
+    assert link.rates()['sent_kb_s'] == 1.0
+    await recorder.timer.advance(1.0)
+    assert link.rates()['sent_kb_s'] == 0.0
+    assert recorder.counters.get('bytes_sent', ANSWERS) == 3072
+
+
+async def test_changes_that_come_late_are_logged_once(follower, lines):
+    """Guards against seconds without news that no line tells of."""
+    await follower._list()
+    await follower.news.check()
+    assert 'news_late' not in lines.events
+    await follower.timer.advance(BOUND / 2 + 0.1)
+    await follower.news.check()
+    await follower.news.check()
+    assert lines.events.count('news_late') == 1
+    follower._heard(0.0)
+    event, fields = lines[-1]
+    assert event == 'news_heard'
+    assert fields['age'] == pytest.approx(BOUND / 2 + 0.1)
+
+
+async def test_each_failed_call_of_the_service_is_logged(follower, lines):
+    """Guards against attempts that fail without a line."""
+    await follower._list()
+    follower.peers = Alone()
+    for _ in range(2):
+        follower._failed(await follower.step())
+    failed = [fields for event, fields in lines if event == 'service_failed']
+    assert len(failed) == 2
+    assert failed[0]['reason'].endswith('no connection, 0.40 s')
+    assert {'age', 'version', 'unsent_kb', 'sent_kb_s'} <= failed[0].keys()
+
+
+class Alone:
+    is_asked = False
