Let large answers wait in the daemon, not in the link

Callers saw 404 on routes that had been in force elsewhere for over 2.5 s, and requests refused with INSTANCE_UNREACHABLE, at hosts whose instances serve large answers.

Large answers now take turns at 85% of the rate that the settings name, the most urgent rank first; small answers, requests and changes go at once and are charged. The owner counts the time until an answer has left the host when it judges a request, and reports it, so that placement looks elsewhere.

--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -20,6 +20,7 @@
 from tanagerbend_proxy.link_use import LinkUse
 from tanagerbend_proxy.messages import Answer, Outcome, Placed, Request
 from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_routing import (
     ListedInstance,
     Part,
@@ -252,6 +253,7 @@
             NAMES,
             self.recorder,
             knowledge.registry,
+            Uplink(self.recorder.timer),
             instance=instance,
         )
         entry = EmulatedEntry(
--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -21,6 +21,7 @@
 from tanagerbend_proxy.peers import Peers
 from tanagerbend_proxy.sources import Sources
 from tanagerbend_proxy.terms import Terms
+from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_routing import Placement, RetryAllowance
 from tanagerbend_timer import SystemTimer
 
@@ -76,6 +77,7 @@
     log = DecisionLog(terms.host, recorder)
     knowledge = Knowledge(recorder, log)
     link = LinkUse(recorder)
+    uplink = Uplink(recorder.timer, terms.link)
     owner = Owner(
         terms.instance_address,
         make_session(INSTANCE_KEEP_SECONDS, 0),
@@ -83,6 +85,7 @@
         names,
         recorder,
         knowledge.registry,
+        uplink,
     )
     session = make_session(PEER_KEEP_SECONDS, 0)
     entry = Entry(
@@ -107,9 +110,12 @@
         NewsAge(knowledge, link, terms.apply_seconds),
     )
     endpoint = CallerHandler(entry, names, recorder, terms.service)
-    callers = Endpoint(endpoint.handle, recorder)
-    peers = Endpoint(PeerHandler(owner, follower, names).handle, recorder)
-    link.count_unsent = lambda: callers.unsent + peers.unsent
+    callers = Endpoint(endpoint.handle, recorder, uplink)
+    handler = PeerHandler(owner, follower, names)
+    peers = Endpoint(handler.handle, recorder, uplink)
+    link.count_unsent = lambda: (
+        callers.unsent + peers.unsent + int(uplink.announced)
+    )
     return Parts(
         terms,
         recorder,
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -259,6 +259,7 @@
     ) -> Outcome:
         headers = CIMultiDict(request.headers)
         headers[own_headers.PLACED] = placed.encode()
+        self.owner.uplink.spend(len(request.body))
         address = f'{instance.host_address}:{self.terms.peer_port}'
         end = await send(
             self.session,
@@ -385,6 +386,14 @@
         reason = f'no instance of {service!r} is known'
         return Refusal(ResultCode.NO_INSTANCE, reason)
 
+    def rank_of(self, request: Request) -> int:
+        """Return the rank of the route of a request, 0 without one."""
+        configuration = self.knowledge.configuration
+        if configuration is None:
+            return 0
+        route = configuration.match(request.host, request.path)
+        return 0 if isinstance(route, Refusal) else route.rank
+
     def retry_after(self, request: Request) -> float:
         """Return the seconds after which a refused caller comes back.
 
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -28,6 +28,7 @@
     Request,
 )
 from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.uplink import Transfer, Uplink, parts_of
 
 # Longer than any idle time that the platform grants to callers.
 KEEP_SECONDS: Final = 75.0
@@ -39,6 +40,8 @@
 STOPPING_RETURN_SECONDS: Final = 0.01
 # Set by the server itself, or meant for another connection.
 NOT_COPIED: Final = HOP_BY_HOP | {'content-length', 'date', 'server'}
+# Key under which a response holds the rank of its route.
+RANK: Final = web.ResponseKey('rank', int)
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -51,6 +54,7 @@
 
     handler : callable
     recorder : Recorder
+    uplink : Uplink
     active : int
         Requests that are being answered.
     is_shut : bool
@@ -61,6 +65,7 @@
 
     handler: Handler
     recorder: Recorder
+    uplink: Uplink
     active: int = 0
     is_shut: bool = False
     is_closing: bool = False
@@ -88,11 +93,50 @@
         self.active += 1
         try:
             response = await self.handler(request)
+            if self.is_closing:
+                response.force_close()
+            return await self._send(request, response)
         finally:
             self.active -= 1
-        if self.is_closing:
-            response.force_close()
-        return response
+
+    async def _send(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+    ) -> web.StreamResponse:
+        """Write a large answer in turns; the server writes a small one."""
+        body = body_of(response)
+        if not self.uplink.is_large(len(body)):
+            self.uplink.spend(len(body))
+            return response
+        rank = response.get(RANK, 0)
+        sent = web.StreamResponse(
+            status=response.status,
+            headers=response.headers,
+        )
+        sent.content_length = len(body)
+        if not response.keep_alive:
+            sent.force_close()
+        try:
+            await self._write(request, sent, body, rank)
+        except ConnectionError:
+            # Its caller has gone; the server closes the connection.
+            self.recorder.count('answers_cut')
+        return sent
+
+    async def _write(
+        self,
+        request: web.BaseRequest,
+        sent: web.StreamResponse,
+        body: bytes,
+        rank: int,
+    ) -> None:
+        with Transfer(self.uplink, rank, len(body)) as transfer:
+            await sent.prepare(request)
+            for part in parts_of(body):
+                await transfer.turn(len(part))
+                await sent.write(part)
+            await sent.write_eof()
 
     @property
     def unsent(self) -> int:
@@ -135,7 +179,9 @@
             case Refusal():
                 return self.refuse(end, request)
         self.entry.link.sent(ANSWERS, len(end.body))
-        return respond(end)
+        response = respond(end)
+        response[RANK] = self.entry.rank_of(request)
+        return response
 
     async def read(self, http: web.BaseRequest) -> Request | Refusal:
         """Read a whole request."""
@@ -237,7 +283,9 @@
             self.owner.recorder.timer.now(),
         )
         outcome = await self.owner.run(request, placed)
-        return self._respond(identifier, outcome)
+        response = self._respond(identifier, outcome)
+        response[RANK] = placed.rank
+        return response
 
     def _respond(self, identifier: str, outcome: Outcome) -> web.Response:
         match outcome.end:
@@ -262,6 +310,14 @@
     return response
 
 
+def body_of(response: web.StreamResponse) -> bytes:
+    """Return the body of an answer that has not been sent."""
+    match response:
+        case web.Response(body=bytes() as body):
+            return body
+    return b''
+
+
 def respond(answer: Answer) -> web.Response:
     """Return the response that carries an answer unchanged."""
     headers = CIMultiDict(
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -21,7 +21,15 @@
     'on_time_ms',
     'left_ms',
 )
-OUTCOME_FIELDS: Final = ('code', 'ran', 'offered', 'busy', 'slots', 'served')
+OUTCOME_FIELDS: Final = (
+    'code',
+    'ran',
+    'offered',
+    'busy',
+    'slots',
+    'served',
+    'sending',
+)
 
 
 @attrs.frozen
@@ -152,9 +160,9 @@
                 told = (int(code), ran.value)
             case _:
                 told = (0, Ran.YES.value)
-        seconds = round(load.served, 4)
+        times = (round(load.served, 4), round(load.sending, 4))
         return json.dumps(
-            (*told, self.is_offered, load.busy, load.slots, seconds),
+            (*told, self.is_offered, load.busy, load.slots, *times),
         )
 
     @classmethod
@@ -169,7 +177,12 @@
                     answer.body[:MOST_REASON].decode('utf-8', 'replace'),
                     Ran(told['ran']),
                 )
-            load = LoadReport(told['busy'], told['slots'], told['served'])
+            load = LoadReport(
+                told['busy'],
+                told['slots'],
+                told['served'],
+                told['sending'],
+            )
             return cls(end, load, bool(told['offered']))
         except (ValueError, TypeError):
             reason = 'answer that is not from a daemon'
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -20,9 +20,12 @@
     Placed,
     Request,
 )
+from tanagerbend_proxy.uplink import TURN_BYTES, Uplink
 from tanagerbend_routing import InstanceRegistry, LoadReport, Repeat
 
 OK: Final = 200
+# Weight of one answer in the typical size of a route.
+SIZE_WEIGHT: Final = 0.1
 REDIRECTS: Final = 300
 MISDIRECTED: Final = 421
 # Kept back from the time of the instance, so that its answer, or the news
@@ -44,8 +47,12 @@
     names : HeaderNames
     recorder : Recorder
     registry : InstanceRegistry
+    uplink : Uplink
+        Over which the answers leave this host.
     is_leaving : bool
         Whether requests of other hosts are refused.
+    sizes : dict
+        Typical bytes of an answer of each route.
     """
 
     address: str
@@ -54,17 +61,21 @@
     names: HeaderNames
     recorder: Recorder
     registry: InstanceRegistry
+    uplink: Uplink
     is_leaving: bool = False
+    sizes: dict[str, float] = attrs.field(factory=dict)
 
     async def run(self, request: Request, placed: Placed) -> Outcome:
         """Wait for a slot and run the request once."""
         now = self.recorder.timer.now()
         deadline = now + placed.time_left
+        size = self.sizes.get(placed.route, 0.0)
+        sending = self.uplink.seconds_for(size)
         work = Work(
             placed.route,
             placed.rank,
-            now + placed.on_time,
-            deadline - RETURN_SECONDS,
+            now + placed.on_time - sending,
+            deadline - RETURN_SECONDS - sending,
         )
         refusal = await self.queue.enter(work)
         if refusal is not None:
@@ -77,18 +88,26 @@
         self._record(QUEUE_TIME, placed, started - now)
         is_whole = False
         try:
-            end = await self._send(request, placed, deadline - started)
+            with self.uplink.expecting(size):
+                end = await self._send(request, placed, deadline - started)
             is_whole = isinstance(end, Answer) and end.status < MISDIRECTED
         finally:
             seconds = self.recorder.timer.now() - started
             self.queue.leave(work, seconds, is_whole=is_whole)
         self._record(BACKEND_TIME, placed, seconds)
+        self._learn_size(placed.route, end)
         is_offered = not (
             isinstance(end, Refusal)
             and end.code is ResultCode.INSTANCE_UNREACHABLE
         )
         return Outcome(end, self.report(placed.rank, seconds), is_offered)
 
+    def _learn_size(self, route: str, end: Answer | Refusal) -> None:
+        match end:
+            case Answer(body=body):
+                known = self.sizes.get(route, len(body))
+                self.sizes[route] = known + SIZE_WEIGHT * (len(body) - known)
+
     def _record(self, name: str, placed: Placed, seconds: float) -> None:
         histograms = self.recorder.histograms
         histograms.record(name, placed.route, placed.rank, seconds)
@@ -96,7 +115,8 @@
     def report(self, rank: int, served: float = 0.0) -> LoadReport:
         """Return the load of the instance as a rank meets it."""
         busy = self.queue.busy_for(rank)
-        return LoadReport(busy, self.queue.slots, served)
+        sending = self.uplink.seconds_for(TURN_BYTES + 1)
+        return LoadReport(busy, self.queue.slots, served, sending)
 
     async def _send(
         self,
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -49,8 +49,13 @@
         self.parts = parts
         # When the delay of the event loop is measured next.
         self.due = float('inf')
-        self.ready_endpoint = Endpoint(self.answer_ready, parts.recorder)
-        self.metrics_endpoint = Endpoint(self.answer_metrics, parts.recorder)
+        recorder, uplink = parts.recorder, parts.owner.uplink
+        self.ready_endpoint = Endpoint(self.answer_ready, recorder, uplink)
+        self.metrics_endpoint = Endpoint(
+            self.answer_metrics,
+            recorder,
+            uplink,
+        )
 
     async def on_start(self) -> None:
         """Listen; callers are served once a configuration is known."""
@@ -165,6 +170,7 @@
         """Close what is open."""
         parts = self.parts
         await parts.recorder.timer.close()
+        await parts.owner.uplink.close()
         endpoints = (
             self.ready_endpoint,
             self.metrics_endpoint,
--- a/packages/proxy/tanagerbend_proxy/terms.py
+++ b/packages/proxy/tanagerbend_proxy/terms.py
@@ -1,5 +1,7 @@
 """Terms of a deployment: who this daemon is, addresses and bounds."""
 
+import math
+
 import attrs
 
 from tanagerbend_routing import BudgetTerms
@@ -61,6 +63,9 @@
     apply_seconds : float
         Time within which a change must be in force: a configuration, or
         an instance that leaves.
+    link : float
+        Bytes a second that the link of this host carries; infinite if
+        it is not known.
     """
 
     host: str
@@ -72,6 +77,7 @@
     stop: StopTerms
     budget: BudgetTerms
     apply_seconds: float
+    link: float = math.inf
 
     @property
     def peer_port(self) -> str:
--- a/packages/proxy/tanagerbend_proxy/tests/test_owner.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_owner.py
@@ -12,6 +12,7 @@
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.messages import Placed, Request
 from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_routing import InstanceRegistry, ListedInstance, Repeat
 from tanagerbend_routing.registry import LEAVING_SECONDS
 from tanagerbend_timer import ManualTimer
@@ -27,7 +28,15 @@
     registry = InstanceRegistry(recorder)
     registry.put(INSTANCE)
     queue = ObjectiveQueue(recorder.timer, 1)
-    return Owner('10.0.0.1:80', None, queue, NAMES, recorder, registry)
+    return Owner(
+        '10.0.0.1:80',
+        None,
+        queue,
+        NAMES,
+        recorder,
+        registry,
+        Uplink(recorder.timer),
+    )
 
 
 async def test_waiting_request_is_refused_after_its_instance_left(owner):
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -0,0 +1,181 @@
+"""Turns on the way out of a host.
+
+The load it answers: hosts with a thin link whose instances give away large
+answers faster than the link carries them.  Without turns the answers wait
+in the network, and new connections, requests and changes wait behind them
+for longer than their limits.  Here large answers wait in the daemon, and
+all other messages find the link nearly empty.
+"""
+
+import asyncio
+import contextlib
+import heapq
+import itertools
+import math
+from collections.abc import Iterator
+from typing import Final
+
+import attrs
+
+from tanagerbend_timer import Timer
+
+# Part of the link that bodies may take; headers, acknowledgements and new
+# connections need the rest.
+BODY_SHARE: Final = 0.85
+# Bytes that are written in one turn, the longest that a small message
+# waits: 34 ms on a link of 3.85 Mbit/s.
+TURN_BYTES: Final = 16384
+# Typical size of the headers of a message.
+HEADER_BYTES: Final = 400
+# Time of the link that may be used at once after a pause, in seconds.
+BURST_SECONDS: Final = 0.03
+
+
+@attrs.define(order=True)
+class Turn:
+    """One part of an answer that waits for the link."""
+
+    rank: int
+    number: int
+    size: int = attrs.field(order=False)
+    granted: asyncio.Future[None] = attrs.field(order=False)
+
+
+class Uplink:
+    """Grants turns on the link of a host, most urgent rank first.
+
+    Parameters
+    ==========
+
+    timer : Timer
+    bytes_per_second : float
+        Of the link; infinite if it is not known.
+    """
+
+    def __init__(
+        self,
+        timer: Timer,
+        bytes_per_second: float = math.inf,
+    ) -> None:
+        self.timer = timer
+        self.rate = BODY_SHARE * bytes_per_second
+        # Bytes that may be written now; negative after large messages.
+        self.allowed = 0.0
+        self.counted_at = timer.now()
+        self.turns: list[Turn] = []
+        self.numbers = itertools.count()
+        self.announced = 0.0
+        self.pump: asyncio.Task[None] | None = None
+
+    def is_large(self, size: int) -> bool:
+        """Return whether an answer of ``size`` bytes waits for turns."""
+        return size > TURN_BYTES and self.rate < math.inf
+
+    def seconds_for(self, size: float) -> float:
+        """Return the time until an answer that ends now has been sent."""
+        if not self.is_large(int(size)):
+            return 0.0
+        self._count()
+        owed = self.announced + size - min(self.allowed, 0.0)
+        return owed / self.rate
+
+    def spend(self, size: int) -> None:
+        """Count a message that does not wait."""
+        self._count()
+        self.allowed -= size + HEADER_BYTES
+
+    @contextlib.contextmanager
+    def expecting(self, size: float) -> Iterator[None]:
+        """Count an answer that an instance is working on."""
+        self.announced += size
+        try:
+            yield
+        finally:
+            self.announced -= size
+
+    async def take(self, rank: int, size: int) -> None:
+        """Wait until ``size`` bytes may be written."""
+        self._count()
+        if not self.turns and self.allowed > 0:
+            self.allowed -= size
+            return
+        granted = asyncio.get_running_loop().create_future()
+        turn = Turn(rank, next(self.numbers), size, granted)
+        heapq.heappush(self.turns, turn)
+        if self.pump is None or self.pump.done():
+            self.pump = asyncio.create_task(self._grant())
+        await granted
+
+    async def _grant(self) -> None:
+        while self.turns:
+            self._count()
+            if self.allowed <= 0:
+                # One byte more, since the turn begins above zero.
+                await self.timer.sleep((1 - self.allowed) / self.rate)
+                continue
+            turn = heapq.heappop(self.turns)
+            if not turn.granted.done():
+                self.allowed -= turn.size
+                turn.granted.set_result(None)
+
+    def _count(self) -> None:
+        """Add what the link has carried since the last count."""
+        now = self.timer.now()
+        if self.rate < math.inf:
+            burst = BURST_SECONDS * self.rate
+            self.allowed = min(
+                self.allowed + (now - self.counted_at) * self.rate,
+                burst,
+            )
+        self.counted_at = now
+
+    async def close(self) -> None:
+        """End the turns; nothing more is granted."""
+        if self.pump is not None:
+            self.pump.cancel()
+            await asyncio.gather(self.pump, return_exceptions=True)
+
+
+@attrs.define
+class Transfer:
+    """One large answer on its way out.
+
+    Examples
+    ========
+
+    >>> [len(part) for part in parts_of(bytes(40000))]
+    [16384, 16384, 7232]
+
+    Parameters
+    ==========
+
+    uplink : Uplink
+    rank : int
+    left : int
+        Bytes that have had no turn yet.
+    """
+
+    uplink: Uplink
+    rank: int
+    left: int
+
+    def __enter__(self) -> 'Transfer':
+        self.uplink.announced += self.left
+        return self
+
+    def __exit__(self, *_error: object) -> None:
+        self.uplink.announced -= self.left
+
+    async def turn(self, size: int) -> None:
+        """Wait for the turn of the next ``size`` bytes."""
+        await self.uplink.take(self.rank, size)
+        self.left -= size
+        self.uplink.announced -= size
+
+
+def parts_of(body: bytes) -> list[bytes]:
+    """Return the parts of a body, each written in one turn."""
+    return [
+        body[start : start + TURN_BYTES]
+        for start in range(0, len(body), TURN_BYTES)
+    ]
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -41,6 +41,8 @@
 RELAXED_RATIO: Final = 4.0
 RELAXED_WEIGHT: Final = 2.0
 JITTER: Final = 0.1
+# Answers from this size on wait for the link of the instance's host.
+LARGE_KILOBYTES: Final = 16.0
 # Time in which an instance of today's sizes frees two or three slots.
 FULL_SECONDS: Final = 0.04
 # Bytes between failure domains that count as more of the objective than
@@ -68,11 +70,14 @@
     slots : int
     served : float
         Seconds that the instance took for this request; 0 if it ran none.
+    sending : float
+        Seconds for which large answers fill the link of its host.
     """
 
     busy: int
     slots: int
     served: float = 0.0
+    sending: float = 0.0
 
 
 @attrs.define
@@ -112,6 +117,7 @@
     failed_at: float = 0.0
     avoid_until: float = -math.inf
     avoid_seconds: float = 0.0
+    sending_until: float = -math.inf
     ranks: dict[int, RankLoad] = attrs.field(factory=dict)
 
     def of_rank(self, rank: int) -> RankLoad:
@@ -272,6 +278,8 @@
         if route.objective > RELAXED_RATIO * work.seconds:
             # Fast instances are left to work that needs them.
             seconds += RELAXED_WEIGHT * work.seconds / seen.speed
+        if work.kilobytes >= LARGE_KILOBYTES:
+            seconds += max(seen.sending_until - now, 0.0)
         if self._is_near(instance):
             return seconds
         return (
@@ -300,9 +308,12 @@
         report: LoadReport,
     ) -> None:
         """Take the load that an owner reports for a rank."""
-        load = self.of(instance).of_rank(rank)
+        seen = self.of(instance)
+        now = self.timer.now()
+        load = seen.of_rank(rank)
         load.reported = report.busy
-        load.reported_at = self.timer.now()
+        load.reported_at = now
+        seen.sending_until = now + report.sending
 
     def full(self, instance: ListedInstance, rank: int) -> None:
         """Ask an owner that refused a rank no more for a moment.
