Ask others while the usual source of changes is silent

Callers saw 404 on routes that were in force elsewhere for over 2.5 s, and requests reached instances that had said they were leaving. Cause: a daemon asked one source at a time, gave each connection 0.4 s and began anew behind the same full link: 0.9 s for each of two peers, then the service alone, for as long as the link was full or the service turned this host away.

An exchange that is late now goes on beside the next and takes what it brings; a late connection is begun again beside the first. When the usual source is late or refuses, one daemon of the own and one of another failure domain are asked at once, also by daemons that read by themselves, so that the time without changes is at most the wait of a poll and twice the time after which an answer counts as late, on a link that carries anything. A batch that another exchange has brought already is left out.

The stand-in store ends a watch with no time left, which did not end in virtual time.

--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -4,6 +4,7 @@
 import functools
 import math
 import socket
+from collections.abc import Iterable
 from typing import Any, Final
 
 import aiohttp
@@ -116,6 +117,68 @@
         raise aiohttp.ServerDisconnectedError('answers of other requests')
 
 
+class OverlappingConnector(Connector):
+    """Connector that begins a late connection again beside the first.
+
+    A packet that was lost is sent again only after a second, while one
+    behind a full link arrives; the first connection that opens is used.
+    """
+
+    async def _create_connection(
+        self,
+        req: Any,
+        traces: Any,
+        timeout: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        limit = timeout.sock_connect or CONNECT_SECONDS
+        begun: set[asyncio.Task[ResponseHandler]] = set()
+        try:
+            for _ in range(math.ceil(limit / CONNECT_SECONDS)):
+                begun.add(
+                    asyncio.create_task(
+                        super()._create_connection(req, traces, timeout),
+                    ),
+                )
+                opened = await _first_done(begun, CONNECT_SECONDS)
+                if opened is not None:
+                    return opened.result()
+            opened = await _first_done(begun, None)
+            return opened.result()
+        finally:
+            _abandon(begun)
+
+
+async def _first_done(
+    begun: set[asyncio.Task[ResponseHandler]],
+    seconds: float | None,
+) -> 'asyncio.Task[ResponseHandler] | None':
+    """Take one that has ended out of the set, None after ``seconds``."""
+    done = (
+        await asyncio.wait(
+            begun,
+            timeout=seconds,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    )[0]
+    if not done:
+        return None
+    ended = done.pop()
+    begun.discard(ended)
+    return ended
+
+
+def _abandon(begun: Iterable[asyncio.Task[ResponseHandler]]) -> None:
+    """Close connections that are not needed once they are open."""
+    for task in begun:
+        task.add_done_callback(_close_opened)
+        task.cancel()
+
+
+def _close_opened(task: 'asyncio.Task[ResponseHandler]') -> None:
+    if not task.cancelled() and task.exception() is None:
+        task.result().close()
+
+
 def make_socket(info: Any) -> socket.socket:
     """Return a socket that notices a peer that fell silent."""
     family, kind, protocol = info[:3]
@@ -143,7 +206,7 @@
     connections : int
         Limit of open connections, 0 for no limit.
     """
-    connector = Connector(
+    connector = OverlappingConnector(
         limit=connections,
         keepalive_timeout=keep_seconds,
         socket_factory=make_socket,
@@ -184,6 +247,8 @@
         Seconds to wait on after an answer to another request.
     body_limit : float
         Seconds that the body may take even if ``limit`` passes meanwhile.
+    connect_limit : float
+        Seconds until there must be a connection.
     """
 
     address: str
@@ -196,6 +261,7 @@
     identifier: str = ''
     after_foreign: float = math.inf
     body_limit: float = 0.0
+    connect_limit: float = CONNECT_SECONDS
 
 
 async def send(
@@ -234,7 +300,7 @@
         headers=outgoing.headers,
         data=outgoing.body or None,
         allow_redirects=False,
-        timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_SECONDS),
+        timeout=aiohttp.ClientTimeout(sock_connect=outgoing.connect_limit),
         read_bufsize=UNREAD_LIMIT,
     )
     connection = response.connection
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -10,31 +10,33 @@
 
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_proxy.applying import Applier
+from tanagerbend_proxy.attempts import Attempts
 from tanagerbend_proxy.changes import (
     Batch,
     HistoryGone,
     Item,
     PollReply,
     PollRequest,
-    Removed,
-    Unreadable,
     encode_reply,
 )
+from tanagerbend_proxy.exchange import CONNECT_SECONDS
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.link_use import CHANGES, SERVICE
 from tanagerbend_proxy.news_age import NewsAge
-from tanagerbend_proxy.peers import POLL_WAIT_SECONDS, Peers
-from tanagerbend_proxy.relaying import ChangeLog
-from tanagerbend_proxy.sources import Source
-from tanagerbend_routing import ListedInstance, RoutingConfiguration
+from tanagerbend_proxy.peers import Peers
+from tanagerbend_proxy.sources import POLL_WAIT_SECONDS, Source
 
 # A watch whose answer was lost must end, and the next one begin, within
 # the three seconds after which a daemon counts as in touch again.
 WATCH_SECONDS: Final = 2.0
 ANSWER_SECONDS: Final = 0.7
+# An answer that is later than this has met a full link, a lost packet or a
+# process that does not run; others are asked beside it.
+LATE_SECONDS: Final = 0.25
 # Shorter transfers are in the buffers before their time can be measured.
 LEAST_MEASURED_BYTES: Final = 65536
-# Shortest time for which a reading speed is computed.
+# Shortest time for which a peer waits or a reading speed is computed.
 LEAST_SECONDS: Final = 0.001
 FIRST_BACKOFF_SECONDS: Final = 0.05
 LONGEST_BACKOFF_SECONDS: Final = 0.5
@@ -102,10 +104,10 @@
         self.timer = recorder.timer
         self.random = chance
         self.news = news
-        self.revision: int | None = None
         self.speed = 0.0
         self.backoff = FIRST_BACKOFF_SECONDS
-        self.log = ChangeLog()
+        self.applier = Applier(knowledge)
+        self.attempts: Attempts[Batch | HistoryGone | PollReply] = Attempts()
 
     @property
     def watch_seconds(self) -> float:
@@ -121,15 +123,34 @@
 
     async def run(self) -> None:
         """Follow the service, or a peer that does, until cancelled."""
-        while True:
-            peer = self._choose_peer()
-            if peer is None:
-                await self._follow_service()
-            else:
-                await self.poll(peer)
+        try:
+            while True:
+                await self._follow()
+        finally:
+            await self.attempts.close()
+
+    async def _follow(self) -> None:
+        source = self._choose_peer()
+        if source is None:
+            await self._follow_service()
+            return
+        patience = source.wait + LATE_SECONDS
+        match await self.attempts.first(patience, self.poll(source)):
+            case PollReply():
+                return
+            case None:
+                self._leave(source, f'no answer after {patience:.1f} s')
+        await self._ask_others()
+
+    async def _ask_others(self) -> None:
+        """Ask daemons anywhere, since the usual source does not tell."""
+        others = self.peers.others(self.knowledge.registry, self.random)
+        if others:
+            polls = (self.poll(Source(each, wait=0.0)) for each in others)
+            await self.attempts.first(LATE_SECONDS, *polls)
 
     def _choose_peer(self) -> Source | None:
-        if self.revision is None:
+        if self.applier.revision is None:
             return None
         peer = self.peers.choose(self.knowledge.registry)
         if peer is not None and peer.is_check:
@@ -141,10 +162,11 @@
         return peer
 
     async def _follow_service(self) -> None:
-        got = await self.step()
+        got = await self._read()
         match got:
             case Refusal():
                 self._failed(got)
+                await self._ask_others()
                 await self._back_off()
             case Batch(items=items) if items:
                 self.backoff = FIRST_BACKOFF_SECONDS
@@ -152,40 +174,51 @@
             case _:
                 self.backoff = FIRST_BACKOFF_SECONDS
 
+    async def _read(self) -> Batch | HistoryGone | Refusal:
+        """Read once, and ask others while that takes long."""
+        patience = self.watch_seconds + LATE_SECONDS
+        if self.knowledge.is_store_lost:
+            patience = CONNECT_SECONDS
+        reading = self.attempts.start(self.step())
+        while True:
+            await asyncio.wait({reading}, timeout=patience)
+            if reading.done():
+                return reading.result()
+            await self._ask_others()
+
     def _failed(self, refusal: Refusal) -> None:
         self.knowledge.store_lost(refusal.reason)
         self.news.write('service_failed', reason=refusal.reason)
 
     async def step(self) -> Batch | HistoryGone | Refusal:
         """Read once and take what was read."""
-        if self.revision is None:
+        if self.applier.revision is None:
             return await self._list()
         wait = self.watch_seconds
         got = await self.service.changes(
-            self.revision,
+            self.applier.revision,
             wait,
             wait + ANSWER_SECONDS,
         )
         match got:
             case Batch():
-                self.news.link.received(SERVICE, got.size)
-                self._measure(got)
-                self._heard(0.0)
-                self._take(got)
+                self._heard_service(got)
+                self.applier.take(got)
             case HistoryGone():
-                self.revision = None
+                self.applier.revision = None
         return got
 
     async def poll(self, source: Source) -> PollReply | Refusal:
         """Ask a peer once and take what it tells."""
         peer = source.instance
         request = PollRequest(
-            self.revision or 0,
+            self.applier.revision or 0,
             self.knowledge.version,
-            0.0 if source.is_check else POLL_WAIT_SECONDS,
+            source.wait,
             self.peers.own_identity(self.knowledge.registry),
             self.speed,
         )
+        asked_at = self.timer.now()
         reply = await self.peers.ask(
             peer,
             request,
@@ -193,24 +226,35 @@
         )
         match reply:
             case PollReply(age=age) if age <= MOST_AGE_SECONDS:
-                if source.is_check:
-                    self.peers.sources.named = reply.reader
-                self.news.link.received(CHANGES, reply.batch.size)
-                self._heard(age)
-                self._take(reply.batch)
+                # What took longer than the wait was spent on the way.
+                passed = self.timer.now() - asked_at - source.wait
+                self._take_reply(source, reply, age + max(passed, 0.0))
                 return reply
             case PollReply(age=age):
                 reason = f'heard the service {age:.1f} s ago'
                 reply = Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
-        self.peers.sources.failed(peer.identity)
-        self.recorder.count('peers_left')
-        self.news.write(
-            'peer_left',
-            instance=peer.identity,
-            reason=reply.reason,
-        )
+        self._leave(source, reply.reason)
         return reply
 
+    def _take_reply(
+        self,
+        source: Source,
+        reply: PollReply,
+        age: float,
+    ) -> None:
+        if source.is_check:
+            self.peers.sources.named = reply.reader
+        self.news.link.received(CHANGES, reply.batch.size)
+        self.news.heard(age)
+        self.knowledge.store_regained()
+        self.applier.take(reply.batch)
+
+    def _leave(self, source: Source, reason: str) -> None:
+        identity = source.instance.identity
+        self.peers.sources.failed(identity)
+        self.recorder.count('peers_left')
+        self.news.write('peer_left', instance=identity, reason=reason)
+
     async def answer(self, request: PollRequest) -> bytes | Refusal:
         """Answer a peer when there is a change, or after its wait."""
         self.peers.sources.asked(request.host, request.speed)
@@ -219,37 +263,35 @@
             if self.news.seconds > MOST_AGE_SECONDS:
                 reason = f'heard the service {self.news.seconds:.1f} s ago'
                 return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
-            items = self.log.since(request.revision)
+            items = self.applier.log.since(request.revision)
             if items is None:
                 reason = f'changes after {request.revision} are not kept'
                 return Refusal(ResultCode.VERSION_OLDER, reason)
             left = min(
                 due - self.timer.now(), MOST_AGE_SECONDS - self.news.seconds
             )
-            if items or left <= 0:
+            if items or left < LEAST_SECONDS:
                 return self._tell(request, items)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(left):
-                    await self.log.changed.wait()
+                    await self.applier.log.changed.wait()
 
     def _tell(self, request: PollRequest, items: tuple[Item, ...]) -> bytes:
         own = self.peers.own_identity(self.knowledge.registry)
         self.peers.sources.asked(own, self.speed)
         reply = PollReply(
-            Batch(items, self.revision or 0),
+            Batch(items, self.applier.revision or 0),
             self.news.seconds,
             self.peers.sources.fastest[0],
         )
-        base = self.log.versions.get(request.version)
+        base = self.applier.log.versions.get(request.version)
         return encode_reply(reply, base, self.timer.now())
 
-    def _measure(self, batch: Batch) -> None:
-        """Take the reading speed from a transfer that is long enough."""
+    def _heard_service(self, batch: Batch) -> None:
+        self.news.link.received(SERVICE, batch.size)
         if batch.size >= LEAST_MEASURED_BYTES:
             self.speed = batch.size / max(batch.seconds, LEAST_SECONDS)
-
-    def _heard(self, age: float) -> None:
-        self.news.heard(age)
+        self.news.heard(batch.seconds)
         self.knowledge.store_regained()
 
     async def _list(self) -> Batch | Refusal:
@@ -257,63 +299,10 @@
         match got:
             case Refusal():
                 return got
-        self.news.link.received(SERVICE, got.size)
-        self._measure(got)
-        self._heard(0.0)
-        self._take_listing(got)
+        self._heard_service(got)
+        self.applier.take_listing(got)
         return got
 
-    def _take_listing(self, batch: Batch) -> None:
-        listed = {}
-        for item in batch.items:
-            match item.fact:
-                case ListedInstance():
-                    listed[item.identity] = item.fact
-                case RoutingConfiguration():
-                    self._adopt(item.fact)
-                case Unreadable(reason=reason):
-                    self.knowledge.unreadable(item.identity, reason)
-        registry = self.knowledge.registry
-        gone = registry.entries.keys() - listed.keys()
-        registry.replace(listed)
-        self.knowledge.log.write(
-            'service_listed',
-            instances=len(listed),
-            revision=batch.revision,
-        )
-        removed = tuple(Item(identity, Removed()) for identity in gone)
-        whole = Batch((*removed, *batch.items), batch.revision)
-        # A first listing says nothing of what was before it.
-        known = self.log.batches[-1].revision if self.log.batches else None
-        self.log.add(batch.revision if known is None else known, whole)
-        self.revision = batch.revision
-
-    def _take(self, batch: Batch) -> None:
-        before = self.revision or 0
-        for item in batch.items:
-            self._take_item(item)
-        self.revision = max(batch.revision, before)
-        if batch.items:
-            self.log.add(before, batch)
-
-    def _take_item(self, item: Item) -> None:
-        registry = self.knowledge.registry
-        match item.fact:
-            case ListedInstance():
-                registry.put(item.fact)
-            case RoutingConfiguration():
-                self._adopt(item.fact)
-            case Removed():
-                registry.remove(item.identity)
-            case Unreadable(reason=reason):
-                self.knowledge.unreadable(item.identity, reason)
-                registry.remove(item.identity)
-
-    def _adopt(self, offered: RoutingConfiguration) -> None:
-        self.knowledge.adopt(offered)
-        if self.knowledge.configuration is not None:
-            self.log.remember(self.knowledge.configuration)
-
     async def _back_off(self) -> None:
         share = 0.5 + self.random.random() / 2
         await self.timer.sleep(self.backoff * share)
--- a/packages/proxy/tanagerbend_proxy/news_age.py
+++ b/packages/proxy/tanagerbend_proxy/news_age.py
@@ -38,9 +38,9 @@
 
     def heard(self, age: float) -> None:
         """Note that the service was heard ``age`` seconds ago."""
-        if self.is_late:
+        if self.is_late and age < self.seconds:
             self.write('news_heard')
-        self.heard_at = self.timer.now() - age
+        self.heard_at = max(self.heard_at, self.timer.now() - age)
 
     async def check(self) -> None:
         """Note when half of the time for changes has passed."""
--- a/packages/proxy/tanagerbend_proxy/peers.py
+++ b/packages/proxy/tanagerbend_proxy/peers.py
@@ -1,5 +1,6 @@
 """The daemons of the own failure domain as a source of changes."""
 
+import random
 from typing import Final
 
 import aiohttp
@@ -15,10 +16,11 @@
     RoutingConfiguration,
 )
 
-# How long a peer holds a request, and how much later it has answered; a
-# frozen peer is left after their sum.
-POLL_WAIT_SECONDS: Final = 0.5
-PEER_ANSWER_SECONDS: Final = 0.4
+# After this time the answer of a peer is too old to be of use; others are
+# asked long before.
+PEER_SECONDS: Final = 2.0
+# Connections are begun again beside the first meanwhile.
+PEER_CONNECT_SECONDS: Final = 1.2
 
 
 class Peers:
@@ -50,6 +52,18 @@
         self.is_asked = len(near) >= RELAY_FROM
         return self.sources.choose(near)
 
+    def others(
+        self,
+        registry: InstanceRegistry,
+        chance: random.Random,
+    ) -> list[ListedInstance]:
+        """Return daemons to ask where the usual source fails."""
+        return self.sources.others(
+            registry.working(),
+            self.terms.failure_domain,
+            chance,
+        )
+
     def own_identity(self, registry: InstanceRegistry) -> str:
         """Return the identity of the instance on this host, or nothing."""
         own = registry.at_address(self.terms.instance_address)
@@ -67,5 +81,6 @@
             f'{peer.host_address}:{self.terms.peer_port}',
             request,
             known,
-            POLL_WAIT_SECONDS + PEER_ANSWER_SECONDS,
+            PEER_SECONDS,
+            PEER_CONNECT_SECONDS,
         )
--- a/packages/proxy/tanagerbend_proxy/relaying.py
+++ b/packages/proxy/tanagerbend_proxy/relaying.py
@@ -79,12 +79,21 @@
     request: PollRequest,
     known: RoutingConfiguration | None,
     limit: float,
+    connect_limit: float,
 ) -> PollReply | Refusal:
-    """Ask the daemon at ``address:port`` for changes; ``limit`` seconds."""
+    """Ask the daemon at ``address:port`` for changes; limits in seconds."""
     headers = CIMultiDict({own_headers.FOLLOW: request.encode()})
     got = await send(
         session,
-        Outgoing(address, 'GET', FOLLOW_PATH, headers, b'', limit),
+        Outgoing(
+            address,
+            'GET',
+            FOLLOW_PATH,
+            headers,
+            b'',
+            limit,
+            connect_limit=connect_limit,
+        ),
     )
     match got:
         case Answer(status=status, body=body) if status == OK:
--- a/packages/proxy/tanagerbend_proxy/sources.py
+++ b/packages/proxy/tanagerbend_proxy/sources.py
@@ -5,6 +5,7 @@
 pay for its calls.  One daemon of the domain reads; the others ask it.
 """
 
+import random
 from collections.abc import Collection, Iterable
 from typing import Final
 
@@ -13,6 +14,8 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_routing import ListedInstance
 
+# How long a peer holds a request until there is a change.
+POLL_WAIT_SECONDS: Final = 0.5
 # Hosts of a failure domain from which on peers are asked; below, direct
 # reading costs little and does not depend on another process.
 RELAY_FROM: Final = 8
@@ -35,11 +38,14 @@
 
     instance : ListedInstance
         The one beside the peer.
+    wait : float
+        Seconds for which the peer waits for a change.
     is_check : bool
-        Whether the peer only has to say who reads, without waiting.
+        Whether the peer also has to say who reads.
     """
 
     instance: ListedInstance
+    wait: float = POLL_WAIT_SECONDS
     is_check: bool = False
 
 
@@ -95,7 +101,7 @@
     ) -> Source | None:
         if self.timer.now() - self.named_at >= CHECK_SECONDS:
             self.named_at = self.timer.now()
-            return Source(oldest, is_check=True)
+            return Source(oldest, wait=0.0, is_check=True)
         named = self._found(self.named, order)
         if named is None and not self._is_own(self.named, order):
             return Source(oldest)
@@ -137,6 +143,27 @@
         if speed > FASTER * self.fastest[1]:
             self.fastest = (identity, speed)
 
+    def others(
+        self,
+        known: Iterable[ListedInstance],
+        failure_domain: str,
+        chance: random.Random,
+    ) -> list[ListedInstance]:
+        """Return peers to ask beside the usual one.
+
+        One is of the own failure domain and one of another, since what
+        keeps one from the news often meets its neighbours too.
+        """
+        free = [
+            each
+            for each in known
+            if each.address != self.own_address
+            and not self._is_failing(each.identity)
+        ]
+        near = [each for each in free if each.failure_domain == failure_domain]
+        far = [each for each in free if each.failure_domain != failure_domain]
+        return [chance.choice(side) for side in (near, far) if side]
+
     def _is_failing(self, identity: str) -> bool:
         failed_at = self.failed_at.get(identity, float('-inf'))
         return self.timer.now() - failed_at < FAILING_SECONDS
--- a/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
@@ -82,7 +82,7 @@
     await follower.news.check()
     await follower.news.check()
     assert lines.events.count('news_late') == 1
-    follower._heard(0.0)
+    follower.news.heard(0.0)
     event, fields = lines[-1]
     assert event == 'news_heard'
     assert fields['age'] == pytest.approx(BOUND / 2 + 0.1)
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -195,13 +195,20 @@
         """Return the instances of a service that take new work."""
         return self.services.get(service, ())
 
-    def near(self, failure_domain: str) -> list[ListedInstance]:
-        """Return the instances of a failure domain that are not leaving."""
+    def working(self) -> list[ListedInstance]:
+        """Return the instances that are not leaving."""
         return [
             held.instance
             for held in self.entries.values()
-            if held.instance.failure_domain == failure_domain
-            and not held.instance.is_leaving
+            if not held.instance.is_leaving
+        ]
+
+    def near(self, failure_domain: str) -> list[ListedInstance]:
+        """Return the instances of a failure domain that are not leaving."""
+        return [
+            instance
+            for instance in self.working()
+            if instance.failure_domain == failure_domain
         ]
 
     def at_address(self, address: str) -> ListedInstance | None:
--- a/packages/standins/tanagerbend_standins/item_store.py
+++ b/packages/standins/tanagerbend_standins/item_store.py
@@ -11,6 +11,8 @@
 PAGE: Final = 50
 # The first revision; the protocol says only that it is above zero.
 FIRST_REVISION: Final = 100
+# A watch ends if it has less than this left.
+LEAST_SECONDS: Final = 0.001
 
 
 class StandinItemStore:
@@ -135,7 +137,7 @@
                 if event['revision'] > after
                 and event['key'].startswith(query['prefix'])
             ]
-            if events or loop.time() >= last:
+            if events or last - loop.time() < LEAST_SECONDS:
                 return web.json_response(
                     {'events': events, 'atRev': self.revision},
                 )
