Take from a peer whether missing entries say something

Cause: a daemon whose own readings had failed took that for an outage of the service and kept the entries that were missing afterwards.

Daemons now tell each other how long until a missing entry means that its instance is gone. One that lost its way behind its own link takes this from a peer that heard the service all the while; after an outage that all have met, all wait as before.

test_instance_that_left_behind_a_full_link_is_not_kept fails without the change: the instance is used for 2 s more.

--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -145,11 +145,15 @@
         Seconds since the peer last heard the service.
     reader : str
         Identity of the instance whose daemon reads, by the peer.
+    settled_after : float
+        Seconds until a missing entry says to the peer that its instance
+        is gone.
     """
 
     batch: Batch
     age: float
     reader: str
+    settled_after: float = 0.0
 
 
 def encode_reply(
@@ -179,6 +183,7 @@
         'revision': reply.batch.revision,
         'age_ms': round(reply.age * MILLISECONDS),
         'reader': reply.reader,
+        'settled_ms': round(reply.settled_after * MILLISECONDS),
         'instances': instances,
         'gone': gone,
         'routes': routes,
@@ -249,6 +254,7 @@
         Batch(tuple(items), int(document['revision']), size),
         document['age_ms'] / MILLISECONDS,
         str(document['reader']),
+        document['settled_ms'] / MILLISECONDS,
     )
 
 
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -246,7 +246,7 @@
             self.peers.sources.named = reply.reader
         self.news.link.received(CHANGES, reply.batch.size)
         self.news.heard(age)
-        self.knowledge.store_regained()
+        self.knowledge.registry.settle(reply.settled_after)
         self.applier.take(reply.batch)
 
     def _leave(self, source: Source, reason: str) -> None:
@@ -283,6 +283,7 @@
             Batch(items, self.applier.revision or 0),
             self.news.seconds,
             self.peers.sources.fastest[0],
+            self.knowledge.registry.settled_after,
         )
         base = self.applier.log.versions.get(request.version)
         return encode_reply(reply, base, self.timer.now())
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -106,6 +106,23 @@
         if self.settled_from == float('inf'):
             self.settled_from = self.timer.now() + LAPSE_SECONDS
 
+    def settle(self, seconds: float) -> None:
+        """Take from a peer when missing entries say something.
+
+        A daemon that did not hear the service for reasons of its own, such
+        as a full link, has no reason to keep them.
+        """
+        self.settled_from = self.timer.now() + seconds
+
+    @property
+    def settled_after(self) -> float:
+        """Seconds until a missing entry says that its instance is gone.
+
+        At most ``LAPSE_SECONDS``, also while the service does not answer.
+        """
+        left = self.settled_from - self.timer.now()
+        return min(max(left, 0.0), LAPSE_SECONDS)
+
     @property
     def is_settled(self) -> bool:
         """Whether a missing entry says that its instance is gone."""
