Read a listing where versions come faster than the link carries them

After an answer that took 0.4 s or more, or that did not end in time, the daemon reads a listing, which holds the newest version only, until one brings no new version.

--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -36,6 +36,9 @@
 LATE_SECONDS: Final = 0.25
 # Shorter transfers are in the buffers before their time can be measured.
 LEAST_MEASURED_BYTES: Final = 65536
+# An answer that takes longer has grown while it waited: it holds each version
+# since the last, and the next holds more.  A listing holds the newest only.
+SLOW_SECONDS: Final = 0.4
 # Shortest time for which a peer waits or a reading speed is computed.
 LEAST_SECONDS: Final = 0.001
 FIRST_BACKOFF_SECONDS: Final = 0.05
@@ -105,6 +108,8 @@
         self.random = chance
         self.news = news
         self.speed = 0.0
+        # Whether versions may be replaced faster than they are read.
+        self.is_behind = False
         self.backoff = FIRST_BACKOFF_SECONDS
         self.applier = Applier(knowledge)
         self.attempts: Attempts[Batch | HistoryGone | PollReply] = Attempts()
@@ -192,8 +197,9 @@
 
     async def step(self) -> Batch | HistoryGone | Refusal:
         """Read once and take what was read."""
-        if self.applier.revision is None:
+        if self.applier.revision is None or self.is_behind:
             return await self._list()
+        began = self.timer.now()
         wait = self.watch_seconds
         got = await self.service.changes(
             self.applier.revision,
@@ -202,10 +208,14 @@
         )
         match got:
             case Batch():
+                self.is_behind = got.seconds >= SLOW_SECONDS
                 self._heard_service(got)
                 self.applier.take(got)
             case HistoryGone():
                 self.applier.revision = None
+            case _:
+                # The answer may have been too long for the link.
+                self.is_behind = self.timer.now() - began > wait
         return got
 
     async def poll(self, source: Source) -> PollReply | Refusal:
@@ -300,8 +310,11 @@
         match got:
             case Refusal():
                 return got
+        version = self.knowledge.version
         self._heard_service(got)
         self.applier.take_listing(got)
+        is_news = 0 < version < self.knowledge.version
+        self.is_behind = is_news and got.seconds >= SLOW_SECONDS
         return got
 
     async def _back_off(self) -> None:
