Give up answers that are too long to hold

A server in trouble may send bytes without end. A body without end was read until the limit of its request: 5.2 GB within 20 s on loopback, far beyond the memory of a host, which ends the daemon and all requests it holds. Endless lines, headers, trailers, chunk extensions and bytes after an answer are ended by the HTTP library already.

--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -35,6 +35,9 @@
 # Answers of earlier requests that are skipped on one connection.
 MOST_SKIPPED: Final = 4
 UNREAD_LIMIT: Final = 262144
+# Longest answer that is read: several times a batch of large versions, and
+# with three at once, held twice, half of the memory of a small host.
+MOST_ANSWER_BYTES: Final = 16777216
 # Raised by bytes that are no answer, and by answers that end early.
 BROKEN_ANSWERS: Final = (
     aiohttp.ClientPayloadError,
@@ -308,7 +311,7 @@
     started = asyncio.get_running_loop().time()
     attempt.extend(started + outgoing.body_limit)
     try:
-        body = await response.read()
+        body = await _read_body(response)
     except BaseException:
         response.close()
         raise
@@ -320,6 +323,18 @@
     return Answer(response.status, headers, body, seconds)
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+    parts = []
+    size = 0
+    async for part in response.content.iter_any():
+        size += len(part)
+        if size > MOST_ANSWER_BYTES:
+            reason = f'answer of more than {MOST_ANSWER_BYTES} bytes'
+            raise aiohttp.ClientPayloadError(reason)
+        parts.append(part)
+    return b''.join(parts)
+
+
 def _is_cut(
     response: aiohttp.ClientResponse,
     protocol: ResponseHandler | None,
