Add up the limits on the way of a leaving instance's news

The comment said 1.4 s; with two peers that failed it had been 2.7 s and more (0.9 s each, then the service).

--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -19,7 +19,7 @@
 LAPSE_SECONDS: Final = 1.95
 # New work reaches an instance for this long after the news that it leaves.
 # Platforms grant two seconds or more from the acknowledged entry, and the
-# news takes up to 1.4 s (watch, gathering, a peer that fails on the way).
+# news takes up to 1.2 s (gathering, a silent source, another that is asked).
 LEAVING_SECONDS: Final = 0.5
 # How long it is remembered that an instance left, in seconds; longer than
 # any request waits.
