Leave readers that stall out of the estimate of the link

A large answer whose reader does not read on counted as waiting for the link until its connection ended, so a few callers that were cut could make the owner refuse all large requests. What is left of an answer counts only while it waits for its turn.

test_reader_that_stalls_holds_up_nobody fails without the change (0.2 s for one answer instead of less than 0.1 s).

--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -131,12 +131,12 @@
         body: bytes,
         rank: int,
     ) -> None:
-        with Transfer(self.uplink, rank, len(body)) as transfer:
-            await sent.prepare(request)
-            for part in parts_of(body):
-                await transfer.turn(len(part))
-                await sent.write(part)
-            await sent.write_eof()
+        transfer = Transfer(self.uplink, rank, len(body))
+        await sent.prepare(request)
+        for part in parts_of(body):
+            await transfer.turn(len(part))
+            await sent.write(part)
+        await sent.write_eof()
 
     @property
     def unsent(self) -> int:
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -86,7 +86,7 @@
 
     @contextlib.contextmanager
     def expecting(self, size: float) -> Iterator[None]:
-        """Count an answer that an instance is working on."""
+        """Count bytes that are going to leave this host."""
         self.announced += size
         try:
             yield
@@ -159,18 +159,15 @@
     rank: int
     left: int
 
-    def __enter__(self) -> 'Transfer':
-        self.uplink.announced += self.left
-        return self
-
-    def __exit__(self, *_error: object) -> None:
-        self.uplink.announced -= self.left
-
     async def turn(self, size: int) -> None:
-        """Wait for the turn of the next ``size`` bytes."""
-        await self.uplink.take(self.rank, size)
+        """Wait for the turn of the next ``size`` bytes.
+
+        What is left counts meanwhile, and not while the answer waits for
+        its reader, which may never read on.
+        """
+        with self.uplink.expecting(self.left):
+            await self.uplink.take(self.rank, size)
         self.left -= size
-        self.uplink.announced -= size
 
 
 def parts_of(body: bytes) -> list[bytes]:
