Send large answers of one rank in the order in which they came

Cause: the turns went to all large answers alike, so that a full link ended all of them late, and the owner's estimate, which takes the bytes ahead, was wrong by as much.

Answers of one rank now leave whole, in their order; an answer whose reader does not read on leaves its turns to others, as before.

--- a/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
@@ -3,12 +3,24 @@
 import asyncio
 
 import pytest
+from multidict import CIMultiDict
 
+from tanagerbend_admission import ObjectiveQueue
+from tanagerbend_emulator.fleet import NAMES
 from tanagerbend_emulator.virtual import LoopTimer, run_virtual
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Refusal
 from tanagerbend_proxy.exchange import CONNECT_SECONDS
+from tanagerbend_proxy.messages import Answer, Placed, Request
+from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.uplink import TURN_BYTES, Transfer, Uplink, parts_of
+from tanagerbend_routing import InstanceRegistry, Repeat
 
 LINK = 481_250
+WORK_SECONDS = 0.12
+DEADLINE_SECONDS = 2.0
+# Twice of what the link carries.
+ARRIVAL_SECONDS = 0.09
 LARGE = bytes(90000)
 
 
@@ -93,3 +105,50 @@
     ((name, at),) = run_virtual(leave())
     assert name == 'stayed'
     assert at < 0.5
+
+
+class LargeAnswers(Owner):
+    """Owner of an instance whose answers are all large."""
+
+    async def _send(self, _request, _placed, _time_left):
+        await asyncio.sleep(WORK_SECONDS)
+        return Answer(200, CIMultiDict(), LARGE)
+
+
+async def ask(owner, number):
+    """Place a request, send its answer; return the end and the seconds."""
+    await asyncio.sleep(number * ARRIVAL_SECONDS)
+    began = owner.uplink.timer.now()
+    request = Request('id', 'GET', '', '/', CIMultiDict(), b'', 2.0, 0.0)
+    times = (DEADLINE_SECONDS, DEADLINE_SECONDS)
+    placed = Placed('i-1', 'plate', 2, Repeat.FREELY, *times)
+    outcome = await owner.run(request, placed)
+    if not isinstance(outcome.end, Refusal):
+        await send(owner.uplink, 2, [], 'answer')
+    return outcome.end, owner.uplink.timer.now() - began
+
+
+def test_answers_that_could_not_leave_in_time_are_refused_at_once():
+    """Guards against callers that wait for an answer that comes too late."""
+
+    async def flood():
+        recorder = Recorder(LoopTimer())
+        owner = LargeAnswers(
+            '',
+            None,
+            ObjectiveQueue(recorder.timer, 3),
+            NAMES,
+            recorder,
+            InstanceRegistry(recorder),
+            Uplink(recorder.timer, LINK),
+        )
+        ends = await asyncio.gather(*(ask(owner, each) for each in range(200)))
+        await owner.uplink.close()
+        return ends
+
+    ends = run_virtual(flood())
+    refused = [seconds for end, seconds in ends if isinstance(end, Refusal)]
+    sent = [seconds for end, seconds in ends if not isinstance(end, Refusal)]
+    assert max(sent) < DEADLINE_SECONDS
+    assert max(refused) < WORK_SECONDS
+    assert len(sent) > 0.8 * 200 * ARRIVAL_SECONDS * LINK / len(LARGE)
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -93,14 +93,18 @@
         finally:
             self.announced -= size
 
-    async def take(self, rank: int, size: int) -> None:
-        """Wait until ``size`` bytes may be written."""
+    async def take(self, rank: int, number: int, size: int) -> None:
+        """Wait until ``size`` bytes may be written.
+
+        Answers of one rank leave in the order of their numbers, since a
+        link that is shared by many ends all of them late.
+        """
         self._count()
         if not self.turns and self.allowed > 0:
             self.allowed -= size
             return
         granted = asyncio.get_running_loop().create_future()
-        turn = Turn(rank, next(self.numbers), size, granted)
+        turn = Turn(rank, number, size, granted)
         heapq.heappush(self.turns, turn)
         if self.pump is None or self.pump.done():
             self.pump = asyncio.create_task(self._grant())
@@ -153,11 +157,17 @@
     rank : int
     left : int
         Bytes that have had no turn yet.
+    number : int
+        Of the answers of this host.
     """
 
     uplink: Uplink
     rank: int
     left: int
+    number: int = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.number = next(self.uplink.numbers)
 
     async def turn(self, size: int) -> None:
         """Wait for the turn of the next ``size`` bytes.
@@ -166,7 +176,7 @@
         its reader, which may never read on.
         """
         with self.uplink.expecting(self.left):
-            await self.uplink.take(self.rank, size)
+            await self.uplink.take(self.rank, self.number, size)
         self.left -= size
 
 
