Let the named reader read, whoever else seems to read

Cause: a daemon that had left the oldest asked the second oldest, which asked the oldest, which asked the first as its named reader: a circle that ended when the news of all was too old.

A poll now says whether the peer was named as the reader, and one that is asked so reads for 2 s, whoever looks older to it. A poll that is answered when the news is as old as allowed is refused; it had no time left to wait and began anew at once.

--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -104,6 +104,9 @@
         Identity of the instance beside the asking daemon.
     speed : float
         Bytes a second at which it read the service, 0 if unknown.
+    is_reader : bool
+        Whether the peer has been named to the asking daemon as the one
+        that reads.
     """
 
     revision: int
@@ -111,6 +114,7 @@
     wait: float
     host: str
     speed: float
+    is_reader: bool = False
 
     def encode(self) -> str:
         """Return the text of the header."""
@@ -128,6 +132,7 @@
                 float(sent['wait']),
                 str(sent['host']),
                 float(sent['speed']),
+                bool(sent['is_reader']),
             )
         except MALFORMED as error:
             return Refusal(ResultCode.HEADER_INVALID, f'request: {error}')
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -227,6 +227,7 @@
             source.wait,
             self.peers.own_identity(self.knowledge.registry),
             self.speed,
+            source.is_reader,
         )
         asked_at = self.timer.now()
         reply = await self.peers.ask(
@@ -268,9 +269,11 @@
     async def answer(self, request: PollRequest) -> bytes | Refusal:
         """Answer a peer when there is a change, or after its wait."""
         self.peers.sources.asked(request.host, request.speed)
+        if request.is_reader:
+            self.peers.sources.asked_as_reader()
         due = self.timer.now() + min(request.wait, POLL_WAIT_SECONDS)
         while True:
-            if self.news.seconds > MOST_AGE_SECONDS:
+            if self.news.seconds > MOST_AGE_SECONDS - LEAST_SECONDS:
                 reason = f'heard the service {self.news.seconds:.1f} s ago'
                 return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
             items = self.applier.log.since(request.revision)
--- a/packages/proxy/tanagerbend_proxy/sources.py
+++ b/packages/proxy/tanagerbend_proxy/sources.py
@@ -25,6 +25,8 @@
 MOST_FAILING: Final = 2
 # How often it is asked who reads, in seconds; the reader seldom changes.
 CHECK_SECONDS: Final = 5.0
+# How long a daemon reads after it was asked as the reader; a few polls.
+READER_SECONDS: Final = 2.0
 # A host takes over reading if it is faster by this factor.
 FASTER: Final = 1.5
 
@@ -42,11 +44,14 @@
         Seconds for which the peer waits for a change.
     is_check : bool
         Whether the peer also has to say who reads.
+    is_reader : bool
+        Whether the peer has been named as the one that reads.
     """
 
     instance: ListedInstance
     wait: float = POLL_WAIT_SECONDS
     is_check: bool = False
+    is_reader: bool = False
 
 
 class Sources:
@@ -70,6 +75,7 @@
         self.named = ''
         self.named_at = float('-inf')
         self.fastest = ('', 0.0)
+        self.reads_until = float('-inf')
 
     def choose(self, near: Iterable[ListedInstance]) -> Source | None:
         """Return who is asked, None to read the service.
@@ -77,7 +83,7 @@
         ``near`` holds the instances of the own failure domain.
         """
         order = sorted(near, key=_age)
-        if len(order) < RELAY_FROM:
+        if len(order) < RELAY_FROM or self.timer.now() < self.reads_until:
             return None
         failing = 0
         for each in order:
@@ -116,9 +122,14 @@
         for each in order:
             is_other = each.address != self.own_address
             if each.identity == identity and is_other:
-                return None if self._is_failing(identity) else Source(each)
+                return self._reader(each)
         return None
 
+    def _reader(self, instance: ListedInstance) -> Source | None:
+        if self._is_failing(instance.identity):
+            return None
+        return Source(instance, is_reader=True)
+
     def _is_own(self, identity: str, order: list[ListedInstance]) -> bool:
         return any(
             each.identity == identity and each.address == self.own_address
@@ -138,6 +149,14 @@
         for gone in self.failed_at.keys() - identities:
             self.failed_at.pop(gone)
 
+    def asked_as_reader(self) -> None:
+        """Read the service for a while, whoever else seems to read.
+
+        Daemons that differ about the oldest would ask each other in a
+        circle otherwise, and none of them would hear of a change.
+        """
+        self.reads_until = self.timer.now() + READER_SECONDS
+
     def asked(self, identity: str, speed: float) -> None:
         """Take the reading speed of a daemon, bytes a second."""
         if speed > FASTER * self.fastest[1]:
--- a/packages/proxy/tanagerbend_proxy/tests/test_sources.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_sources.py
@@ -11,6 +11,7 @@
     CHECK_SECONDS,
     FAILING_SECONDS,
     FASTER,
+    READER_SECONDS,
     RELAY_FROM,
     Sources,
 )
@@ -137,3 +138,12 @@
     assert len(log.batches) == KEPT_BATCHES
     assert log.since(4) is None
     assert log.since(5) == (item('i-1'),)
+
+
+async def test_named_reader_reads_although_others_seem_to(sources):
+    """Guards against daemons that ask each other in a circle."""
+    assert chosen(sources) == OLDEST.identity
+    sources.asked_as_reader()
+    assert chosen(sources) is None
+    await sources.timer.advance(READER_SECONDS + 0.1)
+    assert chosen(sources) == OLDEST.identity
