Write large answers at once where the link is free

On fast links a large answer went through turns that it did not wait for, one write for each 16 KiB. An answer that the link may take at once is written by the server as before the turns.

--- a/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
@@ -107,6 +107,20 @@
     assert at < 0.5
 
 
+def test_free_fast_link_needs_no_turns():
+    """Guards against turns where they only cost processor time."""
+
+    async def decide():
+        fast = Uplink(LoopTimer(), 100 * LINK)
+        thin = Uplink(LoopTimer(), LINK)
+        unknown = Uplink(LoopTimer())
+        await asyncio.sleep(1)
+        size = len(LARGE)
+        return [each.send_now(size) for each in (fast, thin, unknown)]
+
+    assert run_virtual(decide()) == [True, False, True]
+
+
 class LargeAnswers(Owner):
     """Owner of an instance whose answers are all large."""
 
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -106,8 +106,7 @@
     ) -> web.StreamResponse:
         """Write a large answer in turns; the server writes a small one."""
         body = body_of(response)
-        if not self.uplink.is_large(len(body)):
-            self.uplink.spend(len(body))
+        if self.uplink.send_now(len(body)):
             return response
         rank = response.get(RANK, 0)
         sent = web.StreamResponse(
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -84,6 +84,15 @@
         self._count()
         self.allowed -= size + HEADER_BYTES
 
+    def send_now(self, size: int) -> bool:
+        """Count an answer that need not wait; return whether it is one."""
+        self._count()
+        is_free = not self.turns and self.allowed >= size
+        if is_free or not self.is_large(size):
+            self.spend(size)
+            return True
+        return False
+
     @contextlib.contextmanager
     def expecting(self, size: float) -> Iterator[None]:
         """Count bytes that are going to leave this host."""
