--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -16,10 +16,10 @@
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.link_use import LinkUse
-from tanagerbend_proxy.news_age import NewsAge
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.peers import Peers
 from tanagerbend_proxy.sources import Sources
+from tanagerbend_proxy.staleness import Staleness
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_routing import Placement, RetryAllowance
@@ -59,7 +59,7 @@
         is_changed = terms != self.terms
         self.terms = terms
         self.entry.allowance.terms = terms.budget
-        self.follower.news.bound = terms.apply_seconds
+        self.follower.staleness.bound = terms.apply_seconds
         self.log.write('settings_reloaded', is_changed=is_changed)
 
 
@@ -107,7 +107,7 @@
         Peers(terms, Sources(terms.instance_address, recorder), session),
         recorder,
         chance,
-        NewsAge(knowledge, link, terms.apply_seconds),
+        Staleness(knowledge, link, terms.apply_seconds),
     )
     endpoint = CallerHandler(entry, names, recorder, terms.service)
     callers = Endpoint(endpoint.handle, recorder, uplink)
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -23,9 +23,9 @@
 from tanagerbend_proxy.exchange import CONNECT_SECONDS
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.link_use import CHANGES, SERVICE
-from tanagerbend_proxy.news_age import NewsAge
 from tanagerbend_proxy.peers import Peers
 from tanagerbend_proxy.sources import POLL_WAIT_SECONDS, Source
+from tanagerbend_proxy.staleness import Staleness
 
 # A watch whose answer was lost must end, and the next one begin, within
 # the three seconds after which a daemon counts as in touch again.
@@ -88,7 +88,7 @@
     peers : Peers
     recorder : Recorder
     random : random.Random
-    news : NewsAge
+    staleness : Staleness
     """
 
     def __init__(
@@ -98,7 +98,7 @@
         peers: Peers,
         recorder: Recorder,
         chance: random.Random,
-        news: NewsAge,
+        staleness: Staleness,
     ) -> None:
         self.service = service
         self.knowledge = knowledge
@@ -106,7 +106,7 @@
         self.recorder = recorder
         self.timer = recorder.timer
         self.random = chance
-        self.news = news
+        self.staleness = staleness
         self.speed = 0.0
         # Whether versions may be replaced faster than they are read.
         self.is_behind = False
@@ -144,7 +144,7 @@
             case PollReply():
                 return
             case None:
-                self._leave(source, f'no answer after {patience:.1f} s')
+                self._leave(source, f'no answer after {patience:.2f} s')
         await self._ask_others()
 
     async def _ask_others(self) -> None:
@@ -193,7 +193,7 @@
 
     def _failed(self, refusal: Refusal) -> None:
         self.knowledge.store_lost(refusal.reason)
-        self.news.write('service_failed', reason=refusal.reason)
+        self.staleness.write('service_failed', reason=refusal.reason)
 
     async def step(self) -> Batch | HistoryGone | Refusal:
         """Read once and take what was read."""
@@ -255,8 +255,8 @@
     ) -> None:
         if source.is_check:
             self.peers.sources.named = reply.reader
-        self.news.link.received(CHANGES, reply.batch.size)
-        self.news.heard(age)
+        self.staleness.link.received(CHANGES, reply.batch.size)
+        self.staleness.heard(age)
         self.knowledge.registry.settle(reply.settled_after)
         self.applier.take(reply.batch)
 
@@ -264,7 +264,7 @@
         identity = source.instance.identity
         self.peers.sources.failed(identity)
         self.recorder.count('peers_left')
-        self.news.write('peer_left', instance=identity, reason=reason)
+        self.staleness.write('peer_left', instance=identity, reason=reason)
 
     async def answer(self, request: PollRequest) -> bytes | Refusal:
         """Answer a peer when there is a change, or after its wait."""
@@ -273,15 +273,16 @@
             self.peers.sources.asked_as_reader()
         due = self.timer.now() + min(request.wait, POLL_WAIT_SECONDS)
         while True:
-            if self.news.seconds > MOST_AGE_SECONDS - LEAST_SECONDS:
-                reason = f'heard the service {self.news.seconds:.1f} s ago'
+            if self.staleness.seconds > MOST_AGE_SECONDS - LEAST_SECONDS:
+                reason = f'heard the service {self.staleness.seconds:.1f} s ago'
                 return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
             items = self.applier.log.since(request.revision)
             if items is None:
                 reason = f'changes after {request.revision} are not kept'
                 return Refusal(ResultCode.VERSION_OLDER, reason)
             left = min(
-                due - self.timer.now(), MOST_AGE_SECONDS - self.news.seconds
+                due - self.timer.now(),
+                MOST_AGE_SECONDS - self.staleness.seconds,
             )
             if items or left < LEAST_SECONDS:
                 return self._tell(request, items)
@@ -294,7 +295,7 @@
         self.peers.sources.asked(own, self.speed)
         reply = PollReply(
             Batch(items, self.applier.revision or 0),
-            self.news.seconds,
+            self.staleness.seconds,
             self.peers.sources.fastest[0],
             self.knowledge.registry.settled_after,
         )
@@ -302,10 +303,10 @@
         return encode_reply(reply, base, self.timer.now())
 
     def _heard_service(self, batch: Batch) -> None:
-        self.news.link.received(SERVICE, batch.size)
+        self.staleness.link.received(SERVICE, batch.size)
         if batch.size >= LEAST_MEASURED_BYTES:
             self.speed = batch.size / max(batch.seconds, LEAST_SECONDS)
-        self.news.heard(batch.seconds)
+        self.staleness.heard(batch.seconds)
         self.knowledge.store_regained()
 
     async def _list(self) -> Batch | Refusal:
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -254,7 +254,7 @@
             case Refusal(reason=reason):
                 status = HTTPStatus.SERVICE_UNAVAILABLE
                 return web.Response(status=status, text=reason)
-        self.follower.news.link.sent(CHANGES, len(reply))
+        self.follower.staleness.link.sent(CHANGES, len(reply))
         return web.Response(body=reply)
 
     async def run(self, http: web.BaseRequest) -> web.StreamResponse:
@@ -289,7 +289,7 @@
     def _respond(self, identifier: str, outcome: Outcome) -> web.Response:
         match outcome.end:
             case Answer(body=body):
-                self.follower.news.link.sent(PLACED, len(body))
+                self.follower.staleness.link.sent(PLACED, len(body))
                 response = respond(outcome.end)
             case Refusal(reason=reason):
                 response = web.Response(text=reason)
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -75,7 +75,7 @@
     def _subscribe(self, timer: Timer) -> None:
         parts = self.parts
         timer.every(EXPIRY_SECONDS, parts.follower.expire)
-        timer.every(AGE_CHECK_SECONDS, parts.follower.news.check)
+        timer.every(AGE_CHECK_SECONDS, parts.follower.staleness.check)
         timer.every(REFRESH_SECONDS, self.refresh)
         timer.every(FORGET_SECONDS, self.forget)
         timer.every(CLOCK_CHECK_SECONDS, parts.log.check_clock)
@@ -126,7 +126,8 @@
             ('ready', ''): {'': int(parts.is_ready)},
             ('version', ''): {'': parts.knowledge.version},
             ('busy', ''): {'': parts.owner.queue.busy},
-            ('news_age', ''): {'': parts.follower.news.seconds},
+            ('version_age', ''): {'': parts.follower.staleness.seconds},
+            ('entries_age', ''): {'': parts.follower.staleness.seconds},
             ('unsent_bytes', ''): {'': parts.link.count_unsent()},
         }
         return web.Response(body=await expose(parts.recorder, gauges))
--- a/packages/proxy/tanagerbend_proxy/sources.py
+++ b/packages/proxy/tanagerbend_proxy/sources.py
@@ -171,7 +171,7 @@
         """Return peers to ask beside the usual one.
 
         One is of the own failure domain and one of another, since what
-        keeps one from the news often meets its neighbours too.
+        keeps one from changes often meets its neighbours too.
         """
         free = [
             each
--- a/packages/proxy/tanagerbend_proxy/news_age.py
+++ b/packages/proxy/tanagerbend_proxy/staleness.py
@@ -1,4 +1,4 @@
-"""How old the news of a daemon is, and what may explain it."""
+"""How old the knowledge of a daemon is, and what may explain it."""
 
 from typing import Any
 
@@ -6,7 +6,7 @@
 from tanagerbend_proxy.link_use import LinkUse
 
 
-class NewsAge:
+class Staleness:
     """Time since the configuration service was heard, here or by a peer.
 
     Parameters
@@ -33,20 +33,20 @@
 
     @property
     def seconds(self) -> float:
-        """Age of the news."""
+        """Age of the version and of the entries that are known."""
         return self.timer.now() - self.heard_at
 
     def heard(self, age: float) -> None:
         """Note that the service was heard ``age`` seconds ago."""
         if self.is_late and age < self.seconds:
-            self.write('news_heard')
+            self.write('changes_resumed')
         self.heard_at = max(self.heard_at, self.timer.now() - age)
 
     async def check(self) -> None:
         """Note when half of the time for changes has passed."""
         is_late = self.bound / 2 < self.seconds < float('inf')
         if is_late and not self.is_late:
-            self.write('news_late')
+            self.write('changes_late')
         self.is_late = is_late
 
     def write(self, event: str, **fields: Any) -> None:
--- a/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
@@ -10,7 +10,7 @@
 from tanagerbend_proxy.following import Follower
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.link_use import ANSWERS, LinkUse
-from tanagerbend_proxy.news_age import NewsAge
+from tanagerbend_proxy.staleness import Staleness
 from tanagerbend_timer import ManualTimer
 
 BOUND = 2.0
@@ -55,7 +55,7 @@
         None,
         recorder,
         random.Random(1),
-        NewsAge(knowledge, LinkUse(recorder), BOUND),
+        Staleness(knowledge, LinkUse(recorder), BOUND),
     )
 
 
@@ -76,15 +76,15 @@
 async def test_changes_that_come_late_are_logged_once(follower, lines):
     """Guards against seconds without news that no line tells of."""
     await follower._list()
-    await follower.news.check()
-    assert 'news_late' not in lines.events
+    await follower.staleness.check()
+    assert 'changes_late' not in lines.events
     await follower.timer.advance(BOUND / 2 + 0.1)
-    await follower.news.check()
-    await follower.news.check()
-    assert lines.events.count('news_late') == 1
-    follower.news.heard(0.0)
+    await follower.staleness.check()
+    await follower.staleness.check()
+    assert lines.events.count('changes_late') == 1
+    follower.staleness.heard(0.0)
     event, fields = lines[-1]
-    assert event == 'news_heard'
+    assert event == 'changes_resumed'
     assert fields['age'] == pytest.approx(BOUND / 2 + 0.1)
 
 
