--- a/packages/proxy/tanagerbend_proxy/tests/test_exchange.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_exchange.py
@@ -6,8 +6,14 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from tanagerbend_daemon.connections import Connector
 from tanagerbend_model import Refusal
-from tanagerbend_proxy.exchange import Outgoing, make_session, send
+from tanagerbend_proxy.exchange import (
+    CONNECT_SECONDS,
+    Outgoing,
+    make_session,
+    send,
+)
 from tanagerbend_proxy.messages import Answer
 
 PARTS = 4
@@ -117,3 +123,39 @@
         b'GET',
     ]
     assert body in server.starts
+
+
+async def test_late_connection_is_begun_again_beside_the_first(
+    session,
+    address,
+    monkeypatch,
+):
+    """Guards against a wait for an opening packet that was lost."""
+    begun = []
+    ended = []
+    create = Connector._create_connection
+
+    async def lose_first(self, *args):
+        begun.append(args)
+        if len(begun) > 1:
+            return await create(self, *args)
+        try:
+            await asyncio.Event().wait()
+        finally:
+            ended.append(args)
+
+    monkeypatch.setattr(Connector, '_create_connection', lose_first)
+    outgoing = Outgoing(
+        address,
+        'GET',
+        '/',
+        CIMultiDict(),
+        b'',
+        30.0,
+        connect_limit=3 * CONNECT_SECONDS,
+    )
+    got = await send(session, outgoing)
+    assert isinstance(got, Answer)
+    assert len(begun) == 2
+    await asyncio.sleep(0)
+    assert ended == begun[:1]
