Log and count how large answers leave a host

Each large answer now has a line when its last part was handed over, or when its reader left, with what was ahead of it, the time it waited for turns, and the time of the link that waiting turns did not use; counters and a histogram by purpose and end. No decision is changed.

--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -18,6 +18,11 @@
 # Bytes of bodies between this host and others.
 BYTES_SENT: Final = 'bytes_sent'
 BYTES_RECEIVED: Final = 'bytes_received'
+# Large answers and their bytes by purpose and end, and the time that each
+# waited for its turns on the link.
+LARGE_ANSWERS: Final = 'large_answers'
+LARGE_BYTES: Final = 'large_answer_bytes'
+TURN_TIME: Final = 'turns'
 
 # A call that the owner refuses to its entry daemon may be served by another
 # instance, so these are counted apart from what callers see.
@@ -54,6 +59,8 @@
     'store_calls': 'call',
     BYTES_SENT: 'purpose',
     BYTES_RECEIVED: 'purpose',
+    LARGE_ANSWERS: 'end',
+    LARGE_BYTES: 'end',
     'log_lines_left_out': 'event',
 }
 # Exposed from the start, so that an alert on them never lacks a series.
--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -9,13 +9,14 @@
 from tanagerbend_admission import ObjectiveQueue
 from tanagerbend_metrics import Recorder
 from tanagerbend_proxy.decisions import DecisionLog
+from tanagerbend_proxy.delivery import DeliveryLog
 from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.exchange import make_session
 from tanagerbend_proxy.following import Follower, ItemService
 from tanagerbend_proxy.front import CallerHandler, Endpoint, PeerHandler
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.knowledge import Knowledge
-from tanagerbend_proxy.link_use import LinkUse
+from tanagerbend_proxy.link_use import ANSWERS, PLACED, LinkUse
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.peers import Peers
 from tanagerbend_proxy.sources import Sources
@@ -110,9 +111,19 @@
         Staleness(knowledge, link, terms.apply_seconds),
     )
     endpoint = CallerHandler(entry, names, recorder, terms.service)
-    callers = Endpoint(endpoint.handle, recorder, uplink)
+    callers = Endpoint(
+        endpoint.handle,
+        recorder,
+        uplink,
+        DeliveryLog(ANSWERS, recorder, log),
+    )
     handler = PeerHandler(owner, follower, names)
-    peers = Endpoint(handler.handle, recorder, uplink)
+    peers = Endpoint(
+        handler.handle,
+        recorder,
+        uplink,
+        DeliveryLog(PLACED, recorder, log),
+    )
     link.count_unsent = lambda: (
         callers.unsent + peers.unsent + int(uplink.announced)
     )
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -15,6 +15,7 @@
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
 from tanagerbend_proxy.changes import PollRequest
+from tanagerbend_proxy.delivery import Delivery, DeliveryLog
 from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.exchange import without_connection
 from tanagerbend_proxy.following import Follower
@@ -40,8 +41,10 @@
 STOPPING_RETURN_SECONDS: Final = 0.01
 # Set by the server itself, or meant for another connection.
 NOT_COPIED: Final = HOP_BY_HOP | {'content-length', 'date', 'server'}
-# Key under which a response holds the rank of its route.
+# Keys under which a response holds the rank of its route and the
+# identifier of its request.
 RANK: Final = web.ResponseKey('rank', int)
+IDENTIFIER: Final = web.ResponseKey('identifier', str)
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
 
@@ -55,6 +58,8 @@
     handler : callable
     recorder : Recorder
     uplink : Uplink
+    deliveries : DeliveryLog or None
+        Told of each large answer.
     active : int
         Requests that are being answered.
     is_shut : bool
@@ -66,6 +71,7 @@
     handler: Handler
     recorder: Recorder
     uplink: Uplink
+    deliveries: DeliveryLog | None = None
     active: int = 0
     is_shut: bool = False
     is_closing: bool = False
@@ -108,7 +114,6 @@
         body = body_of(response)
         if self.uplink.send_now(len(body)):
             return response
-        rank = response.get(RANK, 0)
         sent = web.StreamResponse(
             status=response.status,
             headers=response.headers,
@@ -116,11 +121,18 @@
         sent.content_length = len(body)
         if not response.keep_alive:
             sent.force_close()
+        delivery = Delivery.begin(
+            response.get(IDENTIFIER, ''),
+            Transfer(self.uplink, response.get(RANK, 0), len(body)),
+        )
         try:
-            await self._write(request, sent, body, rank)
+            await self._write(request, sent, body, delivery)
         except ConnectionError:
             # Its caller has gone; the server closes the connection.
             self.recorder.count('answers_cut')
+        finally:
+            if self.deliveries is not None:
+                self.deliveries.ended(delivery)
         return sent
 
     async def _write(
@@ -128,14 +140,15 @@
         request: web.BaseRequest,
         sent: web.StreamResponse,
         body: bytes,
-        rank: int,
+        delivery: Delivery,
     ) -> None:
-        transfer = Transfer(self.uplink, rank, len(body))
         await sent.prepare(request)
         for part in parts_of(body):
-            await transfer.turn(len(part))
+            await delivery.transfer.turn(len(part))
             await sent.write(part)
+            delivery.written += len(part)
         await sent.write_eof()
+        delivery.is_whole = True
 
     @property
     def unsent(self) -> int:
@@ -180,6 +193,7 @@
         self.entry.link.sent(ANSWERS, len(end.body))
         response = respond(end)
         response[RANK] = self.entry.rank_of(request)
+        response[IDENTIFIER] = request.identifier
         return response
 
     async def read(self, http: web.BaseRequest) -> Request | Refusal:
@@ -284,6 +298,7 @@
         outcome = await self.owner.run(request, placed)
         response = self._respond(identifier, outcome)
         response[RANK] = placed.rank
+        response[IDENTIFIER] = identifier
         return response
 
     def _respond(self, identifier: str, outcome: Outcome) -> web.Response:
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -129,6 +129,7 @@
             ('version_age', ''): {'': parts.follower.staleness.seconds},
             ('entries_age', ''): {'': parts.follower.staleness.seconds},
             ('unsent_bytes', ''): {'': parts.link.count_unsent()},
+            ('link_unused_bytes', ''): {'': int(parts.owner.uplink.unused)},
         }
         return web.Response(body=await expose(parts.recorder, gauges))
 
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -65,6 +65,8 @@
         self.turns: list[Turn] = []
         self.numbers = itertools.count()
         self.announced = 0.0
+        # Bytes that the link could have carried while turns waited.
+        self.unused = 0.0
         self.pump: asyncio.Task[None] | None = None
 
     def is_large(self, size: int) -> bool:
@@ -136,10 +138,10 @@
         now = self.timer.now()
         if self.rate < math.inf:
             burst = BURST_SECONDS * self.rate
-            self.allowed = min(
-                self.allowed + (now - self.counted_at) * self.rate,
-                burst,
-            )
+            allowed = self.allowed + (now - self.counted_at) * self.rate
+            self.allowed = min(allowed, burst)
+            if self.turns:
+                self.unused += allowed - self.allowed
         self.counted_at = now
 
     async def close(self) -> None:
@@ -168,12 +170,15 @@
         Bytes that have had no turn yet.
     number : int
         Of the answers of this host.
+    waited : float
+        Seconds until its turns were granted.
     """
 
     uplink: Uplink
     rank: int
     left: int
     number: int = attrs.field(init=False)
+    waited: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         self.number = next(self.uplink.numbers)
@@ -184,8 +189,12 @@
         What is left counts meanwhile, and not while the answer waits for
         its reader, which may never read on.
         """
-        with self.uplink.expecting(self.left):
-            await self.uplink.take(self.rank, self.number, size)
+        begun = self.uplink.timer.now()
+        try:
+            with self.uplink.expecting(self.left):
+                await self.uplink.take(self.rank, self.number, size)
+        finally:
+            self.waited += self.uplink.timer.now() - begun
         self.left -= size
 
 
