Emulate the links of hosts and sizes that differ

Cause: the emulator had no links, so nothing showed how decisions at both hops meet them. Change: each host has the real Uplink and turns in front of a link that carries a rate; sizes with a spread, failure domains with unequal shares, timers that end late, and the requests of a verdict with their ends and bytes.

--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -10,8 +10,9 @@
 from multidict import CIMultiDict
 
 from tanagerbend_admission import ObjectiveQueue
+from tanagerbend_emulator.links import HostLink
 from tanagerbend_emulator.loads import KindLoad, Load, ServiceLoad
-from tanagerbend_emulator.virtual import LoopTimer
+from tanagerbend_emulator.virtual import LateTimer, LoopTimer
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import HeaderNames, Listening, StopTerms, Terms
@@ -20,7 +21,7 @@
 from tanagerbend_proxy.link_use import LinkUse
 from tanagerbend_proxy.messages import Answer, Outcome, Placed, Request
 from tanagerbend_proxy.owner import Owner
-from tanagerbend_proxy.uplink import Uplink
+from tanagerbend_proxy.uplink import HEADER_BYTES, Uplink
 from tanagerbend_routing import (
     ListedInstance,
     Part,
@@ -35,6 +36,7 @@
 FAILED: Final = 500
 OVER: Final = 504
 KILOBYTE: Final = 1024
+MOST_BODIES: Final = 64
 # Nothing changes in an emulation.
 APPLY_SECONDS: Final = 2.0
 NAMES: Final = HeaderNames(
@@ -121,7 +123,8 @@
             await asyncio.sleep(self._seconds(kind) / 2)
         finally:
             self.slots.release()
-        return Answer(OK, CIMultiDict(), body_of(kind.kilobytes))
+        kilobytes = kind.draw_kilobytes(self.random)
+        return Answer(OK, CIMultiDict(), body_of(kilobytes))
 
     def _seconds(self, kind: KindLoad) -> float:
         now = asyncio.get_running_loop().time()
@@ -144,7 +147,7 @@
         return False
 
 
-@functools.cache
+@functools.lru_cache(maxsize=MOST_BODIES)
 def body_of(kilobytes: float) -> bytes:
     """Return a body of a size."""
     return bytes(int(kilobytes * KILOBYTE))
@@ -186,6 +189,7 @@
     """Entry that reaches other owners over emulated links."""
 
     fleet: 'EmulatedFleet | None' = None
+    out: HostLink | None = None
 
     async def _forward(
         self,
@@ -194,12 +198,19 @@
         placed: Placed,
     ) -> Outcome:
         delay = self.fleet.delay(self.terms.failure_domain, instance)
-        await asyncio.sleep(delay)
+        self.owner.uplink.spend(len(request.body))
+        await asyncio.sleep(delay + self.out.write(HEADER_BYTES))
         owner = self.fleet.owners[instance.identity]
         outcome = await owner.run(request, placed)
+        body = outcome.end.body if isinstance(outcome.end, Answer) else b''
+        await self.fleet.links[instance.identity].send(body, placed.rank)
         await asyncio.sleep(delay)
         return outcome
 
+    async def deliver(self, answer: Answer, rank: int) -> None:
+        """Send an answer to its caller."""
+        await self.out.send(answer.body, rank)
+
 
 class EmulatedFleet:
     """All hosts of a load, each with the real decisions.
@@ -225,6 +236,7 @@
         self.recorder = Recorder(LoopTimer())
         self.configuration = configure(load)
         self.owners: dict[str, EmulatedOwner] = {}
+        self.links: dict[str, HostLink] = {}
         self.entries: dict[str, list[EmulatedEntry]] = {
             domain: [] for domain in load.domains
         }
@@ -246,6 +258,7 @@
         knowledge.adopt(self.configuration)
         knowledge.registry.replace(self.listed)
         queue = self.make_queue(self.recorder.timer, service.slots)
+        out = self._make_link(listed, service)
         owner = EmulatedOwner(
             listed.address,
             None,
@@ -253,7 +266,7 @@
             NAMES,
             self.recorder,
             knowledge.registry,
-            Uplink(self.recorder.timer),
+            out.uplink,
             instance=instance,
         )
         entry = EmulatedEntry(
@@ -269,11 +282,25 @@
             self.random,
             LinkUse(self.recorder),
             fleet=self,
+            out=out,
         )
         instance.entry = entry
         self.owners[listed.identity] = owner
         self.entries[listed.failure_domain].append(entry)
 
+    def _make_link(
+        self,
+        listed: ListedInstance,
+        service: ServiceLoad,
+    ) -> HostLink:
+        rate = service.link_of(int(listed.identity.rpartition('-')[2]))
+        timer = self.recorder.timer
+        if self.load.wake_delay:
+            timer = LateTimer(self.random, self.load.wake_delay)
+        out = HostLink(Uplink(timer, rate), rate)
+        self.links[listed.identity] = out
+        return out
+
     def delay(self, domain: str, instance: ListedInstance) -> float:
         """Return the one-way delay to an instance in seconds."""
         is_near = instance.failure_domain == domain
--- a/packages/emulator/tanagerbend_emulator/loads.py
+++ b/packages/emulator/tanagerbend_emulator/loads.py
@@ -1,6 +1,8 @@
 """Load files: a deployment, its requests, and what happens to them."""
 
+import math
 import pathlib
+import random
 import tomllib
 from typing import Any, Final
 
@@ -13,6 +15,8 @@
 UNFIT: Final = (LookupError, TypeError, ValueError)
 # Load files that come with the tool.
 LOADS: Final = pathlib.Path(__file__).parent / 'loads'
+# A thin link of 3.85 Mbit/s beside one of 70 Mbit/s.
+FAST_FACTOR: Final = 18.0
 
 
 @attrs.frozen
@@ -29,6 +33,11 @@
         Standard deviation of the logarithm of the speed of an instance.
     is_silent : bool
         Whether a full instance never answers.
+    link : float
+        Bytes a second that the link of each host carries away; infinite
+        if the links don't matter.
+    fast_hosts : int
+        Hosts whose links carry ``FAST_FACTOR`` times as much.
     """
 
     name: str
@@ -37,6 +46,13 @@
     queue: int = 4
     speed_spread: float = 0.15
     is_silent: bool = False
+    link: float = math.inf
+    fast_hosts: int = 0
+
+    def link_of(self, number: int) -> float:
+        """Return the bytes a second of the link of a host."""
+        factor = FAST_FACTOR if number < self.fast_hosts else 1.0
+        return self.link * factor
 
 
 @attrs.frozen
@@ -55,7 +71,9 @@
     objective, deadline, timeout : float
     rank : int
     repeat : Repeat
-    kilobytes : float
+    kilobytes, kilobytes_spread, most_kilobytes : float
+        Mean size of an answer, the standard deviation of its logarithm,
+        and its largest size.
     worth, worth_late : float
         What an answer on time, and a late one, are worth.
     retries : int
@@ -79,6 +97,17 @@
     retries: int = 1
     calls: tuple[str, ...] = ()
     work_spread: float = 0.25
+    kilobytes_spread: float = 0.0
+    most_kilobytes: float = math.inf
+
+    def draw_kilobytes(self, chance: random.Random) -> float:
+        """Return the size of one answer."""
+        if not self.kilobytes_spread:
+            return self.kilobytes
+        spread = self.kilobytes_spread
+        middle = math.log(self.kilobytes) - spread**2 / 2
+        drawn = chance.lognormvariate(middle, spread)
+        return min(drawn, self.most_kilobytes)
 
 
 @attrs.frozen
@@ -121,6 +150,11 @@
     kinds : tuple of KindLoad
     floods : tuple of Flood
     slowness : tuple of Slowness
+    shares : tuple of float
+        Parts of the requests that enter in each failure domain; equal if
+        there are none.
+    wake_delay : float
+        Timers of a daemon end up to this many seconds late.
     """
 
     title: str
@@ -133,6 +167,14 @@
     kinds: tuple[KindLoad, ...]
     floods: tuple[Flood, ...] = ()
     slowness: tuple[Slowness, ...] = ()
+    shares: tuple[float, ...] = ()
+    wake_delay: float = 0.0
+
+    def draw_domain(self, chance: random.Random) -> str:
+        """Return the failure domain in which a request enters."""
+        if self.shares:
+            return chance.choices(self.domains, self.shares)[0]
+        return chance.choice(self.domains)
 
     def kind(self, name: str) -> KindLoad:
         """Return the kind with a name."""
@@ -154,6 +196,7 @@
 
 def _load(found: dict[str, Any]) -> Load:
     found['domains'] = tuple(found['domains'])
+    found['shares'] = tuple(found.get('shares', ()))
     found['budget'] = BudgetTerms(**found['budget'])
     found['services'] = _all(ServiceLoad, found['services'])
     found['kinds'] = tuple(_kind(fields) for fields in found['kinds'])
@@ -183,5 +226,7 @@
     slowed = {slow.service for slow in load.slowness}
     served = {kind.service for kind in load.kinds}
     unknown = (called | flooded) - kinds | (slowed | served) - services
+    if load.shares and len(load.shares) != len(load.domains):
+        raise ValueError('one share is needed for each failure domain')
     if unknown:
         raise ValueError(f'not in the load: {sorted(unknown)}')
--- a/packages/emulator/tanagerbend_emulator/trial.py
+++ b/packages/emulator/tanagerbend_emulator/trial.py
@@ -49,6 +49,39 @@
         return self.earned / self.owed if self.owed else 1.0
 
 
+@attrs.frozen
+class Attempt:
+    """End of one attempt, when to come back, and the bytes of the body."""
+
+    end: str
+    wait: float = 0.0
+    size: int = 0
+
+
+@attrs.frozen
+class Ended:
+    """One request at its end; times in seconds of the load.
+
+    Parameters
+    ==========
+
+    kind : str
+    begun, ended : float
+    end : str
+    size : int
+        Bytes of the body that the caller has.
+    held : float
+        Seconds that the longest attempt took that was refused.
+    """
+
+    kind: str
+    begun: float
+    ended: float
+    end: str
+    size: int
+    held: float
+
+
 @attrs.define
 class Verdict:
     """What the callers of a load got.
@@ -62,6 +95,10 @@
         By the window of two seconds in which a request was first sent.
     refused_again : int
         Requests that came back after a refusal and were refused.
+    requests : list of Ended
+        In the order of their ends.
+    carried : float
+        Bytes that all links have carried.
     """
 
     whole: Share = attrs.field(factory=Share)
@@ -70,6 +107,8 @@
     ranks: dict[str, Share] = attrs.field(factory=dict)
     windows: dict[int, Share] = attrs.field(factory=dict)
     refused_again: int = 0
+    requests: list[Ended] = attrs.field(factory=list)
+    carried: float = 0.0
 
     def add(self, kind: KindLoad, domain: str, sent: float, end: str) -> None:
         """Count a request in all groups."""
@@ -104,6 +143,8 @@
             callers = Callers(load, fleet, verdict, kind)
             chance = random.Random(f'{seed}.{number}')
             group.create_task(callers.arrive(chance, group))
+    verdict.carried = sum(link.carried for link in fleet.links.values())
+    await asyncio.gather(*(link.close() for link in fleet.links.values()))
     return verdict
 
 
@@ -134,7 +175,7 @@
         while loop.time() < self.load.seconds:
             await asyncio.sleep(chance.expovariate(rate))
             is_sent = chance.random() * rate < self._rate(loop.time())
-            domain = chance.choice(self.load.domains)
+            domain = self.load.draw_domain(chance)
             entry = chance.choice(self.fleet.entries[domain])
             if is_sent:
                 self.number += 1
@@ -162,28 +203,34 @@
         loop = asyncio.get_running_loop()
         begun = loop.time()
         over = begun + self.kind.deadline
-        end = FAILED
-        for attempt in range(self.kind.retries + 1):
-            left = over - loop.time()
-            if left <= 0:
+        attempt = Attempt(FAILED)
+        held = 0.0
+        for count in range(self.kind.retries + 1):
+            asked = loop.time()
+            if asked >= over:
                 break
-            name = f'{self.kind.name}.{number}.{attempt}'
-            end, wait = await self._attempt(entry, name, over)
-            if end != REFUSED:
+            name = f'{self.kind.name}.{number}.{count}'
+            attempt = await self._attempt(entry, name, over)
+            if attempt.end != REFUSED:
                 break
-            self.verdict.refused_again += attempt > 0
-            left = over - loop.time()
-            await asyncio.sleep(min(wait, max(left, 0.0) / HONOURED_PART))
+            held = max(held, loop.time() - asked)
+            self.verdict.refused_again += count > 0
+            left = max(over - loop.time(), 0.0)
+            await asyncio.sleep(min(attempt.wait, left / HONOURED_PART))
+        end = attempt.end
         if end == ON_TIME and loop.time() - begun > self.kind.objective:
             end = LATE
         self.verdict.add(self.kind, domain, begun, end)
+        self.verdict.requests.append(
+            Ended(self.kind.name, begun, loop.time(), end, attempt.size, held)
+        )
 
     async def _attempt(
         self,
         entry: EmulatedEntry,
         name: str,
         over: float,
-    ) -> tuple[str, float]:
+    ) -> Attempt:
         """Return how an attempt ended, and when to come back."""
         loop = asyncio.get_running_loop()
         delay = self.load.to_callers
@@ -194,10 +241,13 @@
                 request = make_request(name, self.kind.name, left)
                 end = await entry.handle(request)
                 wait = entry.retry_after(request)
+                if isinstance(end, Answer):
+                    await entry.deliver(end, self.kind.rank)
                 await asyncio.sleep(delay)
         except TimeoutError:
-            return FAILED, 0.0
+            return Attempt(FAILED)
         match end:
-            case Answer(status=status):
-                return (ON_TIME if status == OK else FAILED), 0.0
-        return (REFUSED if end.ran is Ran.NO else FAILED), wait
+            case Answer(status=status, body=body):
+                is_good = status == OK
+                return Attempt(ON_TIME if is_good else FAILED, 0.0, len(body))
+        return Attempt(REFUSED if end.ran is Ran.NO else FAILED, wait)
--- a/packages/emulator/tanagerbend_emulator/virtual.py
+++ b/packages/emulator/tanagerbend_emulator/virtual.py
@@ -1,6 +1,7 @@
 """Event loop and timer whose time passes only when nothing is left to do."""
 
 import asyncio
+import random
 import selectors
 from collections.abc import Coroutine
 from typing import Any, TypeVar
@@ -81,3 +82,24 @@
 
     def check_pause(self) -> None:
         """Do nothing; virtual time has no pauses."""
+
+
+class LateTimer(LoopTimer):
+    """Timer of a daemon that seldom gets the processor.
+
+    Parameters
+    ==========
+
+    chance : random.Random
+    most : float
+        Seconds; each wait ends late by a random part of it.
+    """
+
+    def __init__(self, chance: random.Random, most: float) -> None:
+        self.random = chance
+        self.most = most
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait for the given time in seconds, and somewhat longer."""
+        late = self.most * self.random.random()
+        await asyncio.sleep(max(seconds, 0.0) + late)
