Judge a large answer by the time at which it will have left

What callers saw: plates late or without an answer, though each had been taken as one that can be on time. Cause: the owner took the time of sending off once, at arrival. What waited for a slot was not counted, work and link were added though they go on at the same time, and a request was refused by its objective only if it had to wait for a slot, so that the queue of bytes grew to the deadline. Change: the decision is Departures, a class of its own: the later of (slot and work) and (all that was taken before, over the link), and the own bytes. Admission refuses by it what can't be on time unless neither slot nor link is waited for; a slot isn't granted to what can't leave before the deadline any more. Sizes have a spread: three mean deviations over the root of the number of answers whose size isn't known yet, as three deviations are kept for work times. Bytes count by rank.

--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -3,7 +3,8 @@
 The load it answers: more work than the slots can take.  A request whose
 objective can be met goes before one that will be late, urgent ranks go
 first, and the least urgent rank that waits gets every sixteenth slot.  A
-request that can't be served in time is refused when it arrives.
+request that can't be served in time is refused when it arrives; where
+answers are large, the time in which they leave the host counts.
 """
 
 import asyncio
@@ -12,8 +13,10 @@
 
 import attrs
 
+from tanagerbend_admission.departure import Departures
 from tanagerbend_admission.estimate import ServiceTimes
 from tanagerbend_admission.window import WINDOW_SECONDS, RankWindow
+from tanagerbend_admission.work import Work
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_timer import Timer
 
@@ -31,28 +34,6 @@
 LATE_TIER: Final = 1_000_000
 
 
-@attrs.frozen
-class Work:
-    """A request that asks for a slot.
-
-    Parameters
-    ==========
-
-    kind : str
-        Requests of one kind take similar times.
-    rank : int
-        0 is the most urgent.
-    on_time_until, deadline : float
-        Monotonic seconds: when an answer is late, and when it is of no
-        use.
-    """
-
-    kind: str
-    rank: int
-    on_time_until: float
-    deadline: float
-
-
 @attrs.frozen(eq=False)
 class Waiting:
     """A request that waits for a slot."""
@@ -69,6 +50,12 @@
 
     timer : Timer
     slots : int
+
+    Attributes
+    ==========
+
+    departures : Departures
+        When the answers leave the host.
     """
 
     def __init__(self, timer: Timer, slots: int) -> None:
@@ -77,6 +64,7 @@
         self.running = 0
         self.waiting: list[Waiting] = []
         self.times = ServiceTimes()
+        self.departures = Departures()
         self.grants = 0
         self.granted = RankWindow()
 
@@ -109,18 +97,28 @@
             raise
 
     def judge(self, work: Work) -> Refusal | None:
-        """Refuse a request at its arrival if it can't be served."""
+        """Refuse a request at its arrival if it can't be served.
+
+        One that will be late is taken only if it keeps nobody waiting,
+        neither for a slot nor for the link.
+        """
         now = self.timer.now()
         wait = self.expected_wait(work)
-        ready = now + wait + self.times.mean(work.kind)
-        if ready > work.deadline or len(self.waiting) >= MOST_WAITING:
+        mean = self.times.mean(work.kind)
+        before = [waiting.work for waiting in self.waiting]
+        sent = self.departures.seconds(wait + mean, work, before)
+        if now + sent > work.deadline or len(before) >= MOST_WAITING:
             if not wait and self.times.may_try(work.kind, now):
                 # The instance may have become fast again.
                 return None
             return self._refusal(ResultCode.DEADLINE_UNREACHABLE, work)
-        if not wait:
+        if not wait and not self.departures.holds_up(work, mean, before):
             return None
-        if ready + self._margin(work) > work.on_time_until:
+        margin = max(
+            self._margin(work),
+            self.departures.margin(work, before),
+        )
+        if now + sent + margin > work.on_time_until:
             return self._refusal(ResultCode.QUEUE_FULL, work)
         return None
 
@@ -149,6 +147,8 @@
             f'{self.running} of {self.slots} slots, {len(self.waiting)} wait,'
             f' wait {self.expected_wait(work):.3f} s,'
             f' work {self.times.mean(work.kind):.3f} s,'
+            f' link free in {self.departures.free_in(work.rank, ()):.3f} s,'
+            f' {work.size:.0f} bytes,'
             f' on time in {work.on_time_until - now:.3f} s,'
             f' deadline in {work.deadline - now:.3f} s',
         )
@@ -196,6 +196,7 @@
         which is news only if it is longer than usual.
         """
         self.running -= 1
+        self.departures.withdraw(work)
         if is_whole or seconds > self.times.mean(work.kind):
             self.times.observe(work.kind, seconds, self.timer.now())
         self._grant()
@@ -207,7 +208,7 @@
 
     async def _wait(self, waiting: Waiting) -> Refusal | None:
         work = waiting.work
-        last = work.deadline - self.times.mean(work.kind)
+        last = work.deadline - self._least_seconds(work)
         try:
             async with asyncio.timeout(max(last - self.timer.now(), 0.0)):
                 return await asyncio.shield(waiting.granted)
@@ -238,6 +239,7 @@
 
     def _count_grant(self, work: Work) -> None:
         self.running += 1
+        self.departures.promise(work)
         self.grants += 1
         self.granted.add(self.timer.now(), self._tier(work), 1)
 
@@ -248,12 +250,15 @@
         return min(self.waiting, key=lambda each: order(each.work))
 
     def _order(self, work: Work) -> tuple[bool, int, float]:
-        ready = self.timer.now() + self.times.mean(work.kind)
-        return ready > work.on_time_until, work.rank, work.on_time_until
+        sent = self.timer.now() + self._least_seconds(work)
+        return sent > work.on_time_until, work.rank, work.on_time_until
 
     def _is_hopeless(self, work: Work) -> bool:
-        ready = self.timer.now() + self.times.mean(work.kind)
-        return ready > work.deadline
+        return self.timer.now() + self._least_seconds(work) > work.deadline
+
+    def _least_seconds(self, work: Work) -> float:
+        """Return the time until the answer of a slot granted now has left."""
+        return self.departures.seconds(self.times.mean(work.kind), work)
 
 
 def _least_urgent(waiting: Waiting) -> tuple[int, float]:
--- a/packages/proxy/tanagerbend_proxy/delivery.py
+++ b/packages/proxy/tanagerbend_proxy/delivery.py
@@ -50,7 +50,7 @@
         """Return an answer that begins to leave now."""
         uplink = transfer.uplink
         size = transfer.left
-        ahead = uplink.seconds_for(size) - size / uplink.rate
+        ahead = uplink.seconds_for(size) - size / uplink.pace
         return cls(identifier, transfer, size, uplink.timer.now(), ahead)
 
 
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -7,7 +7,7 @@
 import attrs
 from multidict import CIMultiDict
 
-from tanagerbend_admission import ObjectiveQueue, Work
+from tanagerbend_admission import ObjectiveQueue, ServiceTimes, Work
 from tanagerbend_metrics import Recorder
 from tanagerbend_metrics.names import BACKEND_TIME, QUEUE_TIME
 from tanagerbend_model import Ran, Refusal, ResultCode
@@ -20,12 +20,10 @@
     Placed,
     Request,
 )
-from tanagerbend_proxy.uplink import TURN_BYTES, Uplink
+from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_routing import InstanceRegistry, LoadReport, Repeat
 
 OK: Final = 200
-# Weight of one answer in the typical size of a route.
-SIZE_WEIGHT: Final = 0.1
 REDIRECTS: Final = 300
 MISDIRECTED: Final = 421
 # Kept back from the time of the instance, so that its answer, or the news
@@ -51,8 +49,8 @@
         Over which the answers leave this host.
     is_leaving : bool
         Whether requests of other hosts are refused.
-    sizes : dict
-        Typical bytes of an answer of each route.
+    sizes : ServiceTimes
+        Bytes of the answers of each route, as their times are kept.
     """
 
     address: str
@@ -63,19 +61,22 @@
     registry: InstanceRegistry
     uplink: Uplink
     is_leaving: bool = False
-    sizes: dict[str, float] = attrs.field(factory=dict)
+    sizes: ServiceTimes = attrs.field(factory=ServiceTimes)
+
+    def __attrs_post_init__(self) -> None:
+        self.queue.departures.link = self.uplink
 
     async def run(self, request: Request, placed: Placed) -> Outcome:
         """Wait for a slot and run the request once."""
         now = self.recorder.timer.now()
         deadline = now + placed.time_left
-        size = self.sizes.get(placed.route, 0.0)
-        sending = self.uplink.seconds_for(size)
         work = Work(
             placed.route,
             placed.rank,
-            now + placed.on_time - sending,
-            deadline - RETURN_SECONDS - sending,
+            now + placed.on_time,
+            deadline - RETURN_SECONDS,
+            self.sizes.mean(placed.route),
+            self.sizes.deviation(placed.route),
         )
         refusal = await self.queue.enter(work)
         if refusal is not None:
@@ -88,8 +89,7 @@
         self._record(QUEUE_TIME, placed, started - now)
         is_whole = False
         try:
-            with self.uplink.expecting(size):
-                end = await self._send(request, placed, deadline - started)
+            end = await self._send(request, placed, deadline - started)
             is_whole = isinstance(end, Answer) and end.status < MISDIRECTED
         finally:
             seconds = self.recorder.timer.now() - started
@@ -105,8 +105,8 @@
     def _learn_size(self, route: str, end: Answer | Refusal) -> None:
         match end:
             case Answer(body=body):
-                known = self.sizes.get(route, len(body))
-                self.sizes[route] = known + SIZE_WEIGHT * (len(body) - known)
+                now = self.recorder.timer.now()
+                self.sizes.observe(route, len(body), now)
 
     def _record(self, name: str, placed: Placed, seconds: float) -> None:
         histograms = self.recorder.histograms
@@ -115,7 +115,8 @@
     def report(self, rank: int, served: float = 0.0) -> LoadReport:
         """Return the load of the instance as a rank meets it."""
         busy = self.queue.busy_for(rank)
-        sending = self.uplink.seconds_for(TURN_BYTES + 1)
+        waiting = [each.work for each in self.queue.waiting]
+        sending = self.queue.departures.free_in(rank, waiting)
         return LoadReport(busy, self.queue.slots, served, sending)
 
     async def _send(
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -17,6 +17,7 @@
 
 import attrs
 
+from tanagerbend_admission.departure import PART_BYTES
 from tanagerbend_timer import Timer
 
 # Part of the link that bodies may take; headers, acknowledgements and new
@@ -24,7 +25,7 @@
 BODY_SHARE: Final = 0.85
 # Bytes that are written in one turn, the longest that a small message
 # waits: 34 ms on a link of 3.85 Mbit/s.
-TURN_BYTES: Final = 16384
+TURN_BYTES: Final = PART_BYTES
 # Typical size of the headers of a message.
 HEADER_BYTES: Final = 400
 # Time of the link that may be used at once after a pause, in seconds.
@@ -64,22 +65,40 @@
         self.counted_at = timer.now()
         self.turns: list[Turn] = []
         self.numbers = itertools.count()
-        self.announced = 0.0
+        # Bytes that are going to leave, by rank.
+        self.expected: dict[int, float] = {}
         # Bytes that the link could have carried while turns waited.
         self.unused = 0.0
+        self.pace = self.rate
         self.pump: asyncio.Task[None] | None = None
 
     def is_large(self, size: int) -> bool:
         """Return whether an answer of ``size`` bytes waits for turns."""
         return size > TURN_BYTES and self.rate < math.inf
 
+    @property
+    def announced(self) -> float:
+        """Bytes that are going to leave this host."""
+        return sum(self.expected.values())
+
+    def ahead_of(self, rank: int) -> float:
+        """Return the bytes that leave before a new answer of a rank.
+
+        Negative if the link has been idle.
+        """
+        self._count()
+        expected = sum(
+            size for other, size in self.expected.items() if other <= rank
+        )
+        return expected - self.allowed
+
     def seconds_for(self, size: float) -> float:
         """Return the time until an answer that ends now has been sent."""
         if not self.is_large(int(size)):
             return 0.0
         self._count()
         owed = self.announced + size - min(self.allowed, 0.0)
-        return owed / self.rate
+        return owed / self.pace
 
     def spend(self, size: int) -> None:
         """Count a message that does not wait."""
@@ -96,13 +115,13 @@
         return False
 
     @contextlib.contextmanager
-    def expecting(self, size: float) -> Iterator[None]:
+    def expecting(self, size: float, rank: int = 0) -> Iterator[None]:
         """Count bytes that are going to leave this host."""
-        self.announced += size
+        self.expected[rank] = self.expected.get(rank, 0.0) + size
         try:
             yield
         finally:
-            self.announced -= size
+            self.expected[rank] -= size
 
     async def take(self, rank: int, number: int, size: int) -> None:
         """Wait until ``size`` bytes may be written.
@@ -191,7 +210,7 @@
         """
         begun = self.uplink.timer.now()
         try:
-            with self.uplink.expecting(self.left):
+            with self.uplink.expecting(self.left, self.rank):
                 await self.uplink.take(self.rank, self.number, size)
         finally:
             self.waited += self.uplink.timer.now() - begun
