Estimate by the pace that large answers get on the link

What callers saw: plates taken as on time that came late. Cause: estimates divided by the rate of the link, of which small messages and late wake-ups take a part. Change: the uplink measures the bytes that were granted while turns waited, over a quarter of a second of such time, and estimates use this pace; never more than the rate, never less than a quarter of it. Evidence: test_pace_is_what_large_answers_get fails before (409,062 instead of 360,937 bytes a second with a tenth of the link for small messages).

--- a/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
@@ -225,3 +225,16 @@
         return longest
 
     assert run_virtual(write()) <= 0.1
+
+
+def test_pace_is_what_large_answers_get():
+    """Guards against promises by a rate that small messages share."""
+
+    async def measure():
+        uplink = Uplink(LoopTimer(), LINK)
+        # A tenth of the link for small messages beside large answers.
+        await sent_beside(uplink, 5, LINK // 10)
+        return uplink.pace
+
+    expected = (BODY_SHARE - 0.1) * LINK
+    assert run_virtual(measure()) == pytest.approx(expected, rel=0.1)
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -34,6 +34,13 @@
 # With one more turn it is what a small message waits at most, about 0.1 s
 # on a link of 3.85 Mbit/s.
 MAKE_UP_SECONDS: Final = 0.07
+# The pace of large answers is measured over this time in which some wait,
+# and one measurement changes it by this part.
+PACE_SECONDS: Final = 0.25
+PACE_WEIGHT: Final = 0.2
+# Part of the rate that is the least pace; a host that wakes up after a
+# freeze is soon as fast as before.
+LEAST_PACE: Final = 0.25
 
 
 @attrs.define(order=True)
@@ -73,7 +80,11 @@
         self.expected: dict[int, float] = {}
         # Bytes that the link could have carried while turns waited.
         self.unused = 0.0
+        # Bytes a second of large answers while some wait, which small
+        # messages and late wake-ups make less than the rate.
         self.pace = self.rate
+        self.busy_seconds = 0.0
+        self.busy_bytes = 0
         self.pump: asyncio.Task[None] | None = None
 
     def is_large(self, size: int) -> bool:
@@ -154,6 +165,7 @@
             turn = heapq.heappop(self.turns)
             if not turn.granted.done():
                 self.allowed -= turn.size
+                self.busy_bytes += turn.size
                 turn.granted.set_result(None)
 
     def _count(self) -> None:
@@ -166,8 +178,20 @@
             self.allowed = min(allowed, burst)
             if self.turns:
                 self.unused += allowed - self.allowed
+                self._measure(now - self.counted_at)
         self.counted_at = now
 
+    def _measure(self, seconds: float) -> None:
+        """Take the bytes of ``seconds`` in which large answers waited."""
+        self.busy_seconds += seconds
+        if self.busy_seconds < PACE_SECONDS:
+            return
+        found = self.busy_bytes / self.busy_seconds
+        found = min(max(found, LEAST_PACE * self.rate), self.rate)
+        self.pace += PACE_WEIGHT * (found - self.pace)
+        self.busy_seconds = 0.0
+        self.busy_bytes = 0
+
     async def close(self) -> None:
         """End the turns; nothing more is granted."""
         if self.pump is not None:
