Place a large answer where it's expected at the caller first

What callers saw: plates refused after three owners of their own failure domain, while links of others were free. Cause: large answers left the own failure domain only if no instance there could be reached; the estimate added the time of the link to that of the work, knew neither the rate of an owner's link nor the second link, and counted nothing between reports. Change: owners report the seconds that their link needs for a kilobyte; the estimate is the later of work and link, the own bytes, and the own link unless the instance is beside this daemon; answers that were asked for count on the link until the next report.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -143,6 +143,10 @@
     random: random.Random
     link: LinkUse
 
+    def __attrs_post_init__(self) -> None:
+        self.placement.own_address = self.terms.instance_address
+        self.placement.sending = self.owner.uplink.seconds_for
+
     async def handle(self, request: Request) -> Answer | Refusal:
         """Answer a request, or refuse it with a reason."""
         configuration = self.knowledge.configuration
@@ -200,7 +204,11 @@
 
     async def _try_instances(self, state: RequestState) -> Answer | Refusal:
         while True:
-            instance = self._choose(state)
+            instance = self.placement.choose(
+                self.knowledge.registry.usable(state.service),
+                state.route,
+                state.tried,
+            )
             if instance is None:
                 state.stopped_by = 'no other instance takes it now'
                 break
@@ -216,13 +224,6 @@
             self._log_again(state, outcome)
         return self._final(state)
 
-    def _choose(self, state: RequestState) -> ListedInstance | None:
-        return self.placement.choose(
-            self.knowledge.registry.usable(state.service),
-            state.route,
-            state.tried,
-        )
-
     async def _place(
         self,
         state: RequestState,
@@ -242,6 +243,7 @@
             state.on_time_until - now,
             left,
         )
+        self.placement.asked(instance, placed.route)
         load = self.placement.of(instance).of_rank(state.route.rank)
         load.outstanding += 1
         try:
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -29,6 +29,7 @@
     'slots',
     'served',
     'sending',
+    'per_kilobyte',
 )
 
 
@@ -160,7 +161,11 @@
                 told = (int(code), ran.value)
             case _:
                 told = (0, Ran.YES.value)
-        times = (round(load.served, 4), round(load.sending, 4))
+        times = (
+            round(load.served, 4),
+            round(load.sending, 4),
+            round(load.per_kilobyte, 7),
+        )
         return json.dumps(
             (*told, self.is_offered, load.busy, load.slots, *times),
         )
@@ -182,6 +187,7 @@
                 told['slots'],
                 told['served'],
                 told['sending'],
+                told['per_kilobyte'],
             )
             return cls(end, load, bool(told['offered']))
         except (ValueError, TypeError):
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -23,6 +23,7 @@
 from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_routing import InstanceRegistry, LoadReport, Repeat
 
+KILOBYTE: Final = 1024
 OK: Final = 200
 REDIRECTS: Final = 300
 MISDIRECTED: Final = 421
@@ -117,7 +118,14 @@
         busy = self.queue.busy_for(rank)
         waiting = [each.work for each in self.queue.waiting]
         sending = self.queue.departures.free_in(rank, waiting)
-        return LoadReport(busy, self.queue.slots, served, sending)
+        per_kilobyte = KILOBYTE / self.uplink.pace
+        return LoadReport(
+            busy,
+            self.queue.slots,
+            served,
+            sending,
+            per_kilobyte,
+        )
 
     async def _send(
         self,
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -1,13 +1,13 @@
 """Choice of an instance by the time until the answer is expected.
 
 The load it answers: instances that differ in speed, are cold, grey or
-busy, and links between failure domains that cost time and money.  The
-owner of an instance reports its load with each answer; between reports
-the daemon counts its own requests.
+busy, hosts whose links large answers fill, and links between failure
+domains that cost time and money.  The owner of an instance reports its
+load with each answer; between reports the daemon counts its own requests.
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import attrs
@@ -46,8 +46,10 @@
 # Time in which an instance of today's sizes frees two or three slots.
 FULL_SECONDS: Final = 0.04
 # Bytes between failure domains that count as more of the objective than
-# this are spared while the own domain has an instance.
+# this are spared while an instance of the own domain is expected to answer
+# within ``NEAR_SHARE`` of the objective.
 COSTLY_SHARE: Final = 0.25
+NEAR_SHARE: Final = 0.5
 # Share of failures above which an instance is used only as the last.
 FAILING_SHARE: Final = 0.5
 # One answer moves the estimate of a speed at most this far.
@@ -73,12 +75,15 @@
         Seconds that the instance took for this request; 0 if it ran none.
     sending : float
         Seconds for which large answers fill the link of its host.
+    per_kilobyte : float
+        Seconds that the link needs for a kilobyte; 0 if not known.
     """
 
     busy: int
     slots: int
     served: float = 0.0
     sending: float = 0.0
+    per_kilobyte: float = 0.0
 
 
 @attrs.define
@@ -111,7 +116,17 @@
 
 @attrs.define(eq=False)
 class Seen:
-    """What this daemon has seen of one start of an instance."""
+    """What this daemon has seen of one start of an instance.
+
+    Parameters
+    ==========
+
+    sending_until : float
+        Monotonic seconds until which large answers fill the link of the
+        host, by the last report and what was placed there since.
+    per_kilobyte : float
+        Seconds that this link needs for a kilobyte.
+    """
 
     speed: float = 1.0
     failures: float = 0.0
@@ -119,6 +134,7 @@
     avoid_until: float = -math.inf
     avoid_seconds: float = 0.0
     sending_until: float = -math.inf
+    per_kilobyte: float = 0.0
     ranks: dict[int, RankLoad] = attrs.field(factory=dict)
 
     def of_rank(self, rank: int) -> RankLoad:
@@ -164,6 +180,11 @@
     kilobytes: float = 1.0
     is_seen: bool = False
 
+    @property
+    def is_large(self) -> bool:
+        """Whether an answer waits for the link of its host."""
+        return self.kilobytes >= LARGE_KILOBYTES
+
     @property
     def size(self) -> float:
         """Bytes of an answer, 0 if there was none yet."""
@@ -180,9 +201,24 @@
         self.kilobytes += SPEED_WEIGHT * (kilobytes - self.kilobytes)
 
 
+def no_seconds(_size: float) -> float:
+    """Return the time to send over a link that is not known."""
+    return 0.0
+
+
 class Placement:
     """Chooses instances for the requests of one daemon.
 
+    Attributes
+    ==========
+
+    own_address : str
+        ``address:port`` of the instance on the same host, whose answers
+        leave this host once.
+    sending : callable
+        Returns the seconds until an answer of some bytes has left this
+        host.
+
     Parameters
     ==========
 
@@ -203,6 +239,8 @@
         self.timer = recorder.timer
         self.seen: dict[tuple[str, int], Seen] = {}
         self.work: dict[str, RouteWork] = {}
+        self.own_address = ''
+        self.sending: Callable[[float], float] = no_seconds
 
     def choose(
         self,
@@ -214,26 +252,30 @@
 
         ``exclude`` holds identities.  An instance that is avoided is used
         only where there is no other.  Large answers leave the own failure
-        domain only if it has no instance that can be reached.
+        domain only if it has no instance that is likely to be on time.
         """
         now = self.timer.now()
         preferred = [
             each for each in instances if self._is_preferred(each, now)
         ]
-        if self._is_costly_to_move(route):
-            near = [each for each in preferred if self._is_near(each)]
-            preferred = near or preferred
         left = [
-            each
+            (self.expected(each, route, now), each)
             for each in preferred or instances
             if each.identity not in exclude
+            and not self._is_full(each, route.rank, now)
         ]
-        rank = route.rank
-        return min(
-            [each for each in left if not self._is_full(each, rank, now)],
-            key=lambda each: self._jittered(each, route, now),
-            default=None,
-        )
+        if self._is_costly_to_move(route) and not exclude:
+            most = NEAR_SHARE * route.objective
+            near = [
+                (seconds, each)
+                for seconds, each in left
+                if self._is_near(each)
+                and self.ends_in(each, route, now) <= most
+            ]
+            left = near or left
+        if not left:
+            return None
+        return min(left, key=self._jittered)[1]
 
     def _is_preferred(self, instance: ListedInstance, now: float) -> bool:
         seen = self.of(instance)
@@ -256,22 +298,37 @@
         cost = DISTANCE_SECONDS_PER_KB * work.kilobytes
         return cost > COSTLY_SHARE * route.objective
 
-    def _jittered(
+    def _jittered(self, expected: tuple[float, ListedInstance]) -> float:
+        return expected[0] * (1 + JITTER * self.random.random())
+
+    def expected(
         self,
         instance: ListedInstance,
         route: PrefixRoute,
         now: float,
     ) -> float:
-        expected = self.expected(instance, route, now)
-        return expected * (1 + JITTER * self.random.random())
+        """Return the seconds until an answer, and what else it costs."""
+        seen = self.of(instance)
+        work = self.work_of(route.name)
+        seconds = self.ends_in(instance, route, now)
+        if route.objective > RELAXED_RATIO * work.seconds:
+            # Fast instances are left to work that needs them.
+            seconds += RELAXED_WEIGHT * work.seconds / seen.speed
+        if self._is_near(instance):
+            return seconds
+        return (
+            seconds
+            + DISTANCE_SECONDS
+            + DISTANCE_SECONDS_PER_KB * work.kilobytes
+        )
 
-    def expected(
+    def ends_in(
         self,
         instance: ListedInstance,
         route: PrefixRoute,
         now: float,
     ) -> float:
-        """Return the seconds until an answer is expected."""
+        """Return the seconds until an answer is expected at its caller."""
         seen = self.of(instance)
         work = self.work_of(route.name)
         seconds = work.seconds * seen.speed
@@ -281,18 +338,13 @@
         load = (busy + 1) / max(instance.slots, 1)
         seconds *= max(load, 1.0) + CROWDING * load
         seconds *= 1 + FAILURE_FACTOR * seen.failing(now)
-        if route.objective > RELAXED_RATIO * work.seconds:
-            # Fast instances are left to work that needs them.
-            seconds += RELAXED_WEIGHT * work.seconds / seen.speed
-        if work.kilobytes >= LARGE_KILOBYTES:
-            seconds += max(seen.sending_until - now, 0.0)
-        if self._is_near(instance):
+        if not work.is_large:
             return seconds
-        return (
-            seconds
-            + DISTANCE_SECONDS
-            + DISTANCE_SECONDS_PER_KB * work.kilobytes
-        )
+        # The link is used by others while the instance works.
+        seconds = max(seconds, seen.sending_until - now)
+        seconds += work.kilobytes * seen.per_kilobyte
+        is_own = instance.address == self.own_address
+        return seconds if is_own else seconds + self.sending(work.size)
 
     def work_of(self, route: str) -> RouteWork:
         """Return the typical work of a route."""
@@ -320,6 +372,16 @@
         load.reported = report.busy
         load.reported_at = now
         seen.sending_until = now + report.sending
+        seen.per_kilobyte = report.per_kilobyte
+
+    def asked(self, instance: ListedInstance, route: str) -> None:
+        """Count a large answer that is to come, until the next report."""
+        work = self.work_of(route)
+        if not work.is_large:
+            return
+        seen = self.of(instance)
+        begin = max(seen.sending_until, self.timer.now())
+        seen.sending_until = begin + work.kilobytes * seen.per_kilobyte
 
     def full(self, instance: ListedInstance, rank: int) -> None:
         """Ask an owner that refused a rank no more for a moment.
