Count the objective of a large answer from the first attempt

What callers saw: plates that were refused, came back, were taken as new ones and came late. Cause: a caller that comes back has less time left, and its objective counts from its first attempt, but the entry daemon gave it the whole objective again.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -165,7 +165,8 @@
             route,
             service,
             request.arrived + min(route.timeout, request.time_left),
-            request.arrived + route.objective,
+            request.arrived
+            + self.placement.on_time_in(route, request.time_left),
         )
         try:
             end = await self._try_instances(state)
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -174,17 +174,32 @@
         Size of an answer.
     is_seen : bool
         Whether there was an answer yet.
+    usual_left : float
+        Seconds that callers wait from their first attempt on.
     """
 
     seconds: float = FIRST_WORK_SECONDS
     kilobytes: float = 1.0
     is_seen: bool = False
+    usual_left: float = 0.0
 
     @property
     def is_large(self) -> bool:
         """Whether an answer waits for the link of its host."""
         return self.kilobytes >= LARGE_KILOBYTES
 
+    def age_of(self, left: float) -> float:
+        """Return the seconds since the first attempt of a caller.
+
+        It has ``left`` seconds; most of those that have come lately had
+        just sent their first attempt.
+        """
+        if left >= self.usual_left:
+            self.usual_left = left
+        age = self.usual_left - left
+        self.usual_left -= SPEED_WEIGHT * age
+        return age
+
     @property
     def size(self) -> float:
         """Bytes of an answer, 0 if there was none yet."""
@@ -346,6 +361,17 @@
         is_own = instance.address == self.own_address
         return seconds if is_own else seconds + self.sending(work.size)
 
+    def on_time_in(self, route: PrefixRoute, left: float) -> float:
+        """Return the seconds left for an answer on time.
+
+        A caller with ``left`` seconds that comes back after a refusal has
+        less time left than others, and its objective counts from its
+        first attempt.  Only large answers heed this.
+        """
+        work = self.work_of(route.name)
+        age = work.age_of(min(left, route.timeout))
+        return route.objective - age if work.is_large else route.objective
+
     def work_of(self, route: str) -> RouteWork:
         """Return the typical work of a route."""
         return self.work.setdefault(route, RouteWork())
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -205,3 +205,27 @@
     both = (NEAR, slow)
     assert placement.choose(both, BROWSE, NOBODY) is NEAR
     assert placement.choose(both, patient, NOBODY) is slow
+
+
+def test_objective_counts_from_the_first_attempt(plates):
+    """Guards against late answers to callers that were refused before."""
+    for _ in range(10):
+        assert plates.on_time_in(PLATE, 2.0) == pytest.approx(PLATE.objective)
+        again = plates.on_time_in(PLATE, 1.4)
+        assert again == pytest.approx(PLATE.objective - 0.6, abs=0.07)
+
+
+def test_caller_without_a_deadline_changes_no_objective(plates):
+    """Guards against callers that look late beside a patient one."""
+    plates.on_time_in(PLATE, float('inf'))
+    for _ in range(50):
+        plates.on_time_in(PLATE, 2.0)
+    assert plates.on_time_in(PLATE, 2.0) == pytest.approx(
+        PLATE.objective, abs=0.01
+    )
+
+
+def test_small_answers_keep_their_objective(placement):
+    """Guards against small requests refused for their time left."""
+    placement.on_time_in(BROWSE, 2.0)
+    assert placement.on_time_in(BROWSE, 0.5) == BROWSE.objective
