Let answers that will be late give way on the link

What callers saw: plates late behind others that reached nobody in time. Cause: turns on a link went by rank and number only; an answer whose caller's time was over, or that was too large to be on time, held up those behind it, and its bytes counted in estimates. Change: an answer that can't be on time any more waits behind all that can, and one that can't reach its reader before the deadline behind everything. None is broken off. Evidence: test_answer_that_reaches_nobody_gives_way and test_lost_answer_holds_up_no_new_one fail before (no such order).

--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -21,7 +21,7 @@
 from tanagerbend_proxy.link_use import LinkUse
 from tanagerbend_proxy.messages import Answer, Outcome, Placed, Request
 from tanagerbend_proxy.owner import Owner
-from tanagerbend_proxy.uplink import HEADER_BYTES, Uplink
+from tanagerbend_proxy.uplink import HEADER_BYTES, Due, Uplink
 from tanagerbend_routing import (
     ListedInstance,
     Part,
@@ -202,15 +202,17 @@
         self.owner.uplink.spend(len(request.body))
         await asyncio.sleep(delay + self.out.write(HEADER_BYTES))
         owner = self.fleet.owners[instance.identity]
+        now = self.recorder.timer.now()
+        due = Due(placed.rank, now + placed.on_time, now + placed.time_left)
         outcome = await owner.run(request, placed)
         body = outcome.end.body if isinstance(outcome.end, Answer) else b''
-        await self.fleet.links[instance.identity].send(body, placed.rank)
+        await self.fleet.links[instance.identity].send(body, due)
         await asyncio.sleep(delay)
         return outcome
 
-    async def deliver(self, answer: Answer, rank: int) -> None:
+    async def deliver(self, request: Request, answer: Answer) -> None:
         """Send an answer to its caller."""
-        await self.out.send(answer.body, rank)
+        await self.out.send(answer.body, self.due_of(request))
 
 
 class EmulatedFleet:
--- a/packages/emulator/tanagerbend_emulator/links.py
+++ b/packages/emulator/tanagerbend_emulator/links.py
@@ -6,7 +6,13 @@
 
 import attrs
 
-from tanagerbend_proxy.uplink import HEADER_BYTES, Transfer, Uplink, parts_of
+from tanagerbend_proxy.uplink import (
+    HEADER_BYTES,
+    Due,
+    Transfer,
+    Uplink,
+    parts_of,
+)
 
 # Bytes on a link for each byte of a body: packets of 1,460 bytes have
 # headers of 40 more.
@@ -37,14 +43,18 @@
     free_at: float = 0.0
     carried: float = 0.0
 
-    async def send(self, body: bytes, rank: int) -> None:
+    async def send(
+        self,
+        body: bytes,
+        due: Due,
+    ) -> None:
         """Return when an answer has left the host."""
         if self.rate == math.inf:
             return
         if self.uplink.send_now(len(body)):
             await asyncio.sleep(self.write(len(body) + HEADER_BYTES))
             return
-        transfer = Transfer(self.uplink, rank, len(body))
+        transfer = Transfer(self.uplink, due.rank, len(body), due)
         left_after = 0.0
         for part in parts_of(body):
             await transfer.turn(len(part))
--- a/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
@@ -18,6 +18,7 @@
 from tanagerbend_proxy.uplink import (
     BODY_SHARE,
     TURN_BYTES,
+    Due,
     Transfer,
     Uplink,
     parts_of,
@@ -213,7 +214,9 @@
 
     async def write():
         link = HostLink(Uplink(LateTimer(random.Random(3), late), LINK), LINK)
-        sends = [asyncio.create_task(link.send(LARGE, 2)) for _ in range(40)]
+        sends = [
+            asyncio.create_task(link.send(LARGE, Due(2))) for _ in range(40)
+        ]
         longest = 0.0
         for _ in range(400):
             await asyncio.sleep(0.01)
@@ -238,3 +241,46 @@
 
     expected = (BODY_SHARE - 0.1) * LINK
     assert run_virtual(measure()) == pytest.approx(expected, rel=0.1)
+
+
+def test_answer_that_reaches_nobody_gives_way():
+    """Guards against link time for callers whose time is over."""
+
+    async def send_two():
+        uplink = Uplink(LoopTimer(), LINK)
+        ended = []
+
+        async def send_due(name, rank, due):
+            transfer = Transfer(uplink, rank, len(LARGE), due)
+            for part in parts_of(LARGE):
+                await transfer.turn(len(part))
+            ended.append(name)
+
+        await asyncio.gather(
+            send_due('lost', 0, Due(0, 0.05, 0.1)),
+            send_due('late', 0, Due(0, 0.05, 9.0)),
+            send_due('on time', 1, Due(1, 9.0, 9.0)),
+        )
+        await uplink.close()
+        return ended
+
+    assert run_virtual(send_two()) == ['on time', 'late', 'lost']
+
+
+def test_lost_answer_holds_up_no_new_one():
+    """Guards against refusals for answers that give way to all others."""
+
+    async def estimate():
+        uplink = Uplink(LoopTimer(), LINK)
+        due = Due(2, 0.05, 0.1)
+        lost = Transfer(uplink, 2, 50 * len(LARGE), due)
+        waiting = asyncio.create_task(lost.turn(TURN_BYTES))
+        uplink.spend(LINK // 10)
+        await asyncio.sleep(0)
+        ahead = uplink.ahead_of(2)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        await uplink.close()
+        return ahead
+
+    assert run_virtual(estimate()) < LINK / 5
--- a/packages/emulator/tanagerbend_emulator/trial.py
+++ b/packages/emulator/tanagerbend_emulator/trial.py
@@ -242,7 +242,7 @@
                 end = await entry.handle(request)
                 wait = entry.retry_after(request)
                 if isinstance(end, Answer):
-                    await entry.deliver(end, self.kind.rank)
+                    await entry.deliver(request, end)
                 await asyncio.sleep(delay)
         except TimeoutError:
             return Attempt(FAILED)
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -27,6 +27,7 @@
 )
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.terms import Terms
+from tanagerbend_proxy.uplink import Due
 from tanagerbend_routing import (
     ListedInstance,
     Placement,
@@ -410,13 +411,18 @@
         reason = f'no instance of {service!r} is known'
         return Refusal(ResultCode.NO_INSTANCE, reason)
 
-    def rank_of(self, request: Request) -> int:
-        """Return the rank of the route of a request, 0 without one."""
+    def due_of(self, request: Request) -> Due:
+        """Return until when the answer to a request is of use."""
+        deadline = request.arrived + request.time_left
         configuration = self.knowledge.configuration
         if configuration is None:
-            return 0
+            return Due(deadline=deadline)
         route = configuration.match(request.host, request.path)
-        return 0 if isinstance(route, Refusal) else route.rank
+        match route:
+            case Refusal():
+                return Due(deadline=deadline)
+        on_time = request.arrived + route.objective
+        return Due(route.rank, on_time, deadline)
 
     def retry_after(self, request: Request) -> float:
         """Return the seconds after which a refused caller comes back.
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -29,7 +29,7 @@
     Request,
 )
 from tanagerbend_proxy.owner import Owner
-from tanagerbend_proxy.uplink import Transfer, Uplink, parts_of
+from tanagerbend_proxy.uplink import Due, Transfer, Uplink, parts_of
 
 # Longer than any idle time that the platform grants to callers.
 KEEP_SECONDS: Final = 75.0
@@ -41,9 +41,9 @@
 STOPPING_RETURN_SECONDS: Final = 0.01
 # Set by the server itself, or meant for another connection.
 NOT_COPIED: Final = HOP_BY_HOP | {'content-length', 'date', 'server'}
-# Keys under which a response holds the rank of its route and the
+# Keys under which a response holds until when it is of use and the
 # identifier of its request.
-RANK: Final = web.ResponseKey('rank', int)
+DUE: Final = web.ResponseKey('due', Due)
 IDENTIFIER: Final = web.ResponseKey('identifier', str)
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -121,9 +121,10 @@
         sent.content_length = len(body)
         if not response.keep_alive:
             sent.force_close()
+        due = response.get(DUE, Due())
         delivery = Delivery.begin(
             response.get(IDENTIFIER, ''),
-            Transfer(self.uplink, response.get(RANK, 0), len(body)),
+            Transfer(self.uplink, due.rank, len(body), due),
         )
         try:
             await self._write(request, sent, body, delivery)
@@ -192,7 +193,7 @@
                 return self.refuse(end, request)
         self.entry.link.sent(ANSWERS, len(end.body))
         response = respond(end)
-        response[RANK] = self.entry.rank_of(request)
+        response[DUE] = self.entry.due_of(request)
         response[IDENTIFIER] = request.identifier
         return response
 
@@ -297,7 +298,11 @@
         )
         outcome = await self.owner.run(request, placed)
         response = self._respond(identifier, outcome)
-        response[RANK] = placed.rank
+        response[DUE] = Due(
+            placed.rank,
+            request.arrived + placed.on_time,
+            request.arrived + placed.time_left,
+        )
         response[IDENTIFIER] = identifier
         return response
 
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -43,6 +43,29 @@
 LEAST_PACE: Final = 0.25
 
 
+# Added to the rank of an answer that will be late, and to that of one that
+# can't reach its reader any more.
+LATE_RANK: Final = 1_000_000
+LOST_RANK: Final = 2 * LATE_RANK
+
+
+@attrs.frozen
+class Due:
+    """Until when an answer is to have left; monotonic seconds.
+
+    Parameters
+    ==========
+
+    rank : int
+    on_time, deadline : float
+        When it is late, and when its reader stops to wait.
+    """
+
+    rank: int = 0
+    on_time: float = math.inf
+    deadline: float = math.inf
+
+
 @attrs.define(order=True)
 class Turn:
     """One part of an answer that waits for the link."""
@@ -218,6 +241,7 @@
         Bytes that have had no turn yet.
     number : int
         Of the answers of this host.
+    due : Due
     waited : float
         Seconds until its turns were granted.
     """
@@ -225,6 +249,7 @@
     uplink: Uplink
     rank: int
     left: int
+    due: Due = Due()
     number: int = attrs.field(init=False)
     waited: float = 0.0
 
@@ -238,13 +263,27 @@
         its reader, which may never read on.
         """
         begun = self.uplink.timer.now()
+        rank = self.rank_at(begun)
         try:
-            with self.uplink.expecting(self.left, self.rank):
-                await self.uplink.take(self.rank, self.number, size)
+            with self.uplink.expecting(self.left, rank):
+                await self.uplink.take(rank, self.number, size)
         finally:
             self.waited += self.uplink.timer.now() - begun
         self.left -= size
 
+    def rank_at(self, now: float) -> int:
+        """Return the rank by which the rest waits for its turn.
+
+        What will be late gives way to what can be on time, and what can't
+        reach its reader any more to everything.
+        """
+        ends = now + self.left / self.uplink.pace
+        if ends > self.due.deadline:
+            return LOST_RANK + self.rank
+        if ends > self.due.on_time:
+            return LATE_RANK + self.rank
+        return self.rank
+
 
 def parts_of(body: bytes) -> list[bytes]:
     """Return the parts of a body, each written in one turn."""
