--- a/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
@@ -284,3 +284,17 @@
         return ahead
 
     assert run_virtual(estimate()) < LINK / 5
+
+
+def test_half_used_link_keeps_its_pace():
+    """Guards against refusals since answers had gaps between their turns."""
+
+    async def send_seldom():
+        uplink = Uplink(LateTimer(random.Random(3), 0.05), 4 * LINK)
+        for _ in range(100):
+            await send(uplink, 2, [], '')
+            await asyncio.sleep(len(LARGE) / (4 * LINK))
+        await uplink.close()
+        return uplink.pace / uplink.rate
+
+    assert run_virtual(send_seldom()) > 0.9
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -170,6 +170,7 @@
         self._count()
         if not self.turns and self.allowed > 0:
             self.allowed -= size
+            self.busy_bytes += size
             return
         granted = asyncio.get_running_loop().create_future()
         turn = Turn(rank, number, size, granted)
