Give a suspect a new connection to the backend server

What callers saw: beside a request that crashes backend servers, its neighbour /plate/1 was refused with 604 for 600 s.

Cause: a suspect is alone while it runs, and a connection that breaks then convicts it. The next suspect enters the gate as soon as the crash of the one before is noticed, and took a kept connection to the crashed process whose reset had not been read yet. Its loss counted as a crash of its own.

The stand-in stops to listen before it closes connections and stays down for 0.2 s, so that a new connection would have been refused.

Change: the kept connections are closed before a suspect is sent, when nothing else is in flight. A suspect behind a crash then meets a refused connection, which is no crash, or the restarted process. A suspect whose new connection breaks is convicted as before.

A suspect whose first choice is down circles between the daemons until it has too many hops; that is another fault, which is open.

Conclusion: a suspect is convicted only by a connection opened after the last crash that this daemon noticed.

--- a/packages/daemon/tanagerbend_daemon/containment.py
+++ b/packages/daemon/tanagerbend_daemon/containment.py
@@ -49,7 +49,8 @@
     ===========
 
     A connection that breaks during a request counts as a crash; a request
-    that times out does not.
+    that times out does not.  A suspect gets a new connection, since a kept
+    one may belong to a process that has crashed before.
 
     Parameters
     ==========
@@ -59,12 +60,15 @@
         Service of the instance.
     quarantine : Quarantine
     notices : SuspectNotices
+    drop_kept : callable
+        Closes the kept connections to the backend server.
     """
 
     backend: BackendServer
     service: str
     quarantine: Quarantine
     notices: SuspectNotices
+    drop_kept: Callable[[], None]
     gate: SoloGate = attrs.field(factory=SoloGate)
     flights: set[Flight] = attrs.field(factory=set)
 
@@ -81,6 +85,8 @@
             return convicted()
         flight = Flight(request, self.gate.has_solo)
         self.flights.add(flight)
+        if flight.is_alone:
+            self.drop_kept()
         response: BackendResponse | Refusal | None = None
         try:
             response = await self.backend.exchange(request, deadline)
--- a/packages/daemon/tanagerbend_daemon/outbound.py
+++ b/packages/daemon/tanagerbend_daemon/outbound.py
@@ -97,13 +97,17 @@
             ResponseBody(response),
         )
 
+    def drop_kept(self) -> None:
+        """Close the kept connections; the next request gets a new one."""
+        self.session.connector.drop_idle(self.address)
+
     def _refuse(self, error: Exception, attempt: Attempt) -> Refusal:
         """Return what is known of a request that got no answer."""
         reason = f'{self.address}: {type(error).__name__}'
         if isinstance(error, NOT_SENT) or not attempt.is_connected:
             return Refusal(ResultCode.INSTANCE_UNREACHABLE, reason)
         if attempt.limit.expired():
-            self.session.connector.drop_idle(self.address)
+            self.drop_kept()
             reason = f'{self.address}: silent connection'
             return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
         if isinstance(error, TimeoutError):
--- a/packages/daemon/tanagerbend_daemon/safety.py
+++ b/packages/daemon/tanagerbend_daemon/safety.py
@@ -75,7 +75,13 @@
     )
     quarantine = Quarantine(recorder)
     notices = SuspectNotices(quarantine, roster, transport)
-    guarded = GuardedBackend(gate, settings.host.service, quarantine, notices)
+    guarded = GuardedBackend(
+        gate,
+        settings.host.service,
+        quarantine,
+        notices,
+        server.drop_kept,
+    )
     hints = LeavingHints(roster, transport)
     return Safety(gate, notices, guarded, hints)
 
--- a/packages/daemon/tanagerbend_daemon/tests/memory_fleet.py
+++ b/packages/daemon/tanagerbend_daemon/tests/memory_fleet.py
@@ -66,6 +66,9 @@
             return LOST
         return BackendResponse(200, (), whole(b'ran ' + request.body))
 
+    def drop_kept(self):
+        """Do nothing: it keeps no connections."""
+
 
 @attrs.define
 class FakeDaemon:
@@ -151,7 +154,13 @@
         quarantine = Quarantine(self.recorder)
         notices = SuspectNotices(quarantine, self.roster, NoPeers())
         owner = ContainedOwner(
-            GuardedBackend(gate, own.service, quarantine, notices),
+            GuardedBackend(
+                gate,
+                own.service,
+                quarantine,
+                notices,
+                drop_kept=self.backend.drop_kept,
+            ),
             FifoAdmission(fleet.timer, slots),
             self.roster,
             self.recorder,
