Send a suspect past a server that is down, not in a circle

What callers saw: 508 with result 303 (too many hops) for a suspect while the backend server of its first choice was down.

Cause: every daemon that gets a suspect offers it to the ranked instances from the first one on. The first one, whose server was down, offered it to the second, which offered it to the first, up to the limit of hops. The result is not that of an instance that can't be reached, so nobody went on.

Change: a daemon offers a suspect to the instances ranked before itself and then runs it or refuses it. Each hop leads to a higher rank, so that there is no circle, even if daemons know different members; an entry daemon that gets "can't be reached" tries another instance as for any call.

test_suspect_goes_past_a_server_that_is_down fails without the change (303 instead of 304 at the first choice, 303 at the others).

Conclusion: a suspect runs although its first choice is down, except where the entry daemon may not try again.

--- a/packages/daemon/tanagerbend_daemon/containment.py
+++ b/packages/daemon/tanagerbend_daemon/containment.py
@@ -157,6 +157,13 @@
 class ContainedOwner(Owner):
     """Owner that sends a suspect to the one instance that may run it.
 
+    Explanation
+    ===========
+
+    A suspect goes only to instances ranked before the own one, and never
+    beyond it, so that daemons do not send it to each other in a circle
+    while the first backend server is down.
+
     Parameters
     ==========
 
@@ -195,10 +202,9 @@
         outcome: Answer | Refusal = Refusal(ResultCode.NO_INSTANCE, '')
         for member in self._ranked(call.service, print_of_call):
             if member.host == self.roster.own_host:
-                outcome = await Owner.run(self, call, work)
-            else:
-                onward = attrs.evolve(call, hops=call.hops + 1)
-                outcome = await self.forward(onward, member)
+                return await Owner.run(self, call, work)
+            onward = attrs.evolve(call, hops=call.hops + 1)
+            outcome = await self.forward(onward, member)
             match outcome:
                 case Refusal(code=ResultCode.INSTANCE_UNREACHABLE, ran=Ran.NO):
                     continue
--- a/packages/daemon/tanagerbend_daemon/tests/test_containment.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_containment.py
@@ -4,16 +4,26 @@
 
 import pytest
 
-from tanagerbend_daemon.containment import GuardedBackend
+from tanagerbend_admission import RankAdmission
+from tanagerbend_daemon.call import MAX_HOPS, Answer
+from tanagerbend_daemon.containment import ContainedOwner, GuardedBackend
 from tanagerbend_daemon.suspect_notices import SuspectNotices
-from tanagerbend_daemon.tests.call_path import member, plain, read_head
+from tanagerbend_daemon.tests.call_path import (
+    FakeServer,
+    make_call,
+    member,
+    ok,
+    plain,
+    read_head,
+    route_table,
+)
 from tanagerbend_daemon.tests.memory_fleet import NoPeers
 from tanagerbend_interfaces import BackendRequest
 from tanagerbend_membership import Roster
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_quarantine import Quarantine, Verdict, fingerprint
-from tanagerbend_timer import SystemTimer
+from tanagerbend_timer import ManualTimer, SystemTimer
 
 
 class RestartedServer:
@@ -125,3 +135,61 @@
     assert await send(guarded, '/plate') is ResultCode.OK
     assert backend.read[2:] == ['/plate']
     assert quarantine.check(print_of('/plate')) is Verdict.CLEAR
+
+
+class SuspectFleet:
+    """Owners of four hosts that all hold the same call as a suspect."""
+
+    def __init__(self):
+        self.call = make_call()
+        suspect = print_of(self.call.path)
+        members = [member(f'host-{number}') for number in range(4)]
+        self.work = (
+            route_table(*members)
+            .match('artwork', self.call.method, self.call.path)
+            .work
+        )
+        self.owners = {
+            own.host: self._owner(own, members, suspect) for own in members
+        }
+        self.ranked = [
+            ranked.host
+            for ranked in self.owners['host-0']._ranked('artwork', suspect)
+        ]
+
+    def _owner(self, own, members, suspect):
+        recorder = Recorder(ManualTimer())
+        roster = Roster(own, recorder)
+        roster.merge(members)
+        quarantine = Quarantine(recorder)
+        quarantine.crashed([suspect])
+        return ContainedOwner(
+            FakeServer([ok(b'ok')]),
+            RankAdmission(recorder, 6),
+            roster,
+            recorder,
+            quarantine=quarantine,
+            forward=self.forward,
+        )
+
+    async def forward(self, call, member):
+        """Run a call at another host, as its call handler does."""
+        if call.hops >= MAX_HOPS:
+            return Refusal(ResultCode.TOO_MANY_HOPS, 'in a circle')
+        return await self.owners[member.host].run(call, self.work)
+
+
+async def test_suspect_goes_past_a_server_that_is_down():
+    """Guards against a suspect that daemons send to each other."""
+    fleet = SuspectFleet()
+    first, *others = fleet.ranked
+    fleet.owners[first].backend.answers = [
+        Refusal(ResultCode.INSTANCE_UNREACHABLE, 'refused'),
+    ]
+    got = {
+        host: await owner.run(fleet.call, fleet.work)
+        for host, owner in fleet.owners.items()
+    }
+    # The entry daemon sends it to another instance.
+    assert got.pop(first).code is ResultCode.INSTANCE_UNREACHABLE
+    assert [type(outcome) for outcome in got.values()] == [Answer] * 3
