--- a/packages/daemon/tanagerbend_daemon/containment.py
+++ b/packages/daemon/tanagerbend_daemon/containment.py
@@ -49,7 +49,8 @@
     ===========
 
     A connection that breaks during a request counts as a crash; a request
-    that times out does not.
+    that times out does not.  A suspect gets a new connection, since a kept
+    one may belong to a process that has crashed before.
 
     Parameters
     ==========
@@ -59,12 +60,15 @@
         Service of the instance.
     quarantine : Quarantine
     notices : SuspectNotices
+    drop_kept : callable
+        Closes the kept connections to the backend server.
     """
 
     backend: BackendServer
     service: str
     quarantine: Quarantine
     notices: SuspectNotices
+    drop_kept: Callable[[], None]
     gate: SoloGate = attrs.field(factory=SoloGate)
     flights: set[Flight] = attrs.field(factory=set)
 
@@ -81,6 +85,8 @@
             return convicted()
         flight = Flight(request, self.gate.has_solo)
         self.flights.add(flight)
+        if flight.is_alone:
+            self.drop_kept()
         response: BackendResponse | Refusal | None = None
         try:
             response = await self.backend.exchange(request, deadline)
@@ -151,6 +157,13 @@
 class ContainedOwner(Owner):
     """Owner that sends a suspect to the one instance that may run it.
 
+    Explanation
+    ===========
+
+    A suspect goes only to instances ranked before the own one, and never
+    beyond it, so that daemons do not send it to each other in a circle
+    while the first backend server is down.
+
     Parameters
     ==========
 
@@ -189,10 +202,9 @@
         outcome: Answer | Refusal = Refusal(ResultCode.NO_INSTANCE, '')
         for member in self._ranked(call.service, print_of_call):
             if member.host == self.roster.own_host:
-                outcome = await Owner.run(self, call, work)
-            else:
-                onward = attrs.evolve(call, hops=call.hops + 1)
-                outcome = await self.forward(onward, member)
+                return await Owner.run(self, call, work)
+            onward = attrs.evolve(call, hops=call.hops + 1)
+            outcome = await self.forward(onward, member)
             match outcome:
                 case Refusal(code=ResultCode.INSTANCE_UNREACHABLE, ran=Ran.NO):
                     continue
