--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -143,6 +143,10 @@
     random: random.Random
     link: LinkUse
 
+    def __attrs_post_init__(self) -> None:
+        self.placement.own_address = self.terms.instance_address
+        self.placement.sending = self.owner.uplink.seconds_for
+
     async def handle(self, request: Request) -> Answer | Refusal:
         """Answer a request, or refuse it with a reason."""
         configuration = self.knowledge.configuration
@@ -200,7 +204,11 @@
 
     async def _try_instances(self, state: RequestState) -> Answer | Refusal:
         while True:
-            instance = self._choose(state)
+            instance = self.placement.choose(
+                self.knowledge.registry.usable(state.service),
+                state.route,
+                state.tried,
+            )
             if instance is None:
                 state.stopped_by = 'no other instance takes it now'
                 break
@@ -216,13 +224,6 @@
             self._log_again(state, outcome)
         return self._final(state)
 
-    def _choose(self, state: RequestState) -> ListedInstance | None:
-        return self.placement.choose(
-            self.knowledge.registry.usable(state.service),
-            state.route,
-            state.tried,
-        )
-
     async def _place(
         self,
         state: RequestState,
@@ -242,20 +243,42 @@
             state.on_time_until - now,
             left,
         )
+        self.placement.asked(instance, placed.route)
         load = self.placement.of(instance).of_rank(state.route.rank)
         load.outstanding += 1
         try:
             if instance.address == self.terms.instance_address:
                 return await self.owner.run(state.request, placed)
-            return await self._forward(state.request, instance, placed)
+            return await self._place_elsewhere(state, instance, placed)
         finally:
             load.outstanding -= 1
 
+    async def _place_elsewhere(
+        self,
+        state: RequestState,
+        instance: ListedInstance,
+        placed: Placed,
+    ) -> Outcome:
+        """Ask the owner on another host, with time to send the answer on."""
+        size = self.placement.work_of(placed.route).size
+        uplink = self.owner.uplink
+        sending = uplink.seconds_for(size)
+        told = attrs.evolve(
+            placed,
+            on_time=placed.on_time - sending,
+            time_left=placed.time_left - sending,
+        )
+        # The answer may be smaller, so that it's worth waiting for longer.
+        limit = placed.time_left + OWNER_SLACK_SECONDS
+        with uplink.expecting(size, placed.rank):
+            return await self._forward(state.request, instance, told, limit)
+
     async def _forward(
         self,
         request: Request,
         instance: ListedInstance,
         placed: Placed,
+        limit: float,
     ) -> Outcome:
         headers = CIMultiDict(request.headers)
         headers[own_headers.PLACED] = placed.encode()
@@ -269,7 +292,7 @@
                 request.path,
                 headers,
                 request.body,
-                placed.time_left + OWNER_SLACK_SECONDS,
+                limit,
                 self.names.request_id,
                 request.identifier,
             ),
