Look up each instance once for the choice of one

Callers on hosts with little processor time wait for it: with 74 instances of a service the choice of one looked up what is known of each instance three times, made a load of each rank to throw it away, and computed powers of values that are zero.

--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -104,6 +104,8 @@
 
     def faded(self, now: float) -> float:
         """Return what is left of the report."""
+        if not self.reported:
+            return 0.0
         age = now - self.reported_at
         return self.reported * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
 
@@ -122,16 +124,32 @@
 
     def of_rank(self, rank: int) -> RankLoad:
         """Return the load as a rank meets it."""
-        return self.ranks.setdefault(rank, RankLoad())
+        found = self.ranks.get(rank)
+        if found is None:
+            found = RankLoad()
+            self.ranks[rank] = found
+        return found
 
     def busy_now(self, rank: int, now: float) -> float:
         """Return the expected requests before a new one of a rank."""
-        own = sum(
-            load.outstanding
-            for other, load in self.ranks.items()
-            if other <= rank
-        )
-        return max(self.of_rank(rank).faded(now), own)
+        reported = 0.0
+        own = 0
+        for other, load in self.ranks.items():
+            if other <= rank:
+                own += load.outstanding
+                if other == rank:
+                    reported = load.faded(now)
+        return max(reported, own)
+
+    def is_full(self, rank: int, now: float) -> bool:
+        """Return whether the owner is expected to refuse a rank."""
+        load = self.ranks.get(rank)
+        return load is not None and load.full_until > now
+
+    def is_preferred(self, now: float) -> bool:
+        """Return whether the instance need not be avoided."""
+        is_failing = self.failing(now) > FAILING_SHARE
+        return self.avoid_until <= now and not is_failing
 
     @property
     def outstanding(self) -> int:
@@ -140,6 +158,8 @@
 
     def failing(self, now: float) -> float:
         """Return the share of failed requests, which fades."""
+        if not self.failures:
+            return 0.0
         age = now - self.failed_at
         return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS)
 
@@ -174,6 +194,9 @@
         self.kilobytes += SPEED_WEIGHT * (kilobytes - self.kilobytes)
 
 
+Candidate = tuple[ListedInstance, Seen]
+
+
 class Placement:
     """Chooses instances for the requests of one daemon.
 
@@ -211,36 +234,37 @@
         domain only if it has no instance that can be reached.
         """
         now = self.timer.now()
-        preferred = [
-            each for each in instances if self._is_preferred(each, now)
-        ]
+        known = [(each, self.of(each)) for each in instances]
+        preferred = [pair for pair in known if pair[1].is_preferred(now)]
         if self._is_costly_to_move(route):
-            near = [each for each in preferred if self._is_near(each)]
+            near = [pair for pair in preferred if self._is_near(pair[0])]
             preferred = near or preferred
+        rank = route.rank
         left = [
-            each
-            for each in preferred or instances
-            if each.identity not in exclude
+            pair
+            for pair in preferred or known
+            if pair[0].identity not in exclude
+            and not pair[1].is_full(rank, now)
         ]
-        rank = route.rank
-        return min(
-            [each for each in left if not self._is_full(each, rank, now)],
-            key=lambda each: self._jittered(each, route, now),
-            default=None,
-        )
-
-    def _is_preferred(self, instance: ListedInstance, now: float) -> bool:
-        seen = self.of(instance)
-        is_failing = seen.failing(now) > FAILING_SHARE
-        return seen.avoid_until <= now and not is_failing
+        return self._first(left, route, now)
 
-    def _is_full(
+    def _first(
         self,
-        instance: ListedInstance,
-        rank: int,
+        left: Iterable[Candidate],
+        route: PrefixRoute,
         now: float,
-    ) -> bool:
-        return self.of(instance).of_rank(rank).full_until > now
+    ) -> ListedInstance | None:
+        """Return the one that is expected to answer first, by chance."""
+        work = self.work_of(route.name)
+        first = None
+        least = math.inf
+        for instance, seen in left:
+            expected = self._expected(instance, seen, route, work, now)
+            expected *= 1 + JITTER * self.random.random()
+            if first is None or expected < least:
+                first = instance
+                least = expected
+        return first
 
     def _is_near(self, instance: ListedInstance) -> bool:
         return instance.failure_domain == self.failure_domain
@@ -250,24 +274,15 @@
         cost = DISTANCE_SECONDS_PER_KB * work.kilobytes
         return cost > COSTLY_SHARE * route.objective
 
-    def _jittered(
-        self,
-        instance: ListedInstance,
-        route: PrefixRoute,
-        now: float,
-    ) -> float:
-        expected = self.expected(instance, route, now)
-        return expected * (1 + JITTER * self.random.random())
-
-    def expected(
+    def _expected(
         self,
         instance: ListedInstance,
+        seen: Seen,
         route: PrefixRoute,
+        work: RouteWork,
         now: float,
     ) -> float:
         """Return the seconds until an answer is expected."""
-        seen = self.of(instance)
-        work = self.work_of(route.name)
         seconds = work.seconds * seen.speed
         if now < instance.cold_until:
             seconds *= COLD_FACTOR
@@ -290,7 +305,11 @@
 
     def work_of(self, route: str) -> RouteWork:
         """Return the typical work of a route."""
-        return self.work.setdefault(route, RouteWork())
+        found = self.work.get(route)
+        if found is None:
+            found = RouteWork()
+            self.work[route] = found
+        return found
 
     def of(self, instance: ListedInstance) -> Seen:
         """Return what was seen of this start of an instance."""
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -138,3 +138,18 @@
     both = (NEAR, slow)
     assert placement.choose(both, BROWSE, NOBODY) is NEAR
     assert placement.choose(both, patient, NOBODY) is slow
+
+
+def test_each_instance_is_looked_up_once(placement, monkeypatch):
+    """Guards against work for each instance that is done again."""
+    looked_up = []
+    look_up = placement.of
+
+    def count(instance):
+        looked_up.append(instance.identity)
+        return look_up(instance)
+
+    monkeypatch.setattr(placement, 'of', count)
+    placement.choose(BOTH, BROWSE, NOBODY)
+    assert looked_up == ['near', 'far']
+    assert not look_up(FAR).ranks
