Skip instances that can't answer first in the choice of one

Cause: each choice computed the expected time of all 74 instances of a service, and built the pairs of instance and statistics anew. An answer takes at least the work at the speed of the instance, so one whose work alone takes longer than the best so far need not be computed; what is known of a tuple of instances is found once, until entries are dropped. Powers of values that can't decide are not computed.

--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -142,10 +142,11 @@
 class Bench:
     """Stand-in platform and two daemons, of this or of another checkout."""
 
-    def __init__(self, directory, root, profile):
+    def __init__(self, directory, root, profile, rate):
         self.directory = directory
         self.root = root
         self.profile = profile
+        self.rate = rate
         self.store = StandinItemStore()
         self.nodes = {}
         self.version = 1
@@ -266,6 +267,8 @@
             for number in numbers:
                 if number >= count:
                     return
+                if self.rate:
+                    await asyncio.sleep(WORKERS / self.rate)
                 status = await self.ask(self.nodes['entry'], number)
                 assert status == 200, status
 
@@ -299,7 +302,9 @@
     """Return the figures of two new daemons."""
     async with contextlib.AsyncExitStack() as stack:
         directory = stack.enter_context(tempfile.TemporaryDirectory())
-        bench = Bench(pathlib.Path(directory), root, options.profile)
+        bench = Bench(
+            pathlib.Path(directory), root, options.profile, options.rate
+        )
         await bench.start(stack)
         return await bench.run(options.requests, not options.no_idle)
 
@@ -321,6 +326,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument('--runs', type=int, default=3)
     parser.add_argument('--requests', type=int, default=REQUESTS)
+    parser.add_argument('--rate', type=float, help='requests a second')
     parser.add_argument('--no-idle', action='store_true')
     parser.add_argument('--profile', help='prefix of files for cProfile')
     parser.add_argument('--against', type=pathlib.Path, action='append')
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -132,14 +132,15 @@
 
     def busy_now(self, rank: int, now: float) -> float:
         """Return the expected requests before a new one of a rank."""
-        reported = 0.0
         own = 0
         for other, load in self.ranks.items():
             if other <= rank:
                 own += load.outstanding
-                if other == rank:
-                    reported = load.faded(now)
-        return max(reported, own)
+        met = self.ranks.get(rank)
+        if met is None or met.reported <= own:
+            # What has faded is never more than what was reported.
+            return own
+        return max(met.faded(now), own)
 
     def is_full(self, rank: int, now: float) -> bool:
         """Return whether the owner is expected to refuse a rank."""
@@ -148,8 +149,12 @@
 
     def is_preferred(self, now: float) -> bool:
         """Return whether the instance need not be avoided."""
-        is_failing = self.failing(now) > FAILING_SHARE
-        return self.avoid_until <= now and not is_failing
+        if self.avoid_until > now:
+            return False
+        # What has faded is never more than what was counted.
+        return (
+            self.failures <= FAILING_SHARE or self.failing(now) <= FAILING_SHARE
+        )
 
     @property
     def outstanding(self) -> int:
@@ -194,6 +199,7 @@
         self.kilobytes += SPEED_WEIGHT * (kilobytes - self.kilobytes)
 
 
+Instances = tuple[ListedInstance, ...]
 Candidate = tuple[ListedInstance, Seen]
 
 
@@ -220,10 +226,12 @@
         self.timer = recorder.timer
         self.seen: dict[tuple[str, int], Seen] = {}
         self.work: dict[str, RouteWork] = {}
+        # Candidates of each tuple of instances that was chosen from.
+        self.known: dict[int, tuple[Instances, list[Candidate]]] = {}
 
     def choose(
         self,
-        instances: Iterable[ListedInstance],
+        instances: Instances,
         route: PrefixRoute,
         exclude: frozenset[str],
     ) -> ListedInstance | None:
@@ -234,20 +242,28 @@
         domain only if it has no instance that can be reached.
         """
         now = self.timer.now()
-        known = [(each, self.of(each)) for each in instances]
+        known = self._candidates(instances)
         preferred = [pair for pair in known if pair[1].is_preferred(now)]
         if self._is_costly_to_move(route):
             near = [pair for pair in preferred if self._is_near(pair[0])]
             preferred = near or preferred
-        rank = route.rank
         left = [
             pair
             for pair in preferred or known
             if pair[0].identity not in exclude
-            and not pair[1].is_full(rank, now)
         ]
         return self._first(left, route, now)
 
+    def _candidates(self, instances: Instances) -> list[Candidate]:
+        """Return the instances with what was seen of them."""
+        found = self.known.get(id(instances))
+        if found is None:
+            candidates = [(each, self.of(each)) for each in instances]
+            # Holds the tuple, so that no other one gets its identity.
+            found = (instances, candidates)
+            self.known[id(instances)] = found
+        return found[1]
+
     def _first(
         self,
         left: Iterable[Candidate],
@@ -259,8 +275,13 @@
         first = None
         least = math.inf
         for instance, seen in left:
-            expected = self._expected(instance, seen, route, work, now)
-            expected *= 1 + JITTER * self.random.random()
+            if seen.is_full(route.rank, now):
+                continue
+            jitter = 1 + JITTER * self.random.random()
+            # An answer takes at least the work, whatever else is ahead.
+            if first is not None and work.seconds * seen.speed >= least:
+                continue
+            expected = self.expected(instance, seen, route, work, now) * jitter
             if first is None or expected < least:
                 first = instance
                 least = expected
@@ -274,7 +295,7 @@
         cost = DISTANCE_SECONDS_PER_KB * work.kilobytes
         return cost > COSTLY_SHARE * route.objective
 
-    def _expected(
+    def expected(
         self,
         instance: ListedInstance,
         seen: Seen,
@@ -288,13 +309,15 @@
             seconds *= COLD_FACTOR
         busy = seen.busy_now(route.rank, now)
         load = (busy + 1) / max(instance.slots, 1)
-        seconds *= max(load, 1.0) + CROWDING * load
-        seconds *= 1 + FAILURE_FACTOR * seen.failing(now)
+        taken = load if load > 1 else 1.0
+        seconds *= taken + CROWDING * load
+        if seen.failures:
+            seconds *= 1 + FAILURE_FACTOR * seen.failing(now)
         if route.objective > RELAXED_RATIO * work.seconds:
             # Fast instances are left to work that needs them.
             seconds += RELAXED_WEIGHT * work.seconds / seen.speed
-        if work.kilobytes >= LARGE_KILOBYTES:
-            seconds += max(seen.sending_until - now, 0.0)
+        if work.kilobytes >= LARGE_KILOBYTES and seen.sending_until > now:
+            seconds += seen.sending_until - now
         if self._is_near(instance):
             return seconds
         return (
@@ -378,6 +401,7 @@
 
     def retain(self, instances: Iterable[ListedInstance]) -> None:
         """Forget instances that are not listed any more."""
+        self.known.clear()
         listed = {(each.identity, each.born) for each in instances}
         for key in self.seen.keys() - listed:
             if not self.seen[key].outstanding:
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -15,7 +15,7 @@
     PrefixRoute,
     Repeat,
 )
-from tanagerbend_routing.placement import FULL_SECONDS
+from tanagerbend_routing.placement import FULL_SECONDS, JITTER
 from tanagerbend_timer import ManualTimer
 
 NEAR = ListedInstance('near', '10.0.0.1:80', 'shop', 'north', 6)
@@ -153,3 +153,39 @@
     placement.choose(BOTH, BROWSE, NOBODY)
     assert looked_up == ['near', 'far']
     assert not look_up(FAR).ranks
+
+
+def test_what_is_seen_after_entries_are_dropped_counts(placement):
+    """Guards against a choice by what was seen of an earlier entry."""
+    placement.choose(BOTH, BROWSE, NOBODY)
+    placement.retain(())
+    placement.unreachable(NEAR)
+    assert chosen(placement) == 0
+
+
+def test_no_instance_is_skipped_that_answers_first(placement):
+    """Guards against a short cut that changes the choice."""
+    chance = random.Random(7)
+    instances = tuple(
+        attrs.evolve(NEAR, identity=f'i-{number}', slots=1 + number % 3)
+        for number in range(20)
+    )
+    for _ in range(300):
+        each = chance.choice(instances)
+        placement.served(each, 'browse', chance.random(), 1.0)
+        placement.reported(each, 0, LoadReport(chance.randrange(9), 6))
+        if chance.random() < 0.1:
+            placement.failed(each)
+        jitters = random.Random()
+        jitters.setstate(placement.random.getstate())
+        work = placement.work_of('browse')
+        expected = {
+            instance.identity: placement.expected(
+                instance, placement.of(instance), BROWSE, work, 0.0
+            )
+            * (1 + JITTER * jitters.random())
+            for instance in instances
+            if placement.of(instance).is_preferred(0.0)
+        }
+        found = placement.choose(instances, BROWSE, NOBODY)
+        assert found.identity == min(expected, key=expected.get)
