Sort the entries of instances only when they are asked for

Cause: each written entry of an instance sorted all entries by their service again, also when many came together; ten times a second all entries were searched for those that lapsed, and five times a second for the own address.

--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -6,7 +6,7 @@
 because its instance could not renew it, so it stays usable for a while.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -61,6 +61,9 @@
         return self.address.rpartition(':')[0]
 
 
+Instances = tuple[ListedInstance, ...]
+
+
 def say_nothing(_event: str, _instance: ListedInstance) -> None:
     """Take a change without telling anyone."""
 
@@ -93,7 +96,11 @@
         self.tell = tell
         self.timer = recorder.timer
         self.entries: dict[str, Held] = {}
-        self.services: dict[str, tuple[ListedInstance, ...]] = {}
+        # Entries that are missing and not dropped yet.
+        self.kept: dict[str, Held] = {}
+        # Made of the entries when first asked for; None after a change.
+        self.services: dict[str, Instances] | None = None
+        self.newest: dict[str, ListedInstance] | None = None
         self.settled_from = 0.0
         self.departed: dict[str, float] = {}
 
@@ -131,7 +138,7 @@
     def put(self, instance: ListedInstance) -> None:
         """Take an entry that was written."""
         if self._take(instance):
-            self._rebuild()
+            self._note_change()
 
     def _take(
         self,
@@ -142,6 +149,7 @@
         """Keep an entry; return whether it is news."""
         known = self.entries.get(instance.identity)
         self.entries[instance.identity] = Held(instance)
+        self.kept.pop(instance.identity, None)
         if known is not None and known.instance == instance:
             return False
         self._note_leaving(instance)
@@ -163,9 +171,10 @@
             self._drop(identity)
         else:
             held.usable_until = min(held.usable_until, self.settled_at)
+            self.kept[identity] = held
             self.recorder.count('entries_kept_after_outage')
             self.tell('instance_kept', held.instance)
-        self._rebuild()
+        self._note_change()
 
     @property
     def settled_at(self) -> float:
@@ -179,26 +188,27 @@
             self.remove(identity)
         for instance in listed.values():
             self._take(instance, is_told=not is_first)
-        self._rebuild()
+        self._note_change()
 
     def expire(self) -> None:
         """Drop entries that did not come back in time."""
         now = self.timer.now()
         over = [
             identity
-            for identity, held in self.entries.items()
+            for identity, held in self.kept.items()
             if held.usable_until <= now and self.is_settled
         ]
         for identity in over:
             self._drop(identity)
             self.recorder.count('entries_dropped_after_outage')
         if over:
-            self._rebuild()
-        self.departed = {
-            identity: since
-            for identity, since in self.departed.items()
-            if now - since < DEPARTED_SECONDS
-        }
+            self._note_change()
+        if self.departed:
+            self.departed = {
+                identity: since
+                for identity, since in self.departed.items()
+                if now - since < DEPARTED_SECONDS
+            }
 
     def takes_work(self, identity: str) -> bool:
         """Return whether a request that waited may still be started.
@@ -210,6 +220,8 @@
 
     def usable(self, service: str) -> tuple[ListedInstance, ...]:
         """Return the instances of a service that take new work."""
+        if self.services is None:
+            self.services = by_service(self.entries.values())
         return self.services.get(service, ())
 
     def working(self) -> list[ListedInstance]:
@@ -230,12 +242,9 @@
 
     def at_address(self, address: str) -> ListedInstance | None:
         """Return the newest instance at ``address:port``."""
-        found = [
-            held.instance
-            for held in self.entries.values()
-            if held.instance.address == address
-        ]
-        return max(found, key=_born, default=None)
+        if self.newest is None:
+            self.newest = by_address(self.entries.values())
+        return self.newest.get(address)
 
     def _note_leaving(self, instance: ListedInstance) -> None:
         if instance.is_leaving:
@@ -245,18 +254,32 @@
 
     def _drop(self, identity: str) -> None:
         held = self.entries.pop(identity)
+        self.kept.pop(identity, None)
         self.tell('instance_removed', held.instance)
         self.departed.setdefault(identity, self.timer.now())
 
-    def _rebuild(self) -> None:
-        services: dict[str, list[ListedInstance]] = {}
-        for held in self.entries.values():
-            if not held.instance.is_leaving:
-                named = services.setdefault(held.instance.service, [])
-                named.append(held.instance)
-        self.services = {
-            service: tuple(found) for service, found in services.items()
-        }
+    def _note_change(self) -> None:
+        self.services = None
+        self.newest = None
+
+
+def by_service(held: Iterable[Held]) -> dict[str, Instances]:
+    """Return the instances that are not leaving by their service."""
+    services: dict[str, list[ListedInstance]] = {}
+    for each in held:
+        if not each.instance.is_leaving:
+            named = services.setdefault(each.instance.service, [])
+            named.append(each.instance)
+    return {service: tuple(found) for service, found in services.items()}
+
+
+def by_address(held: Iterable[Held]) -> dict[str, ListedInstance]:
+    """Return the newest instance at each address."""
+    instances = [each.instance for each in held]
+    # Of equally old ones the first entry counts.
+    instances.reverse()
+    instances.sort(key=_born)
+    return {each.address: each for each in instances}
 
 
 def _born(instance: ListedInstance) -> int:
--- a/packages/routing/tanagerbend_routing/tests/test_registry.py
+++ b/packages/routing/tanagerbend_routing/tests/test_registry.py
@@ -7,10 +7,12 @@
 
 from tanagerbend_metrics import Recorder
 from tanagerbend_routing import InstanceRegistry, ListedInstance
+from tanagerbend_routing import registry as registry_module
 from tanagerbend_routing.registry import (
     DEPARTED_SECONDS,
     LAPSE_SECONDS,
     LEAVING_SECONDS,
+    by_service,
 )
 from tanagerbend_timer import ManualTimer
 
@@ -137,3 +139,39 @@
         ('instance_leaving', 'i-1'),
         ('instance_removed', 'i-1'),
     ]
+
+
+def test_changes_that_come_together_are_sorted_once(registry, monkeypatch):
+    """Guards against all entries sorted anew for each change of one."""
+    sorts = []
+
+    def count(held):
+        sorts.append(len(held))
+        return by_service(held)
+
+    monkeypatch.setattr(registry_module, 'by_service', count)
+    for slots in range(7, 12):
+        registry.put(attrs.evolve(ONE, slots=slots))
+        registry.put(attrs.evolve(TWO, slots=slots))
+    for _ in range(3):
+        assert {each.slots for each in registry.usable('shop')} == {11}
+    assert len(sorts) == 1
+
+
+def test_found_at_an_address_after_each_kind_of_change(registry):
+    """Guards against an instance at an address where it is no more."""
+    address = ONE.address
+    assert registry.at_address(address) is ONE
+    registry.remove('i-1')
+    assert registry.at_address(address) is None
+    registry.put(ONE)
+    assert registry.at_address(address) is ONE
+    registry.service_lost()
+    registry.service_regained()
+    registry.remove('i-1')
+    assert registry.at_address(address) is ONE
+    pass_time(registry, LAPSE_SECONDS + 0.1)
+    assert registry.at_address(address) is None
+    registry.replace({'i-1': ONE})
+    assert registry.at_address(address) is ONE
+    assert registry.at_address(TWO.address) is None
