--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -110,6 +110,8 @@
 
     def faded(self, now: float) -> float:
         """Return what is left of the report."""
+        if not self.reported:
+            return 0.0
         age = now - self.reported_at
         return self.reported * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
 
@@ -139,16 +141,37 @@
 
     def of_rank(self, rank: int) -> RankLoad:
         """Return the load as a rank meets it."""
-        return self.ranks.setdefault(rank, RankLoad())
+        found = self.ranks.get(rank)
+        if found is None:
+            found = RankLoad()
+            self.ranks[rank] = found
+        return found
 
     def busy_now(self, rank: int, now: float) -> float:
         """Return the expected requests before a new one of a rank."""
-        own = sum(
-            load.outstanding
-            for other, load in self.ranks.items()
-            if other <= rank
+        own = 0
+        for other, load in self.ranks.items():
+            if other <= rank:
+                own += load.outstanding
+        met = self.ranks.get(rank)
+        if met is None or met.reported <= own:
+            # What has faded is never more than what was reported.
+            return own
+        return max(met.faded(now), own)
+
+    def is_full(self, rank: int, now: float) -> bool:
+        """Return whether the owner is expected to refuse a rank."""
+        load = self.ranks.get(rank)
+        return load is not None and load.full_until > now
+
+    def is_preferred(self, now: float) -> bool:
+        """Return whether the instance need not be avoided."""
+        if self.avoid_until > now:
+            return False
+        # What has faded is never more than what was counted.
+        return (
+            self.failures <= FAILING_SHARE or self.failing(now) <= FAILING_SHARE
         )
-        return max(self.of_rank(rank).faded(now), own)
 
     @property
     def outstanding(self) -> int:
@@ -157,6 +180,8 @@
 
     def failing(self, now: float) -> float:
         """Return the share of failed requests, which fades."""
+        if not self.failures:
+            return 0.0
         age = now - self.failed_at
         return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS)
 
@@ -201,6 +226,10 @@
         self.kilobytes += SPEED_WEIGHT * (kilobytes - self.kilobytes)
 
 
+Instances = tuple[ListedInstance, ...]
+Candidate = tuple[ListedInstance, Seen]
+
+
 def no_seconds(_size: float) -> float:
     """Return the time to send over a link that is not known."""
     return 0.0
@@ -241,10 +270,12 @@
         self.work: dict[str, RouteWork] = {}
         self.own_address = ''
         self.sending: Callable[[float], float] = no_seconds
+        # Candidates of each tuple of instances that was chosen from.
+        self.known: dict[int, tuple[Instances, list[Candidate]]] = {}
 
     def choose(
         self,
-        instances: Iterable[ListedInstance],
+        instances: Instances,
         route: PrefixRoute,
         exclude: frozenset[str],
     ) -> ListedInstance | None:
@@ -255,40 +286,66 @@
         domain only if it has no instance that is likely to be on time.
         """
         now = self.timer.now()
-        preferred = [
-            each for each in instances if self._is_preferred(each, now)
-        ]
+        known = self._candidates(instances)
+        preferred = [pair for pair in known if pair[1].is_preferred(now)]
         left = [
-            (self.expected(each, route, now), each)
-            for each in preferred or instances
-            if each.identity not in exclude
-            and not self._is_full(each, route.rank, now)
+            pair
+            for pair in preferred or known
+            if pair[0].identity not in exclude
         ]
         if self._is_costly_to_move(route) and not exclude:
-            most = NEAR_SHARE * route.objective
-            near = [
-                (seconds, each)
-                for seconds, each in left
-                if self._is_near(each)
-                and self.ends_in(each, route, now) <= most
-            ]
-            left = near or left
-        if not left:
-            return None
-        return min(left, key=self._jittered)[1]
-
-    def _is_preferred(self, instance: ListedInstance, now: float) -> bool:
-        seen = self.of(instance)
-        is_failing = seen.failing(now) > FAILING_SHARE
-        return seen.avoid_until <= now and not is_failing
+            left = self._on_time_nearby(left, route, now) or left
+        return self._first(left, route, now)
 
-    def _is_full(
+    def _on_time_nearby(
         self,
-        instance: ListedInstance,
-        rank: int,
+        left: Iterable[Candidate],
+        route: PrefixRoute,
         now: float,
-    ) -> bool:
-        return self.of(instance).of_rank(rank).full_until > now
+    ) -> list[Candidate]:
+        """Return those of the own failure domain that are likely on time."""
+        work = self.work_of(route.name)
+        most = NEAR_SHARE * route.objective
+        return [
+            (instance, seen)
+            for instance, seen in left
+            if self._is_near(instance)
+            and not seen.is_full(route.rank, now)
+            and self.ends_in(instance, seen, route, work, now) <= most
+        ]
+
+    def _candidates(self, instances: Instances) -> list[Candidate]:
+        """Return the instances with what was seen of them."""
+        found = self.known.get(id(instances))
+        if found is None:
+            candidates = [(each, self.of(each)) for each in instances]
+            # Holds the tuple, so that no other one gets its identity.
+            found = (instances, candidates)
+            self.known[id(instances)] = found
+        return found[1]
+
+    def _first(
+        self,
+        left: Iterable[Candidate],
+        route: PrefixRoute,
+        now: float,
+    ) -> ListedInstance | None:
+        """Return the one that is expected to answer first, by chance."""
+        work = self.work_of(route.name)
+        first = None
+        least = math.inf
+        for instance, seen in left:
+            if seen.is_full(route.rank, now):
+                continue
+            jitter = 1 + JITTER * self.random.random()
+            # An answer takes at least the work, whatever else is ahead.
+            if first is not None and work.seconds * seen.speed >= least:
+                continue
+            expected = self.expected(instance, seen, route, work, now) * jitter
+            if first is None or expected < least:
+                first = instance
+                least = expected
+        return first
 
     def _is_near(self, instance: ListedInstance) -> bool:
         return instance.failure_domain == self.failure_domain
@@ -298,19 +355,16 @@
         cost = DISTANCE_SECONDS_PER_KB * work.kilobytes
         return cost > COSTLY_SHARE * route.objective
 
-    def _jittered(self, expected: tuple[float, ListedInstance]) -> float:
-        return expected[0] * (1 + JITTER * self.random.random())
-
     def expected(
         self,
         instance: ListedInstance,
+        seen: Seen,
         route: PrefixRoute,
+        work: RouteWork,
         now: float,
     ) -> float:
         """Return the seconds until an answer, and what else it costs."""
-        seen = self.of(instance)
-        work = self.work_of(route.name)
-        seconds = self.ends_in(instance, route, now)
+        seconds = self.ends_in(instance, seen, route, work, now)
         if route.objective > RELAXED_RATIO * work.seconds:
             # Fast instances are left to work that needs them.
             seconds += RELAXED_WEIGHT * work.seconds / seen.speed
@@ -325,19 +379,21 @@
     def ends_in(
         self,
         instance: ListedInstance,
+        seen: Seen,
         route: PrefixRoute,
+        work: RouteWork,
         now: float,
     ) -> float:
         """Return the seconds until an answer is expected at its caller."""
-        seen = self.of(instance)
-        work = self.work_of(route.name)
         seconds = work.seconds * seen.speed
         if now < instance.cold_until:
             seconds *= COLD_FACTOR
         busy = seen.busy_now(route.rank, now)
         load = (busy + 1) / max(instance.slots, 1)
-        seconds *= max(load, 1.0) + CROWDING * load
-        seconds *= 1 + FAILURE_FACTOR * seen.failing(now)
+        taken = load if load > 1 else 1.0
+        seconds *= taken + CROWDING * load
+        if seen.failures:
+            seconds *= 1 + FAILURE_FACTOR * seen.failing(now)
         if not work.is_large:
             return seconds
         # The link is used by others while the instance works.
@@ -348,7 +404,11 @@
 
     def work_of(self, route: str) -> RouteWork:
         """Return the typical work of a route."""
-        return self.work.setdefault(route, RouteWork())
+        found = self.work.get(route)
+        if found is None:
+            found = RouteWork()
+            self.work[route] = found
+        return found
 
     def of(self, instance: ListedInstance) -> Seen:
         """Return what was seen of this start of an instance."""
@@ -427,6 +487,7 @@
 
     def retain(self, instances: Iterable[ListedInstance]) -> None:
         """Forget instances that are not listed any more."""
+        self.known.clear()
         listed = {(each.identity, each.born) for each in instances}
         for key in self.seen.keys() - listed:
             if not self.seen[key].outstanding:
