Wait at a stop until the bytes of all answers are written

What callers saw: an answer that broke off though its instance had ended long before, on a connection that took its bytes slowly, when the daemon was stopped.

Cause: `Endpoint.active` ends when the handler has returned. The library writes a small answer, and drains the last part of a large one, after that; up to 64 KB, more where one write is larger, then wait in the transport. A stop that saw no active request closed the endpoints 3 s after the signal, lingered for 1 s and gave the answers that were still written twice 0.5 s more (`runner.cleanup`); what the transport held then was lost with the process, with 0.6 s to 1.6 s of the grace time left.

Evidence, before the change, an answer of 120,013 bytes to a caller with a small window that reads 5.3 s after the signal (grace time 6 s):

test_answer_that_is_being_read_is_whole_after_a_stop > assert body_is_whole(received) E AssertionError: assert False 1 failed in 7.30s

A trial that printed the lines showed `unsent_kb: 45.3` all the while and `daemon_stopped` after 4.704 s and 5.003 s. The same test that reads after 4.7 s or 5.0 s passed without the change: it met these ends.

Change: unsent bytes count as work that a stop waits for, and the endpoints are closed by a `finish` that returns once nothing is answered or unsent; the time that bounds a stop bounds it as before. Connections of peers are asked to close in it too, or their polls would keep it waiting. The stand-in instance can add bytes to its answers.

After: the test passes; packages/proxy, platform, packages/daemon and packages/standins: 380 passed.

Conclusion: an answer that has been taken over by the transport now has the time until 0.4 s before the kill, as one that waits for turns has.

--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -33,6 +33,8 @@
 # Longer than any idle time that the platform grants to callers.
 KEEP_SECONDS: Final = 75.0
 SHUTDOWN_SECONDS: Final = 0.5
+# How often it is checked whether all answers have been written.
+POLL_SECONDS: Final = 0.02
 # Largest body before a configuration names its own limit, in bytes.
 FIRST_BODY_LIMIT: Final = 1048576
 HEADER_LIMIT: Final = 65536
@@ -149,6 +151,19 @@
             if each is not None
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is answered or bytes of answers wait here."""
+        return bool(self.active or self.unsent)
+
+    async def finish(self) -> None:
+        """Stop listening; return once all answers have been written."""
+        self.is_closing = True
+        if self.listener is not None:
+            await self.listener.close()
+        while self.is_busy:
+            await self.recorder.timer.sleep(POLL_SECONDS)
+
     async def close(self) -> None:
         """Stop listening and end the connections."""
         listener = self.listener
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -161,11 +161,11 @@
 
     async def _close_endpoints(self) -> None:
         parts = self.parts
-        await asyncio.gather(parts.callers.close(), parts.peers.close())
+        await asyncio.gather(parts.callers.finish(), parts.peers.finish())
         await self.stop()
 
     def _is_busy(self) -> bool:
-        return bool(self.parts.callers.active or self.parts.peers.active)
+        return self.parts.callers.is_busy or self.parts.peers.is_busy
 
     async def on_stop(self) -> None:
         """Close what is open."""
--- a/packages/standins/tanagerbend_standins/instance.py
+++ b/packages/standins/tanagerbend_standins/instance.py
@@ -65,6 +65,12 @@
     identity, service : str
     seconds : float
         Time of one request.
+
+    Attributes
+    ==========
+
+    extra_bytes : int
+        Added to the body of each answer.
     """
 
     def __init__(
@@ -76,6 +82,7 @@
         self.identity = identity
         self.service = service
         self.seconds = seconds
+        self.extra_bytes = 0
         self.faults = InstanceFaults()
         self.runs: Counter[str] = Counter()
         self.order: list[str] = []
@@ -175,6 +182,7 @@
         if faults.take('unstamped'):
             headers.pop('Server-Stamp')
         whole = f'{self.identity} {request.raw_path} '.encode() + body
+        whole += bytes(self.extra_bytes)
         if faults.take('truncates'):
             return await self._break_off(request, headers, len(whole) + 9)
         if faults.take('early_reset'):
