Answer at the end of a stop what has no answer yet

What callers saw: requests that had been read, and placed or waiting for a slot, ended with their connections and without any answer when the daemon stopped (LOST), also those that had never run.

Cause: nothing limits the time of a request by the end of the process. It is the same where the owner stops too: its entry daemon may end first, still waiting.

Change: `Lifetime` holds when the process ends; from the signal on it limits the requests of callers that are under way to 0.2 s before that, and they get 504, which promises nothing. What waits for a slot when the endpoints are closed, 1.6 s before the grace time is over, is refused as not run: the own callers get 503, entry daemons place it elsewhere.

--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -205,6 +205,13 @@
         self.slots = slots
         self._grant()
 
+    def turn_away(self, refusal: Refusal) -> None:
+        """Refuse all that wait for a slot."""
+        for waiting in self.waiting:
+            if not waiting.granted.done():
+                waiting.granted.set_result(refusal)
+        self.waiting.clear()
+
     async def _wait(self, waiting: Waiting) -> Refusal | None:
         work = waiting.work
         last = work.deadline - self.times.mean(work.kind)
--- a/packages/admission/tanagerbend_admission/tests/test_objective.py
+++ b/packages/admission/tanagerbend_admission/tests/test_objective.py
@@ -187,3 +187,18 @@
         assert await queue.enter(work(deadline=99.0, on_time=99.0)) is None
         queue.leave(work(), 0.001, is_whole=False)
     assert queue.times.mean('browse') == SECONDS
+
+
+async def test_what_waits_is_turned_away_and_running_work_is_not(queue):
+    """Guards against requests that wait for a slot when a daemon ends."""
+    assert await queue.enter(work()) is None
+    patient = work(on_time=100.0, deadline=100.0)
+    waiting = [asyncio.create_task(queue.enter(patient)) for _ in range(3)]
+    await settle()
+    assert len(queue.waiting) == 3
+    waiting[0].cancel()
+    queue.turn_away(Refusal(ResultCode.DRAINING, 'the daemon stops'))
+    refused = await asyncio.gather(*waiting[1:])
+    assert {each.code for each in refused} == {ResultCode.DRAINING}
+    assert {each.ran for each in refused} == {Ran.NO}
+    assert (queue.running, queue.waiting) == (1, [])
--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -15,6 +15,7 @@
 from tanagerbend_proxy.front import CallerHandler, Endpoint, PeerHandler
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.knowledge import Knowledge
+from tanagerbend_proxy.lifetime import Lifetime
 from tanagerbend_proxy.link_use import LinkUse
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.peers import Peers
@@ -47,6 +48,7 @@
     callers: Endpoint
     peers: Endpoint
     link: LinkUse
+    lifetime: Lifetime
     is_stopping: bool = False
 
     @property
@@ -109,7 +111,8 @@
         chance,
         Staleness(knowledge, link, terms.apply_seconds),
     )
-    endpoint = CallerHandler(entry, names, recorder, terms.service)
+    lifetime = Lifetime(recorder.timer)
+    endpoint = CallerHandler(entry, names, recorder, terms.service, lifetime)
     callers = Endpoint(endpoint.handle, recorder, uplink)
     handler = PeerHandler(owner, follower, names)
     peers = Endpoint(handler.handle, recorder, uplink)
@@ -127,4 +130,5 @@
         callers,
         peers,
         link,
+        lifetime,
     )
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -1,5 +1,6 @@
 """HTTP servers: for callers, for other daemons, and for the ready question."""
 
+import asyncio
 import math
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -19,6 +20,7 @@
 from tanagerbend_proxy.exchange import without_connection
 from tanagerbend_proxy.following import Follower
 from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.lifetime import Lifetime
 from tanagerbend_proxy.link_use import ANSWERS, CHANGES, PLACED
 from tanagerbend_proxy.messages import (
     MILLISECONDS,
@@ -181,6 +183,7 @@
     names: HeaderNames
     recorder: Recorder
     caller_service: str
+    lifetime: Lifetime
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a caller."""
@@ -188,7 +191,7 @@
         match request:
             case Refusal():
                 return self.refuse(request, None)
-        end = await self.entry.handle(request)
+        end = await self._answer(request)
         match end:
             case Refusal():
                 return self.refuse(end, request)
@@ -197,6 +200,17 @@
         response[RANK] = self.entry.rank_of(request)
         return response
 
+    async def _answer(self, request: Request) -> Answer | Refusal:
+        """Answer a request before this process ends."""
+        try:
+            async with asyncio.timeout(None) as limit:
+                with self.lifetime.counted(limit):
+                    return await self.entry.handle(request)
+        except TimeoutError:
+            self.recorder.count('requests_ended_by_stop')
+            reason = 'the daemon stops before there is an answer'
+            return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+
     async def read(self, http: web.BaseRequest) -> Request | Refusal:
         """Read a whole request."""
         arrived = self.recorder.timer.now()
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -9,6 +9,7 @@
 
 from tanagerbend_metrics import expose
 from tanagerbend_metrics.names import LOOP_DELAY
+from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy.assembly import Parts
 from tanagerbend_proxy.following import EXPIRY_SECONDS
 from tanagerbend_proxy.front import Endpoint
@@ -142,13 +143,17 @@
         parts.owner.is_leaving = True
         parts.callers.is_closing = True
         grace = parts.terms.stop.grace
+        parts.lifetime.end_at(started + grace - EXIT_SECONDS)
         await timer.sleep(min(NOTICE_SECONDS, grace - FINISH_SECONDS))
         parts.callers.is_shut = True
         while (
             self._is_busy() and timer.now() < started + grace - LINGER_SECONDS
         ):
             await timer.sleep(POLL_SECONDS)
-        left = started + grace - EXIT_SECONDS - timer.now()
+        parts.owner.queue.turn_away(
+            Refusal(ResultCode.DRAINING, 'the daemon stops'),
+        )
+        left = parts.lifetime.ends - timer.now()
         try:
             async with asyncio.timeout(max(left, 0)):
                 await self._close_endpoints()
