Refuse at a stop what can't be answered before its end

Cause: `Deadline-Ms` and the deadline that admission judges by were those of the caller, whatever time the process had left, and the entry daemon did not count the answers that wait for the link of its own host.

Evidence, before the change; a request sent after the signal with a deadline of 9 s and a grace time of 6 s, and a large answer behind 6 s of others on the link:

test_time_of_a_request_ends_with_the_process E AssertionError: assert 8969 < 6000 test_answer_that_can_not_leave_before_a_stop_is_not_begun E assert (200, 200) == (503, 200)

Change: from the signal on, the time of a request that is taken ends 0.2 s before the process does, less what the link of this host needs for an answer of its route behind those that wait. Less than the usual work of the route: refused at once with 503, not run. A first form left it to `Entry` to refuse for want of time; that marks the owner as full, and the small request behind it got 503 as well (trial: `(503, 503) == (503, 200)`).

After: both pass; packages/proxy, platform, packages/daemon: 354 passed.

Conclusion: a stopping daemon takes only what it can answer, by its estimates. `Entry` itself marks an owner as full where its own caller has no time left; that is the same outside of a stop and is left as it is.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -386,13 +386,18 @@
         reason = f'no instance of {service!r} is known'
         return Refusal(ResultCode.NO_INSTANCE, reason)
 
-    def rank_of(self, request: Request) -> int:
-        """Return the rank of the route of a request, 0 without one."""
+    def route_of(self, request: Request) -> PrefixRoute | None:
+        """Return the route of a request, None without one."""
         configuration = self.knowledge.configuration
         if configuration is None:
-            return 0
+            return None
         route = configuration.match(request.host, request.path)
-        return 0 if isinstance(route, Refusal) else route.rank
+        return None if isinstance(route, Refusal) else route
+
+    def rank_of(self, request: Request) -> int:
+        """Return the rank of the route of a request, 0 without one."""
+        route = self.route_of(request)
+        return 0 if route is None else route.rank
 
     def retry_after(self, request: Request) -> float:
         """Return the seconds after which a refused caller comes back.
@@ -410,13 +415,9 @@
 
     def _spare_seconds(self, request: Request) -> float:
         """Return how long a caller may stay away and still be on time."""
-        configuration = self.knowledge.configuration
-        if configuration is None:
+        route = self.route_of(request)
+        if route is None:
             return UNKNOWN_RETURN_SECONDS
-        route = configuration.match(request.host, request.path)
-        match route:
-            case Refusal():
-                return UNKNOWN_RETURN_SECONDS
         work = self.placement.work_of(route.name)
         passed = self.recorder.timer.now() - request.arrived
         return max(route.objective - passed - 2 * work.seconds, 0.0)
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -13,10 +13,11 @@
 from tanagerbend_daemon.listener import Listener, make_runner
 from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_metrics import Recorder
+from tanagerbend_metrics.names import REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
 from tanagerbend_proxy.changes import PollRequest
-from tanagerbend_proxy.entry import Entry
+from tanagerbend_proxy.entry import KILOBYTE, Entry
 from tanagerbend_proxy.exchange import without_connection
 from tanagerbend_proxy.following import Follower
 from tanagerbend_proxy.headers import HeaderNames
@@ -200,12 +201,35 @@
         response[RANK] = self.entry.rank_of(request)
         return response
 
+    def _limited(self, request: Request) -> Request | Refusal:
+        """Leave no time that ends after this process, refuse if too little.
+
+        The answer still has to wait for the link of this host then.
+        """
+        route = self.entry.route_of(request)
+        if route is None:
+            return request
+        work = self.entry.placement.work_of(route.name)
+        sending = self.entry.owner.uplink.seconds_for(work.kilobytes * KILOBYTE)
+        left = self.lifetime.seconds_left - sending
+        if left < work.seconds:
+            reason = f'the daemon stops, {left:.3f} s are left for the answer'
+            return Refusal(ResultCode.DRAINING, reason)
+        waited = self.recorder.timer.now() - request.arrived
+        time_left = min(request.time_left, left + waited)
+        return attrs.evolve(request, time_left=time_left)
+
     async def _answer(self, request: Request) -> Answer | Refusal:
         """Answer a request before this process ends."""
+        limited = self._limited(request) if self.lifetime.is_ending else request
+        match limited:
+            case Refusal():
+                self.recorder.count(REFUSALS, limited.code.name)
+                return limited
         try:
             async with asyncio.timeout(None) as limit:
                 with self.lifetime.counted(limit):
-                    return await self.entry.handle(request)
+                    return await self.entry.handle(limited)
         except TimeoutError:
             self.recorder.count('requests_ended_by_stop')
             reason = 'the daemon stops before there is an answer'
