--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -206,6 +206,13 @@
         self.slots = slots
         self._grant()
 
+    def turn_away(self, refusal: Refusal) -> None:
+        """Refuse all that wait for a slot."""
+        for waiting in self.waiting:
+            if not waiting.granted.done():
+                waiting.granted.set_result(refusal)
+        self.waiting.clear()
+
     async def _wait(self, waiting: Waiting) -> Refusal | None:
         work = waiting.work
         last = work.deadline - self._least_seconds(work)
@@ -230,7 +237,8 @@
             self.waiting.remove(waiting)
             if waiting.granted.done():
                 continue
-            if self._is_hopeless(waiting.work):
+            least = self._least_seconds(waiting.work)
+            if self.timer.now() + least > waiting.work.deadline:
                 code = ResultCode.DEADLINE_UNREACHABLE
                 waiting.granted.set_result(self._refusal(code, waiting.work))
                 continue
@@ -253,9 +261,6 @@
         sent = self.timer.now() + self._least_seconds(work)
         return sent > work.on_time_until, work.rank, work.on_time_until
 
-    def _is_hopeless(self, work: Work) -> bool:
-        return self.timer.now() + self._least_seconds(work) > work.deadline
-
     def _least_seconds(self, work: Work) -> float:
         """Return the time until the answer of a slot granted now has left."""
         return self.departures.seconds(self.times.mean(work.kind), work)
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -1,5 +1,6 @@
 """HTTP servers: for callers, for other daemons, and for the ready question."""
 
+import asyncio
 import math
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -12,6 +13,7 @@
 from tanagerbend_daemon.listener import Listener, make_runner
 from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_metrics import Recorder
+from tanagerbend_metrics.names import REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
 from tanagerbend_proxy.changes import PollRequest
@@ -20,6 +22,7 @@
 from tanagerbend_proxy.exchange import without_connection
 from tanagerbend_proxy.following import Follower
 from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.lifetime import Lifetime
 from tanagerbend_proxy.link_use import ANSWERS, CHANGES, PLACED
 from tanagerbend_proxy.messages import (
     MILLISECONDS,
@@ -34,6 +37,8 @@
 # Longer than any idle time that the platform grants to callers.
 KEEP_SECONDS: Final = 75.0
 SHUTDOWN_SECONDS: Final = 0.5
+# How often it is checked whether all answers have been written.
+POLL_SECONDS: Final = 0.02
 # Largest body before a configuration names its own limit, in bytes.
 FIRST_BODY_LIMIT: Final = 1048576
 HEADER_LIMIT: Final = 65536
@@ -162,6 +167,19 @@
             if each is not None
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is answered or bytes of answers wait here."""
+        return bool(self.active or self.unsent)
+
+    async def finish(self) -> None:
+        """Stop listening; return once all answers have been written."""
+        self.is_closing = True
+        if self.listener is not None:
+            await self.listener.close()
+        while self.is_busy:
+            await self.recorder.timer.sleep(POLL_SECONDS)
+
     async def close(self) -> None:
         """Stop listening and end the connections."""
         listener = self.listener
@@ -179,6 +197,7 @@
     names: HeaderNames
     recorder: Recorder
     caller_service: str
+    lifetime: Lifetime
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a caller."""
@@ -186,16 +205,51 @@
         match request:
             case Refusal():
                 return self.refuse(request, None)
-        end = await self.entry.handle(request)
+        end = await self._answer(request)
         match end:
             case Refusal():
                 return self.refuse(end, request)
         self.entry.link.sent(ANSWERS, len(end.body))
         response = respond(end)
-        response[RANK] = self.entry.rank_of(request)
+        route = self.entry.route_of(request)
+        response[RANK] = 0 if route is None else route.rank
         response[IDENTIFIER] = request.identifier
         return response
 
+    def _limited(self, request: Request) -> Request | Refusal:
+        """Leave no time that ends after this process, refuse if too little.
+
+        The answer still has to wait for the link of this host then.
+        """
+        route = self.entry.route_of(request)
+        if route is None:
+            return request
+        work = self.entry.placement.work_of(route.name)
+        left = self.lifetime.seconds_left
+        spare = left - self.entry.placement.sending(work.size)
+        if spare < work.seconds:
+            reason = f'the daemon stops, {spare:.3f} s are left for the answer'
+            return Refusal(ResultCode.DRAINING, reason)
+        waited = self.recorder.timer.now() - request.arrived
+        time_left = min(request.time_left, left + waited)
+        return attrs.evolve(request, time_left=time_left)
+
+    async def _answer(self, request: Request) -> Answer | Refusal:
+        """Answer a request before this process ends."""
+        limited = self._limited(request) if self.lifetime.is_ending else request
+        match limited:
+            case Refusal():
+                self.recorder.count(REFUSALS, limited.code.name)
+                return limited
+        try:
+            async with asyncio.timeout(None) as limit:
+                with self.lifetime.counted(limit):
+                    return await self.entry.handle(limited)
+        except TimeoutError:
+            self.recorder.count('requests_ended_by_stop')
+            reason = 'the daemon stops before there is an answer'
+            return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+
     async def read(self, http: web.BaseRequest) -> Request | Refusal:
         """Read a whole request."""
         arrived = self.recorder.timer.now()
