--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -27,6 +27,7 @@
 )
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.terms import Terms
+from tanagerbend_proxy.uplink import Due
 from tanagerbend_routing import (
     ListedInstance,
     Placement,
@@ -165,7 +166,8 @@
             route,
             service,
             request.arrived + min(route.timeout, request.time_left),
-            request.arrived + route.objective,
+            request.arrived
+            + self.placement.on_time_in(route, request.time_left),
         )
         try:
             end = await self._try_instances(state)
@@ -417,6 +419,14 @@
         route = configuration.match(request.host, request.path)
         return None if isinstance(route, Refusal) else route
 
+    def due_of(self, request: Request) -> Due:
+        """Return until when the answer to a request is of use."""
+        deadline = request.arrived + request.time_left
+        route = self.route_of(request)
+        if route is None:
+            return Due(deadline=deadline)
+        return Due(route.rank, request.arrived + route.objective, deadline)
+
     def retry_after(self, request: Request) -> float:
         """Return the seconds after which a refused caller comes back.
 
