Compare routes that versions share by identity

Cause: a version that a peer tells is made of the routes of the version before it, and was then made once more to share them: each of 1,120 routes was compared by its fields, although all but a few are the same objects, and the table was built three times.

--- a/packages/routing/tanagerbend_routing/prefixes.py
+++ b/packages/routing/tanagerbend_routing/prefixes.py
@@ -187,7 +187,7 @@
             tuple(
                 route
                 for key, route in after.items()
-                if before.get(key) != route
+                if not _is_same(before.get(key), route)
             ),
             tuple(before.keys() - after.keys()),
             self.limits,
@@ -221,7 +221,11 @@
         """
         if other is None:
             return self
-        return self.changed_by(self.difference_from(other), other)
+        hosts = {
+            host: _shared(routes, other.hosts.get(host, NO_ROUTES))
+            for host, routes in self.hosts.items()
+        }
+        return attrs.evolve(self, hosts=hosts)
 
     def match(self, host: str, path: str) -> PrefixRoute | Refusal:
         """Return the route of a request; ``path`` may hold a query."""
@@ -236,3 +240,20 @@
             end = plain.rfind('/', 0, end)
         reason = f'no route of {host!r} covers {plain[:SHOWN]!r}'
         return Refusal(ResultCode.ROUTE_UNKNOWN, reason)
+
+
+def _is_same(known: PrefixRoute | None, route: PrefixRoute) -> bool:
+    """Compare routes, of which most are shared between versions."""
+    return known is route or known == route
+
+
+def _shared(
+    routes: Mapping[str, PrefixRoute],
+    known: Mapping[str, PrefixRoute],
+) -> dict[str, PrefixRoute]:
+    """Return routes, of which the equal ones are those known."""
+    found = {}
+    for prefix, route in routes.items():
+        before = known.get(prefix, route)
+        found[prefix] = before if _is_same(before, route) else route
+    return found
--- a/packages/routing/tanagerbend_routing/tests/test_prefixes.py
+++ b/packages/routing/tanagerbend_routing/tests/test_prefixes.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from tanagerbend_model import Refusal
@@ -53,3 +54,36 @@
     found = [split.pick_service(chance) for _ in range(5000)]
     assert abs(found.count('two') / 5000 - 0.1) < 0.02
     assert 'none' not in found
+
+
+def test_routes_that_are_shared_are_not_compared(monkeypatch):
+    """Guards against all routes compared again for each version."""
+    changed = attrs.evolve(TABLE.hosts['shop']['/a/'], timeout=9.0)
+    routes = {**TABLE.routes, ('shop', '/a/'): changed}
+    newer = RoutingConfiguration.build(2, tuple(routes.values()), None)
+    compared = []
+    equal = PrefixRoute.__eq__
+
+    def count(one, other):
+        compared.append(other)
+        return equal(one, other)
+
+    monkeypatch.setattr(PrefixRoute, '__eq__', count)
+    shared = newer.sharing(TABLE)
+    difference = shared.difference_from(TABLE)
+    assert len(compared) == 2
+    assert difference.put == (changed,)
+    assert shared.version == 2
+    for key, known in TABLE.routes.items():
+        is_changed = key == ('shop', '/a/')
+        assert shared.routes[key] is (changed if is_changed else known)
+
+
+def test_equal_routes_are_shared():
+    """Guards against versions that each hold all routes in memory."""
+    copies = tuple(attrs.evolve(each) for each in TABLE.routes.values())
+    newer = RoutingConfiguration.build(2, (*copies, route('/new/')), None)
+    shared = newer.sharing(TABLE)
+    assert shared.routes.keys() == newer.routes.keys()
+    for key, known in TABLE.routes.items():
+        assert shared.routes[key] is known
