Look up the route once and filter headers in place

Cause: the route of a request was searched once more for each answer, for its rank, which only large answers need; and the headers of each message were put together one by one, with a new set of the names to leave out, four times a request.

The rank is looked up for large answers. Headers are copied whole and the few that concern one connection are removed; the set of names is kept for each value of the header Connection.

--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -38,6 +38,8 @@
 # Longest answer that is read: several times a batch of large versions, and
 # with three at once, held twice, half of the memory of a small host.
 MOST_ANSWER_BYTES: Final = 16777216
+# Values of the header `Connection` whose names are kept.
+KEPT_NAMES: Final = 64
 # Raised by bytes that are no answer, and by answers that end early.
 BROKEN_ANSWERS: Final = (
     aiohttp.ClientPayloadError,
@@ -355,13 +357,17 @@
     ``dropped`` holds names in small letters; those that the header
     ``Connection`` names are dropped as well.
     """
-    named = found.get('Connection', '').lower()
-    dropped |= {name.strip() for name in named.split(',')}
-    return CIMultiDict(
-        (name, text)
-        for name, text in found.items()
-        if name.lower() not in dropped
-    )
+    dropped = _with_named(dropped, found.get('Connection', ''))
+    kept = CIMultiDict(found)
+    for name in found:
+        if name.lower() in dropped:
+            kept.popall(name, None)
+    return kept
+
+
+@functools.lru_cache(KEPT_NAMES)
+def _with_named(dropped: frozenset[str], connection: str) -> frozenset[str]:
+    return dropped | {name.strip() for name in connection.lower().split(',')}
 
 
 def _refuse(
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -7,7 +7,6 @@
 
 import attrs
 from aiohttp import web
-from multidict import CIMultiDict
 
 from tanagerbend_daemon.listener import Listener, make_runner
 from tanagerbend_daemon.outbound import HOP_BY_HOP
@@ -192,7 +191,8 @@
                 return self.refuse(end, request)
         self.entry.link.sent(ANSWERS, len(end.body))
         response = respond(end)
-        response[RANK] = self.entry.rank_of(request)
+        if self.entry.owner.uplink.is_large(len(end.body)):
+            response[RANK] = self.entry.rank_of(request)
         response[IDENTIFIER] = request.identifier
         return response
 
@@ -334,11 +334,7 @@
 
 def respond(answer: Answer) -> web.Response:
     """Return the response that carries an answer unchanged."""
-    headers = CIMultiDict(
-        (name, text)
-        for name, text in answer.headers.items()
-        if name.lower() not in NOT_COPIED
-    )
+    headers = without_connection(answer.headers, NOT_COPIED)
     return web.Response(status=answer.status, headers=headers, body=answer.body)
 
 
--- a/packages/proxy/tanagerbend_proxy/tests/test_exchange.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_exchange.py
@@ -7,12 +7,14 @@
 from multidict import CIMultiDict
 
 from tanagerbend_daemon.connections import Connector
+from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_model import Refusal
 from tanagerbend_proxy.exchange import (
     CONNECT_SECONDS,
     Outgoing,
     make_session,
     send,
+    without_connection,
 )
 from tanagerbend_proxy.messages import Answer
 
@@ -159,3 +161,25 @@
     assert len(begun) == 2
     await asyncio.sleep(0)
     assert ended == begun[:1]
+
+
+def test_headers_of_one_connection_are_left_out():
+    """Guards against headers that reach a connection they don't concern."""
+    found = CIMultiDict(
+        (
+            ('Connection', 'Close, x-hop'),
+            ('X-Hop', 'one'),
+            ('x-hop', 'two'),
+            ('Keep-Alive', 'timeout=5'),
+            ('Set-Cookie', 'a'),
+            ('set-cookie', 'b'),
+        ),
+    )
+    kept = without_connection(found, HOP_BY_HOP)
+    assert list(kept.items()) == [('Set-Cookie', 'a'), ('set-cookie', 'b')]
+    assert len(found) == 6
+    found.popall('Connection')
+    assert without_connection(found, HOP_BY_HOP).getall('X-Hop') == [
+        'one',
+        'two',
+    ]
