Begin no answer at a stop that can't be whole before its end

What callers saw: a status and headers of a success, and the end of the connection before the body, when a daemon on a thin link stopped (LOST).

Cause: an answer that waits for turns sent its headers at once, and an answer whose turns come after the end of the process was begun like the others. Answers of a more urgent rank also overtake one that is half sent.

Change: the headers go with the first part. At a stop the wait for the first turn ends when the rest of the process is too short for the whole answer at the rate of the turns, and the caller gets 504. What has been begun goes before all ranks then, so that it ends.

Conclusion: no answer breaks off for want of link time where the link carries what the settings say. An answer that the instance had made is still replaced by 504 where the link can't carry it; those taken after the signal are refused before they run. Where the link carries less (losses, squeezed), what was begun can still break off.

--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -113,9 +113,9 @@
     )
     lifetime = Lifetime(recorder.timer)
     endpoint = CallerHandler(entry, names, recorder, terms.service, lifetime)
-    callers = Endpoint(endpoint.handle, recorder, uplink)
+    callers = Endpoint(endpoint.handle, recorder, uplink, lifetime)
     handler = PeerHandler(owner, follower, names)
-    peers = Endpoint(handler.handle, recorder, uplink)
+    peers = Endpoint(handler.handle, recorder, uplink, lifetime)
     link.count_unsent = lambda: (
         callers.unsent + peers.unsent + int(uplink.announced)
     )
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -43,6 +43,8 @@
 HEADER_LIMIT: Final = 65536
 # Another daemon is asked when the caller comes back.
 STOPPING_RETURN_SECONDS: Final = 0.01
+# Goes before all ranks: what a stop lets end.
+BEGUN_RANK: Final = -1
 # Set by the server itself, or meant for another connection.
 NOT_COPIED: Final = HOP_BY_HOP | {'content-length', 'date', 'server'}
 # Key under which a response holds the rank of its route.
@@ -60,6 +62,7 @@
     handler : callable
     recorder : Recorder
     uplink : Uplink
+    lifetime : Lifetime
     active : int
         Requests that are being answered.
     is_shut : bool
@@ -71,6 +74,7 @@
     handler: Handler
     recorder: Recorder
     uplink: Uplink
+    lifetime: Lifetime
     active: int = 0
     is_shut: bool = False
     is_closing: bool = False
@@ -113,7 +117,11 @@
         body = body_of(response)
         if self.uplink.send_now(len(body)):
             return response
-        rank = response.get(RANK, 0)
+        transfer = Transfer(self.uplink, response.get(RANK, 0), len(body))
+        first, *rest = parts_of(body)
+        if not await self._begin(transfer, len(first)):
+            self.recorder.count('requests_ended_by_stop')
+            return stopping_response(Ran.UNKNOWN)
         sent = web.StreamResponse(
             status=response.status,
             headers=response.headers,
@@ -122,22 +130,37 @@
         if not response.keep_alive:
             sent.force_close()
         try:
-            await self._write(request, sent, body, rank)
+            await sent.prepare(request)
+            await sent.write(first)
+            await self._write_rest(sent, transfer, rest)
         except ConnectionError:
             # Its caller has gone; the server closes the connection.
             self.recorder.count('answers_cut')
         return sent
 
-    async def _write(
+    async def _begin(self, transfer: Transfer, size: int) -> bool:
+        """Wait for the first turn; return whether the answer may be whole.
+
+        At a stop an answer is not begun that would break off.
+        """
+        kept = transfer.left / self.uplink.rate
+        try:
+            async with asyncio.timeout(None) as limit:
+                with self.lifetime.counted(limit, kept):
+                    await transfer.turn(size)
+        except TimeoutError:
+            return False
+        return True
+
+    async def _write_rest(
         self,
-        request: web.BaseRequest,
         sent: web.StreamResponse,
-        body: bytes,
-        rank: int,
+        transfer: Transfer,
+        parts: list[bytes],
     ) -> None:
-        transfer = Transfer(self.uplink, rank, len(body))
-        await sent.prepare(request)
-        for part in parts_of(body):
+        for part in parts:
+            if self.lifetime.is_ending:
+                transfer.rank = BEGUN_RANK
             await transfer.turn(len(part))
             await sent.write(part)
         await sent.write_eof()
@@ -351,12 +374,18 @@
         return response
 
 
-def stopping_response() -> web.Response:
-    """Refuse a request that came late in a stop, and has not run."""
+def stopping_response(ran: Ran = Ran.NO) -> web.Response:
+    """Refuse a request that has not run, or whose answer can't leave."""
+    refusal = Refusal(ResultCode.DRAINING, 'the daemon stops')
+    headers = {'Retry-After': f'{STOPPING_RETURN_SECONDS}'}
+    if ran is not Ran.NO:
+        reason = 'the daemon stops before the answer can leave'
+        refusal = Refusal(ResultCode.OUTCOME_UNKNOWN, reason, ran)
+        headers = {}
     response = web.json_response(
-        {'code': int(ResultCode.DRAINING), 'reason': 'the daemon stops'},
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-        headers={'Retry-After': f'{STOPPING_RETURN_SECONDS}'},
+        {'code': int(refusal.code), 'reason': refusal.reason},
+        status=status_of(refusal),
+        headers=headers,
     )
     response.force_close()
     return response
--- a/packages/proxy/tanagerbend_proxy/lifetime.py
+++ b/packages/proxy/tanagerbend_proxy/lifetime.py
@@ -31,7 +31,7 @@
     def __init__(self, timer: Timer) -> None:
         self.timer = timer
         self.ends = math.inf
-        self.limits: set[asyncio.Timeout] = set()
+        self.limits: dict[asyncio.Timeout, float] = {}
 
     @property
     def is_ending(self) -> bool:
@@ -46,19 +46,26 @@
     def end_at(self, ends: float) -> None:
         """Begin a stop; limit what is under way."""
         self.ends = ends
-        for limit in self.limits:
-            limit.reschedule(self._due())
+        for limit, kept in self.limits.items():
+            limit.reschedule(self._due(kept))
 
     @contextmanager
-    def counted(self, limit: asyncio.Timeout) -> Iterator[asyncio.Timeout]:
-        """Let a limit, which has been entered, pass with the process."""
+    def counted(
+        self,
+        limit: asyncio.Timeout,
+        kept: float = 0.0,
+    ) -> Iterator[asyncio.Timeout]:
+        """Let a limit, which has been entered, pass before the process.
+
+        ``kept`` are the seconds that are needed after the limit.
+        """
         if self.is_ending:
-            limit.reschedule(self._due())
-        self.limits.add(limit)
+            limit.reschedule(self._due(kept))
+        self.limits[limit] = kept
         try:
             yield limit
         finally:
-            self.limits.discard(limit)
+            self.limits.pop(limit)
 
-    def _due(self) -> float:
-        return asyncio.get_running_loop().time() + self.seconds_left
+    def _due(self, kept: float) -> float:
+        return asyncio.get_running_loop().time() + self.seconds_left - kept
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -51,12 +51,9 @@
         # When the delay of the event loop is measured next.
         self.due = float('inf')
         recorder, uplink = parts.recorder, parts.owner.uplink
-        self.ready_endpoint = Endpoint(self.answer_ready, recorder, uplink)
-        self.metrics_endpoint = Endpoint(
-            self.answer_metrics,
-            recorder,
-            uplink,
-        )
+        shared = (recorder, uplink, parts.lifetime)
+        self.ready_endpoint = Endpoint(self.answer_ready, *shared)
+        self.metrics_endpoint = Endpoint(self.answer_metrics, *shared)
 
     async def on_start(self) -> None:
         """Listen; callers are served once a configuration is known."""
