--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -16,7 +16,7 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import HeaderNames, Listening, StopTerms, Terms
-from tanagerbend_proxy.entry import Entry
+from tanagerbend_proxy.entry import Entry, due_of
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.link_use import LinkUse
 from tanagerbend_proxy.messages import Answer, Outcome, Placed, Request
@@ -212,7 +212,9 @@
 
     async def deliver(self, request: Request, answer: Answer) -> None:
         """Send an answer to its caller."""
-        await self.out.send(answer.body, self.due_of(request))
+        await self.out.send(
+            answer.body, due_of(request, self.route_of(request))
+        )
 
 
 class EmulatedFleet:
--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -118,6 +118,7 @@
         endpoint.handle,
         recorder,
         uplink,
+        lifetime,
         DeliveryLog(ANSWERS, recorder, log),
     )
     handler = PeerHandler(owner, follower, names)
@@ -125,6 +126,7 @@
         handler.handle,
         recorder,
         uplink,
+        lifetime,
         DeliveryLog(PLACED, recorder, log),
     )
     link.count_unsent = lambda: (
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -419,14 +419,6 @@
         route = configuration.match(request.host, request.path)
         return None if isinstance(route, Refusal) else route
 
-    def due_of(self, request: Request) -> Due:
-        """Return until when the answer to a request is of use."""
-        deadline = request.arrived + request.time_left
-        route = self.route_of(request)
-        if route is None:
-            return Due(deadline=deadline)
-        return Due(route.rank, request.arrived + route.objective, deadline)
-
     def retry_after(self, request: Request) -> float:
         """Return the seconds after which a refused caller comes back.
 
@@ -503,6 +495,14 @@
         self.log.request(refusal.code.name, [line])
 
 
+def due_of(request: Request, route: PrefixRoute | None) -> Due:
+    """Return until when the answer to a request is of use."""
+    deadline = request.arrived + request.time_left
+    if route is None:
+        return Due(deadline=deadline)
+    return Due(route.rank, request.arrived + route.objective, deadline)
+
+
 def forbidden(end: Answer | Refusal, repeat: Repeat) -> str:
     """Return why a request must not be sent again, empty if it may.
 
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -17,7 +17,7 @@
 from tanagerbend_proxy import headers as own_headers
 from tanagerbend_proxy.changes import PollRequest
 from tanagerbend_proxy.delivery import Delivery, DeliveryLog
-from tanagerbend_proxy.entry import Entry
+from tanagerbend_proxy.entry import Entry, due_of
 from tanagerbend_proxy.exchange import without_connection
 from tanagerbend_proxy.following import Follower
 from tanagerbend_proxy.headers import HeaderNames
@@ -62,6 +62,7 @@
     handler : callable
     recorder : Recorder
     uplink : Uplink
+    lifetime : Lifetime
     deliveries : DeliveryLog or None
         Told of each large answer.
     active : int
@@ -75,6 +76,7 @@
     handler: Handler
     recorder: Recorder
     uplink: Uplink
+    lifetime: Lifetime
     deliveries: DeliveryLog | None = None
     active: int = 0
     is_shut: bool = False
@@ -118,6 +120,28 @@
         body = body_of(response)
         if self.uplink.send_now(len(body)):
             return response
+        due = response.get(DUE, Due())
+        delivery = Delivery.begin(
+            response.get(IDENTIFIER, ''),
+            Transfer(self.uplink, due.rank, len(body), due),
+        )
+        try:
+            return await self._deliver(request, response, body, delivery)
+        finally:
+            if self.deliveries is not None:
+                self.deliveries.ended(delivery)
+
+    async def _deliver(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        body: bytes,
+        delivery: Delivery,
+    ) -> web.StreamResponse:
+        first, *rest = parts_of(body)
+        if not await self._begin(delivery.transfer, len(first)):
+            self.recorder.count('requests_ended_by_stop')
+            return stopping_response(Ran.UNKNOWN)
         sent = web.StreamResponse(
             status=response.status,
             headers=response.headers,
@@ -125,33 +149,49 @@
         sent.content_length = len(body)
         if not response.keep_alive:
             sent.force_close()
-        due = response.get(DUE, Due())
-        delivery = Delivery.begin(
-            response.get(IDENTIFIER, ''),
-            Transfer(self.uplink, due.rank, len(body), due),
-        )
         try:
-            await self._write(request, sent, body, delivery)
+            await sent.prepare(request)
+            await self._write(sent, first, delivery)
+            await self._write_rest(sent, rest, delivery)
         except ConnectionError:
             # Its caller has gone; the server closes the connection.
             self.recorder.count('answers_cut')
-        finally:
-            if self.deliveries is not None:
-                self.deliveries.ended(delivery)
         return sent
 
+    async def _begin(self, transfer: Transfer, size: int) -> bool:
+        """Wait for the first turn; return whether the answer may be whole.
+
+        At a stop an answer is not begun that would break off.
+        """
+        kept = transfer.left / self.uplink.pace
+        try:
+            async with asyncio.timeout(None) as limit:
+                with self.lifetime.counted(limit, kept):
+                    await transfer.turn(size)
+        except TimeoutError:
+            return False
+        return True
+
     async def _write(
         self,
-        request: web.BaseRequest,
         sent: web.StreamResponse,
-        body: bytes,
+        part: bytes,
+        delivery: Delivery,
+    ) -> None:
+        await sent.write(part)
+        delivery.written += len(part)
+
+    async def _write_rest(
+        self,
+        sent: web.StreamResponse,
+        parts: list[bytes],
         delivery: Delivery,
     ) -> None:
-        await sent.prepare(request)
-        for part in parts_of(body):
+        for part in parts:
+            if self.lifetime.is_ending:
+                delivery.transfer.hurry()
             await delivery.transfer.turn(len(part))
-            await sent.write(part)
-            delivery.written += len(part)
+            await self._write(sent, part, delivery)
         await sent.write_eof()
         delivery.is_whole = True
 
@@ -212,7 +252,7 @@
         self.entry.link.sent(ANSWERS, len(end.body))
         response = respond(end)
         if self.entry.owner.uplink.is_large(len(end.body)):
-            response[DUE] = self.entry.due_of(request)
+            response[DUE] = due_of(request, self.entry.route_of(request))
         response[IDENTIFIER] = request.identifier
         return response
 
@@ -371,12 +411,18 @@
         return response
 
 
-def stopping_response() -> web.Response:
-    """Refuse a request that came late in a stop, and has not run."""
+def stopping_response(ran: Ran = Ran.NO) -> web.Response:
+    """Refuse a request that has not run, or whose answer can't leave."""
+    refusal = Refusal(ResultCode.DRAINING, 'the daemon stops')
+    headers = {'Retry-After': f'{STOPPING_RETURN_SECONDS}'}
+    if ran is not Ran.NO:
+        reason = 'the daemon stops before the answer can leave'
+        refusal = Refusal(ResultCode.OUTCOME_UNKNOWN, reason, ran)
+        headers = {}
     response = web.json_response(
-        {'code': int(ResultCode.DRAINING), 'reason': 'the daemon stops'},
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-        headers={'Retry-After': f'{STOPPING_RETURN_SECONDS}'},
+        {'code': int(refusal.code), 'reason': refusal.reason},
+        status=status_of(refusal),
+        headers=headers,
     )
     response.force_close()
     return response
