Load no parts of the other daemon at a start on the platform

What callers saw: while a daemon of the platform starts, its host serves nobody; a start takes 0.4 s of processor time, nearly all of it for loading modules.

Cause: `tanagerbend_proxy` takes three names from `tanagerbend_daemon`: `HOP_BY_HOP`, `NOT_SENT` and, through the connector, `mark_sent`. The modules that held them load `call`, `drain`, `tanagerbend_membership` and `tanagerbend_interfaces`.

Change: `HOP_BY_HOP` and `NOT_SENT` are in `connections`, and the mark of a sent call has a module of its own, `send_mark`.

--- a/packages/daemon/tanagerbend_daemon/connections.py
+++ b/packages/daemon/tanagerbend_daemon/connections.py
@@ -9,7 +9,7 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.connector import Connection
 
-from tanagerbend_daemon.drain import mark_sent
+from tanagerbend_daemon.send_mark import mark_sent
 
 CONNECT_SECONDS: Final = 1.0
 KEEPALIVE_SECONDS: Final = 30
@@ -19,6 +19,26 @@
     'User-Agent',
     'Content-Type',
 )
+HOP_BY_HOP: Final = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        # Answered by this daemon.
+        'expect',
+    )
+)
+# Raised before the request is written.
+NOT_SENT: Final = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+)
 
 
 @attrs.define
--- a/packages/daemon/tanagerbend_daemon/drain.py
+++ b/packages/daemon/tanagerbend_daemon/drain.py
@@ -2,12 +2,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from contextvars import ContextVar
 from typing import Final, Protocol
 
-import attrs
-
 from tanagerbend_daemon.call import Answer, Call
+from tanagerbend_daemon.send_mark import CURRENT_MARK, SendMark
 from tanagerbend_interfaces import Member, MemberState
 from tanagerbend_membership import Roster
 from tanagerbend_metrics import Event
@@ -22,24 +20,6 @@
 NOTICE_SECONDS: Final = 1.0
 
 
-@attrs.define
-class SendMark:
-    """Whether a call may have reached a backend server or a peer."""
-
-    is_sent: bool = False
-    is_ended: bool = False
-
-
-CURRENT_MARK: Final[ContextVar[SendMark]] = ContextVar('current_mark')
-
-
-def mark_sent(*, is_sent: bool = True) -> None:
-    """Note that the current call is about to be sent, or was not sent."""
-    mark = CURRENT_MARK.get(None)
-    if mark is not None:
-        mark.is_sent = is_sent
-
-
 class CallPath(Protocol):
     """Answers calls."""
 
--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -12,12 +12,12 @@
 
 from tanagerbend_daemon.body import close_body
 from tanagerbend_daemon.call import Answer, Call, header_of, read_limits
+from tanagerbend_daemon.connections import HOP_BY_HOP
 from tanagerbend_daemon.cutting import cut
 from tanagerbend_daemon.drain import Drain
 from tanagerbend_daemon.entry import CallHandler
 from tanagerbend_daemon.listener import Listener, make_runner
 from tanagerbend_daemon.order_answers import order_headers
-from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_daemon.peer_hop import peer_proof
 from tanagerbend_daemon.statuses import status_of
 from tanagerbend_metrics.names import ADDED_TIME, REFUSALS, REFUSALS_TO_PEERS
--- a/packages/daemon/tanagerbend_daemon/outbound.py
+++ b/packages/daemon/tanagerbend_daemon/outbound.py
@@ -11,6 +11,8 @@
 from tanagerbend_daemon.connections import (
     ATTEMPT,
     CONNECT_SECONDS,
+    HOP_BY_HOP,
+    NOT_SENT,
     Attempt,
     make_session,
 )
@@ -18,28 +20,8 @@
 from tanagerbend_model import Ran, Refusal, ResultCode, headers
 from tanagerbend_timer import Timer
 
-__all__ = ('HOP_BY_HOP', 'HttpServer', 'clients_of', 'make_session')
-
-HOP_BY_HOP: Final = frozenset(
-    (
-        'connection',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-        # Answered by this daemon.
-        'expect',
-    )
-)
-# Raised before the request is written.
-NOT_SENT: Final = (
-    aiohttp.ClientConnectorError,
-    aiohttp.ConnectionTimeoutError,
-)
+__all__ = ('HttpServer', 'clients_of', 'make_session')
+
 MAX_CLIENTS: Final = 1024
 ORDER_KEY: Final = headers.ORDER_KEY.lower()
 
--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -16,10 +16,11 @@
 from tanagerbend_daemon.connections import (
     ATTEMPT,
     AUTOMATIC_HEADERS,
+    HOP_BY_HOP,
+    NOT_SENT,
     Attempt,
     Connector,
 )
-from tanagerbend_daemon.outbound import HOP_BY_HOP, NOT_SENT
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.messages import Answer
 
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -9,8 +9,8 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from tanagerbend_daemon.connections import HOP_BY_HOP
 from tanagerbend_daemon.listener import Listener, make_runner
-from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
