Load the modules of package roots when their names are used

Cause: the roots of `tanagerbend_model`, `_interfaces`, `_metrics`, `_routing` and `_admission` load all modules of their package: the sheet reader, the messages between daemons, the ranked queue, the balancer, and `prometheus_client` with `http.server` and `wsgiref`. The first request needs none of them.

`__all__` is as before. `prometheus_client` is loaded at the first scrape.

--- a/packages/admission/tanagerbend_admission/__init__.py
+++ b/packages/admission/tanagerbend_admission/__init__.py
@@ -1,17 +1,14 @@
 """Admission of calls to the slots of an instance."""
 
-from tanagerbend_admission.fifo import FifoAdmission, StrictPriorityAdmission
-from tanagerbend_admission.objective import ObjectiveQueue, Work
-from tanagerbend_admission.ranked import RankAdmission
-from tanagerbend_admission.ticket import Admission, Outcome, Ticket
+import lazy_loader
 
-__all__ = (
-    'Admission',
-    'FifoAdmission',
-    'ObjectiveQueue',
-    'Outcome',
-    'RankAdmission',
-    'StrictPriorityAdmission',
-    'Ticket',
-    'Work',
+# A module is loaded when one of its names is first used.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        'fifo': ('FifoAdmission', 'StrictPriorityAdmission'),
+        'objective': ('ObjectiveQueue', 'Work'),
+        'ranked': ('RankAdmission',),
+        'ticket': ('Admission', 'Outcome', 'Ticket'),
+    },
 )
--- a/packages/interfaces/tanagerbend_interfaces/__init__.py
+++ b/packages/interfaces/tanagerbend_interfaces/__init__.py
@@ -1,59 +1,36 @@
 """Narrow interfaces to the platform, backend servers, peers, randomness."""
 
-from tanagerbend_interfaces.backend import (
-    BackendRequest,
-    BackendResponse,
-    BackendServer,
-)
-from tanagerbend_interfaces.peers import (
-    Ack,
-    Announce,
-    Content,
-    Fetch,
-    Member,
-    MemberState,
-    Message,
-    PeerHandler,
-    PeerTransport,
-    Ping,
-    Pong,
-    Suspects,
-    Sync,
-    Update,
-)
-from tanagerbend_interfaces.platform import (
-    ConfigurationService,
-    Host,
-    HostList,
-    HostListing,
-    Published,
-    Unchanged,
-)
-from tanagerbend_interfaces.randomness import Randomness
+import lazy_loader
 
-__all__ = (
-    'Ack',
-    'Announce',
-    'BackendRequest',
-    'BackendResponse',
-    'BackendServer',
-    'ConfigurationService',
-    'Content',
-    'Fetch',
-    'Host',
-    'HostList',
-    'HostListing',
-    'Member',
-    'MemberState',
-    'Message',
-    'PeerHandler',
-    'PeerTransport',
-    'Ping',
-    'Pong',
-    'Published',
-    'Randomness',
-    'Suspects',
-    'Sync',
-    'Unchanged',
-    'Update',
+# A module is loaded when one of its names is first used.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        'backend': ('BackendRequest', 'BackendResponse', 'BackendServer'),
+        'peers': (
+            'Ack',
+            'Announce',
+            'Content',
+            'Fetch',
+            'Member',
+            'MemberState',
+            'Message',
+            'PeerHandler',
+            'PeerTransport',
+            'Ping',
+            'Pong',
+            'Suspects',
+            'Sync',
+            'Update',
+        ),
+        'platform': (
+            'ConfigurationService',
+            'Host',
+            'HostList',
+            'HostListing',
+            'Published',
+            'Unchanged',
+        ),
+        'randomness': ('Randomness',),
+    },
 )
--- a/packages/metrics/tanagerbend_metrics/__init__.py
+++ b/packages/metrics/tanagerbend_metrics/__init__.py
@@ -1,32 +1,23 @@
 """Counters, histograms per tenant and rank, decision journal."""
 
-from tanagerbend_metrics.counters import Counters
-from tanagerbend_metrics.events import MEANINGS, Event
-from tanagerbend_metrics.exposition import expose
-from tanagerbend_metrics.histograms import (
-    QUANTILES,
-    Encoded,
-    Histograms,
-    make_histogram,
-    quantiles_of,
-)
-from tanagerbend_metrics.history import History, Minute
-from tanagerbend_metrics.journal import Entry, Journal
-from tanagerbend_metrics.recorder import Recorder
+import lazy_loader
 
-__all__ = (
-    'MEANINGS',
-    'QUANTILES',
-    'Counters',
-    'Encoded',
-    'Entry',
-    'Event',
-    'Histograms',
-    'History',
-    'Journal',
-    'Minute',
-    'Recorder',
-    'expose',
-    'make_histogram',
-    'quantiles_of',
+# A module is loaded when one of its names is first used.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        'counters': ('Counters',),
+        'events': ('MEANINGS', 'Event'),
+        'exposition': ('expose',),
+        'histograms': (
+            'QUANTILES',
+            'Encoded',
+            'Histograms',
+            'make_histogram',
+            'quantiles_of',
+        ),
+        'history': ('History', 'Minute'),
+        'journal': ('Entry', 'Journal'),
+        'recorder': ('Recorder',),
+    },
 )
--- a/packages/model/tanagerbend_model/__init__.py
+++ b/packages/model/tanagerbend_model/__init__.py
@@ -1,28 +1,17 @@
 """Versions, sheets, work classes, result codes and headers."""
 
-from tanagerbend_model.acceptance import Accepted, Rejected, accept
-from tanagerbend_model.codes import Ran, ResultCode
-from tanagerbend_model.difference import Difference, difference
-from tanagerbend_model.faults import Fault
-from tanagerbend_model.refusal import Refusal
-from tanagerbend_model.version import Version, digest_of, short_digest
-from tanagerbend_model.work import LOWEST_RANK, URGENT_RANK, Sheet, WorkClass
+import lazy_loader
 
-__all__ = (
-    'LOWEST_RANK',
-    'URGENT_RANK',
-    'Accepted',
-    'Difference',
-    'Fault',
-    'Ran',
-    'Refusal',
-    'Rejected',
-    'ResultCode',
-    'Sheet',
-    'Version',
-    'WorkClass',
-    'accept',
-    'difference',
-    'digest_of',
-    'short_digest',
+# A module is loaded when one of its names is first used.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        'acceptance': ('Accepted', 'Rejected', 'accept'),
+        'codes': ('Ran', 'ResultCode'),
+        'difference': ('Difference', 'difference'),
+        'faults': ('Fault',),
+        'refusal': ('Refusal',),
+        'version': ('Version', 'digest_of', 'short_digest'),
+        'work': ('LOWEST_RANK', 'URGENT_RANK', 'Sheet', 'WorkClass'),
+    },
 )
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 from mode import Service
 
-from tanagerbend_metrics import expose
+import tanagerbend_metrics
 from tanagerbend_metrics.names import LOOP_DELAY
 from tanagerbend_proxy.assembly import Parts
 from tanagerbend_proxy.following import EXPIRY_SECONDS
@@ -130,7 +130,9 @@
             ('entries_age', ''): {'': parts.follower.staleness.seconds},
             ('unsent_bytes', ''): {'': parts.link.count_unsent()},
         }
-        return web.Response(body=await expose(parts.recorder, gauges))
+        return web.Response(
+            body=await tanagerbend_metrics.expose(parts.recorder, gauges)
+        )
 
     async def stop_gracefully(self) -> None:
         """Serve until nobody sends any more, then stop."""
--- a/packages/routing/tanagerbend_routing/__init__.py
+++ b/packages/routing/tanagerbend_routing/__init__.py
@@ -1,39 +1,25 @@
 """Route table and choice of instances."""
 
-from tanagerbend_routing.allowance import BudgetTerms, RetryAllowance
-from tanagerbend_routing.balancer import Balancer
-from tanagerbend_routing.budget import RetryBudget
-from tanagerbend_routing.placement import LoadReport, Placement
-from tanagerbend_routing.prefixes import (
-    CallerLimits,
-    Part,
-    PrefixRoute,
-    Repeat,
-    RouteDifference,
-    RoutingConfiguration,
-)
-from tanagerbend_routing.registry import InstanceRegistry, ListedInstance
-from tanagerbend_routing.stats import InstanceStats, Result
-from tanagerbend_routing.table import Route, RouteTable, plain_path
+import lazy_loader
 
-__all__ = (
-    'Balancer',
-    'BudgetTerms',
-    'CallerLimits',
-    'InstanceRegistry',
-    'InstanceStats',
-    'ListedInstance',
-    'LoadReport',
-    'Part',
-    'Placement',
-    'PrefixRoute',
-    'Repeat',
-    'Result',
-    'RetryAllowance',
-    'RetryBudget',
-    'Route',
-    'RouteDifference',
-    'RouteTable',
-    'RoutingConfiguration',
-    'plain_path',
+# A module is loaded when one of its names is first used.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        'allowance': ('BudgetTerms', 'RetryAllowance'),
+        'balancer': ('Balancer',),
+        'budget': ('RetryBudget',),
+        'placement': ('LoadReport', 'Placement'),
+        'prefixes': (
+            'CallerLimits',
+            'Part',
+            'PrefixRoute',
+            'Repeat',
+            'RouteDifference',
+            'RoutingConfiguration',
+        ),
+        'registry': ('InstanceRegistry', 'ListedInstance'),
+        'stats': ('InstanceStats', 'Result'),
+        'table': ('Route', 'RouteTable', 'plain_path'),
+    },
 )
