--- a/packages/admission/tanagerbend_admission/__init__.py
+++ b/packages/admission/tanagerbend_admission/__init__.py
@@ -1,23 +1,17 @@
 """Admission of calls to the slots of an instance."""
 
-from tanagerbend_admission.departure import Departures, Link
-from tanagerbend_admission.estimate import ServiceTimes
-from tanagerbend_admission.fifo import FifoAdmission, StrictPriorityAdmission
-from tanagerbend_admission.objective import ObjectiveQueue
-from tanagerbend_admission.ranked import RankAdmission
-from tanagerbend_admission.ticket import Admission, Outcome, Ticket
-from tanagerbend_admission.work import Work
+import lazy_loader
 
-__all__ = (
-    'Admission',
-    'Departures',
-    'FifoAdmission',
-    'Link',
-    'ObjectiveQueue',
-    'Outcome',
-    'RankAdmission',
-    'ServiceTimes',
-    'StrictPriorityAdmission',
-    'Ticket',
-    'Work',
+# A module is loaded when one of its names is first used.
+__getattr__, __dir__, __all__ = lazy_loader.attach(
+    __name__,
+    submod_attrs={
+        'departure': ('Departures', 'Link'),
+        'estimate': ('ServiceTimes',),
+        'fifo': ('FifoAdmission', 'StrictPriorityAdmission'),
+        'objective': ('ObjectiveQueue',),
+        'ranked': ('RankAdmission',),
+        'ticket': ('Admission', 'Outcome', 'Ticket'),
+        'work': ('Work',),
+    },
 )
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -9,8 +9,8 @@
 import attrs
 from aiohttp import web
 
+from tanagerbend_daemon.connections import HOP_BY_HOP
 from tanagerbend_daemon.listener import Listener, make_runner
-from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_metrics import Recorder
 from tanagerbend_metrics.names import REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
