Keep the benchmark of a request apart from the tests

Both listened at 127.0.1.1, and a benchmark beside a run of the tests ended with "Address already in use"; the end of a daemon that had ended already then hid the cause. The benchmark has addresses of its own.

--- a/bench/request_cost.py
+++ b/bench/request_cost.py
@@ -37,6 +37,8 @@
 IDLE_SECONDS = 4.0
 STORM_SECONDS = 0.5
 NANOSECONDS = 1e9
+# Addresses that the tests do not use.
+NETWORK = '127.0.3'
 NODES = ('entry', 'owner')
 SETTINGS = """
 nodeName = "host-{name}"
@@ -159,7 +161,7 @@
         runner = web.ServerRunner(web.Server(answer), shutdown_timeout=0)
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
-        await web.TCPSite(runner, '127.0.1.2', 0).start()
+        await web.TCPSite(runner, f'{NETWORK}.2', 0).start()
         host, port = runner.addresses[0]
         self.instance = f'{host}:{port}'
         for number in range(INSTANCES):
@@ -172,7 +174,7 @@
         names = ('metrics', 'inbound', 'outbound', 'ready')
         ports = dict(zip(names, free_ports(len(names)), strict=True))
         for number, name in enumerate(NODES, 1):
-            ip = f'127.0.1.{number}'
+            ip = f'{NETWORK}.{number}'
             text = SETTINGS.format(
                 name=name,
                 ip=ip,
@@ -210,7 +212,10 @@
 
     async def stop(self, process):
         """Stop a daemon."""
-        process.send_signal(signal.SIGTERM if self.profile else signal.SIGKILL)
+        if process.returncode is None:
+            process.send_signal(
+                signal.SIGTERM if self.profile else signal.SIGKILL
+            )
         await process.wait()
 
     async def until_served(self, node):
