--- a/packages/standins/tanagerbend_standins/fleet.py
+++ b/packages/standins/tanagerbend_standins/fleet.py
@@ -32,6 +32,7 @@
 STOP_SECONDS: Final = 40.0
 
 
+ANY_ADDRESS: Final = '0.0.0.0'  # noqa: S104
 # Ports given out by this process, which may not listen yet.
 _GIVEN: Final[set[int]] = set()
 
@@ -62,7 +63,8 @@
     with socket.socket() as listener:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            listener.bind((LOOPBACK, port))
+            # All addresses, since hosts of a deployment have one each.
+            listener.bind((ANY_ADDRESS, port))
         except OSError:
             return False
     return True
