--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/tests/test_containment.py
@@ -0,0 +1,195 @@
+"""What counts as a crash of a request that runs alone."""
+
+import asyncio
+
+import pytest
+
+from tanagerbend_admission import RankAdmission
+from tanagerbend_daemon.call import MAX_HOPS, Answer
+from tanagerbend_daemon.containment import ContainedOwner, GuardedBackend
+from tanagerbend_daemon.suspect_notices import SuspectNotices
+from tanagerbend_daemon.tests.call_path import (
+    FakeServer,
+    make_call,
+    member,
+    ok,
+    plain,
+    read_head,
+    route_table,
+)
+from tanagerbend_daemon.tests.memory_fleet import NoPeers
+from tanagerbend_interfaces import BackendRequest
+from tanagerbend_membership import Roster
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_quarantine import Quarantine, Verdict, fingerprint
+from tanagerbend_timer import ManualTimer, SystemTimer
+
+
+class RestartedServer:
+    """Backend server whose process is replaced by another.
+
+    A connection to an earlier process is closed when a request arrives on
+    it, as if the reset had reached the client only then.
+    """
+
+    def __init__(self):
+        self.read = []
+        self.process = 1
+        self.listener = None
+        self.both_came = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        """Answer the requests on a connection."""
+        process = self.process
+        try:
+            while True:
+                head = await read_head(reader)
+                if process != self.process:
+                    raise ConnectionResetError
+                await self._run(head.split()[1])
+                writer.write(plain())
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _run(self, path):
+        """Run a request; `/poison` crashes, the first two wait together."""
+        self.read.append(path)
+        if path == '/poison':
+            self.process += 1
+            self.listener.close()
+            raise ConnectionResetError
+        if len(self.read) == 2:
+            self.both_came.set()
+        await self.both_came.wait()
+
+
+@pytest.fixture
+async def backend(loopback):
+    server = RestartedServer()
+    server.address = await loopback.raw(server.serve)
+    server.listener = loopback.servers[-1]
+    return server
+
+
+@pytest.fixture
+async def guarded(loopback, backend):
+    recorder = Recorder(SystemTimer())
+    quarantine = Quarantine(recorder)
+    notices = SuspectNotices(
+        quarantine,
+        Roster(member('host-1'), recorder),
+        NoPeers(),
+    )
+    server = loopback.http(backend.address)
+    return GuardedBackend(
+        server,
+        'artwork',
+        quarantine,
+        notices,
+        server.drop_kept,
+    )
+
+
+async def send(guarded, path):
+    """Send a request; return the result code."""
+    request = BackendRequest('GET', path, (), b'', 'id-1')
+    deadline = guarded.quarantine.timer.now() + 60
+    outcome = await guarded.exchange(request, deadline)
+    match outcome:
+        case Refusal(code=code):
+            return code
+    assert [chunk async for chunk in outcome.chunks] == [b'ok']
+    return ResultCode.OK
+
+
+def print_of(path):
+    """Return the fingerprint of a request."""
+    return fingerprint('artwork', 'GET', path, b'')
+
+
+async def test_suspect_sent_after_a_crash_is_not_convicted(guarded, backend):
+    """Guards against a crash charged to a request that was never read."""
+    await asyncio.gather(send(guarded, '/a'), send(guarded, '/b'))
+    quarantine = guarded.quarantine
+    quarantine.crashed([print_of('/poison'), print_of('/plate')])
+    got = await asyncio.gather(
+        send(guarded, '/poison'),
+        send(guarded, '/plate'),
+    )
+    assert backend.read[2:] == ['/poison']
+    assert quarantine.check(print_of('/poison')) is Verdict.CONVICTED
+    assert quarantine.check(print_of('/plate')) is Verdict.SUSPECT
+    assert got == [
+        ResultCode.CONNECTION_LOST,
+        ResultCode.INSTANCE_UNREACHABLE,
+    ]
+
+
+async def test_suspect_runs_on_a_restarted_server(guarded, backend):
+    """Guards against a suspect lost with a connection from before."""
+    await asyncio.gather(send(guarded, '/a'), send(guarded, '/b'))
+    quarantine = guarded.quarantine
+    quarantine.crashed([print_of('/plate')])
+    backend.process += 1
+    assert await send(guarded, '/plate') is ResultCode.OK
+    assert backend.read[2:] == ['/plate']
+    assert quarantine.check(print_of('/plate')) is Verdict.CLEAR
+
+
+class SuspectFleet:
+    """Owners of four hosts that all hold the same call as a suspect."""
+
+    def __init__(self):
+        self.call = make_call()
+        suspect = print_of(self.call.path)
+        members = [member(f'host-{number}') for number in range(4)]
+        self.work = (
+            route_table(*members)
+            .match('artwork', self.call.method, self.call.path)
+            .work
+        )
+        self.owners = {
+            own.host: self._owner(own, members, suspect) for own in members
+        }
+        self.ranked = [
+            ranked.host
+            for ranked in self.owners['host-0']._ranked('artwork', suspect)
+        ]
+
+    def _owner(self, own, members, suspect):
+        recorder = Recorder(ManualTimer())
+        roster = Roster(own, recorder)
+        roster.merge(members)
+        quarantine = Quarantine(recorder)
+        quarantine.crashed([suspect])
+        return ContainedOwner(
+            FakeServer([ok(b'ok')]),
+            RankAdmission(recorder, 6),
+            roster,
+            recorder,
+            quarantine=quarantine,
+            forward=self.forward,
+        )
+
+    async def forward(self, call, member):
+        """Run a call at another host, as its call handler does."""
+        if call.hops >= MAX_HOPS:
+            return Refusal(ResultCode.TOO_MANY_HOPS, 'in a circle')
+        return await self.owners[member.host].run(call, self.work)
+
+
+async def test_suspect_goes_past_a_server_that_is_down():
+    """Guards against a suspect that daemons send to each other."""
+    fleet = SuspectFleet()
+    first, *others = fleet.ranked
+    fleet.owners[first].backend.answers = [
+        Refusal(ResultCode.INSTANCE_UNREACHABLE, 'refused'),
+    ]
+    got = {
+        host: await owner.run(fleet.call, fleet.work)
+        for host, owner in fleet.owners.items()
+    }
+    # The entry daemon sends it to another instance.
+    assert got.pop(first).code is ResultCode.INSTANCE_UNREACHABLE
+    assert [type(outcome) for outcome in got.values()] == [Answer] * 3
--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -16,6 +16,7 @@
 from tanagerbend_proxy.front import CallerHandler, Endpoint, PeerHandler
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.knowledge import Knowledge
+from tanagerbend_proxy.lifetime import Lifetime
 from tanagerbend_proxy.link_use import ANSWERS, PLACED, LinkUse
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.peers import Peers
@@ -48,6 +49,7 @@
     callers: Endpoint
     peers: Endpoint
     link: LinkUse
+    lifetime: Lifetime
     is_stopping: bool = False
 
     @property
@@ -110,11 +112,13 @@
         chance,
         Staleness(knowledge, link, terms.apply_seconds),
     )
-    endpoint = CallerHandler(entry, names, recorder, terms.service)
+    lifetime = Lifetime(recorder.timer)
+    endpoint = CallerHandler(entry, names, recorder, terms.service, lifetime)
     callers = Endpoint(
         endpoint.handle,
         recorder,
         uplink,
+        lifetime,
         DeliveryLog(ANSWERS, recorder, log),
     )
     handler = PeerHandler(owner, follower, names)
@@ -122,6 +126,7 @@
         handler.handle,
         recorder,
         uplink,
+        lifetime,
         DeliveryLog(PLACED, recorder, log),
     )
     link.count_unsent = lambda: (
@@ -138,4 +143,5 @@
         callers,
         peers,
         link,
+        lifetime,
     )
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -411,18 +411,13 @@
         reason = f'no instance of {service!r} is known'
         return Refusal(ResultCode.NO_INSTANCE, reason)
 
-    def due_of(self, request: Request) -> Due:
-        """Return until when the answer to a request is of use."""
-        deadline = request.arrived + request.time_left
+    def route_of(self, request: Request) -> PrefixRoute | None:
+        """Return the route of a request, None without one."""
         configuration = self.knowledge.configuration
         if configuration is None:
-            return Due(deadline=deadline)
+            return None
         route = configuration.match(request.host, request.path)
-        match route:
-            case Refusal():
-                return Due(deadline=deadline)
-        on_time = request.arrived + route.objective
-        return Due(route.rank, on_time, deadline)
+        return None if isinstance(route, Refusal) else route
 
     def retry_after(self, request: Request) -> float:
         """Return the seconds after which a refused caller comes back.
@@ -440,13 +435,9 @@
 
     def _spare_seconds(self, request: Request) -> float:
         """Return how long a caller may stay away and still be on time."""
-        configuration = self.knowledge.configuration
-        if configuration is None:
+        route = self.route_of(request)
+        if route is None:
             return UNKNOWN_RETURN_SECONDS
-        route = configuration.match(request.host, request.path)
-        match route:
-            case Refusal():
-                return UNKNOWN_RETURN_SECONDS
         work = self.placement.work_of(route.name)
         passed = self.recorder.timer.now() - request.arrived
         return max(route.objective - passed - 2 * work.seconds, 0.0)
@@ -504,6 +495,14 @@
         self.log.request(refusal.code.name, [line])
 
 
+def due_of(request: Request, route: PrefixRoute | None) -> Due:
+    """Return until when the answer to a request is of use."""
+    deadline = request.arrived + request.time_left
+    if route is None:
+        return Due(deadline=deadline)
+    return Due(route.rank, request.arrived + route.objective, deadline)
+
+
 def forbidden(end: Answer | Refusal, repeat: Repeat) -> str:
     """Return why a request must not be sent again, empty if it may.
 
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -1,5 +1,6 @@
 """HTTP servers: for callers, for other daemons, and for the ready question."""
 
+import asyncio
 import math
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -7,19 +8,20 @@
 
 import attrs
 from aiohttp import web
-from multidict import CIMultiDict
 
+from tanagerbend_daemon.connections import HOP_BY_HOP
 from tanagerbend_daemon.listener import Listener, make_runner
-from tanagerbend_daemon.outbound import HOP_BY_HOP
 from tanagerbend_metrics import Recorder
+from tanagerbend_metrics.names import REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
 from tanagerbend_proxy.changes import PollRequest
 from tanagerbend_proxy.delivery import Delivery, DeliveryLog
-from tanagerbend_proxy.entry import Entry
+from tanagerbend_proxy.entry import Entry, due_of
 from tanagerbend_proxy.exchange import without_connection
 from tanagerbend_proxy.following import Follower
 from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.lifetime import Lifetime
 from tanagerbend_proxy.link_use import ANSWERS, CHANGES, PLACED
 from tanagerbend_proxy.messages import (
     MILLISECONDS,
@@ -34,6 +36,8 @@
 # Longer than any idle time that the platform grants to callers.
 KEEP_SECONDS: Final = 75.0
 SHUTDOWN_SECONDS: Final = 0.5
+# How often it is checked whether all answers have been written.
+POLL_SECONDS: Final = 0.02
 # Largest body before a configuration names its own limit, in bytes.
 FIRST_BODY_LIMIT: Final = 1048576
 HEADER_LIMIT: Final = 65536
@@ -58,6 +62,7 @@
     handler : callable
     recorder : Recorder
     uplink : Uplink
+    lifetime : Lifetime
     deliveries : DeliveryLog or None
         Told of each large answer.
     active : int
@@ -71,6 +76,7 @@
     handler: Handler
     recorder: Recorder
     uplink: Uplink
+    lifetime: Lifetime
     deliveries: DeliveryLog | None = None
     active: int = 0
     is_shut: bool = False
@@ -114,6 +120,28 @@
         body = body_of(response)
         if self.uplink.send_now(len(body)):
             return response
+        due = response.get(DUE, Due())
+        delivery = Delivery.begin(
+            response.get(IDENTIFIER, ''),
+            Transfer(self.uplink, due.rank, len(body), due),
+        )
+        try:
+            return await self._deliver(request, response, body, delivery)
+        finally:
+            if self.deliveries is not None:
+                self.deliveries.ended(delivery)
+
+    async def _deliver(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        body: bytes,
+        delivery: Delivery,
+    ) -> web.StreamResponse:
+        first, *rest = parts_of(body)
+        if not await self._begin(delivery.transfer, len(first)):
+            self.recorder.count('requests_ended_by_stop')
+            return stopping_response(Ran.UNKNOWN)
         sent = web.StreamResponse(
             status=response.status,
             headers=response.headers,
@@ -121,33 +149,49 @@
         sent.content_length = len(body)
         if not response.keep_alive:
             sent.force_close()
-        due = response.get(DUE, Due())
-        delivery = Delivery.begin(
-            response.get(IDENTIFIER, ''),
-            Transfer(self.uplink, due.rank, len(body), due),
-        )
         try:
-            await self._write(request, sent, body, delivery)
+            await sent.prepare(request)
+            await self._write(sent, first, delivery)
+            await self._write_rest(sent, rest, delivery)
         except ConnectionError:
             # Its caller has gone; the server closes the connection.
             self.recorder.count('answers_cut')
-        finally:
-            if self.deliveries is not None:
-                self.deliveries.ended(delivery)
         return sent
 
+    async def _begin(self, transfer: Transfer, size: int) -> bool:
+        """Wait for the first turn; return whether the answer may be whole.
+
+        At a stop an answer is not begun that would break off.
+        """
+        kept = transfer.left / self.uplink.pace
+        try:
+            async with asyncio.timeout(None) as limit:
+                with self.lifetime.counted(limit, kept):
+                    await transfer.turn(size)
+        except TimeoutError:
+            return False
+        return True
+
     async def _write(
         self,
-        request: web.BaseRequest,
         sent: web.StreamResponse,
-        body: bytes,
+        part: bytes,
+        delivery: Delivery,
+    ) -> None:
+        await sent.write(part)
+        delivery.written += len(part)
+
+    async def _write_rest(
+        self,
+        sent: web.StreamResponse,
+        parts: list[bytes],
         delivery: Delivery,
     ) -> None:
-        await sent.prepare(request)
-        for part in parts_of(body):
+        for part in parts:
+            if self.lifetime.is_ending:
+                delivery.transfer.hurry()
             await delivery.transfer.turn(len(part))
-            await sent.write(part)
-            delivery.written += len(part)
+            await self._write(sent, part, delivery)
         await sent.write_eof()
         delivery.is_whole = True
 
@@ -163,6 +207,19 @@
             if each is not None
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is answered or bytes of answers wait here."""
+        return bool(self.active or self.unsent)
+
+    async def finish(self) -> None:
+        """Stop listening; return once all answers have been written."""
+        self.is_closing = True
+        if self.listener is not None:
+            await self.listener.close()
+        while self.is_busy:
+            await self.recorder.timer.sleep(POLL_SECONDS)
+
     async def close(self) -> None:
         """Stop listening and end the connections."""
         listener = self.listener
@@ -180,6 +237,7 @@
     names: HeaderNames
     recorder: Recorder
     caller_service: str
+    lifetime: Lifetime
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a caller."""
@@ -187,16 +245,51 @@
         match request:
             case Refusal():
                 return self.refuse(request, None)
-        end = await self.entry.handle(request)
+        end = await self._answer(request)
         match end:
             case Refusal():
                 return self.refuse(end, request)
         self.entry.link.sent(ANSWERS, len(end.body))
         response = respond(end)
-        response[DUE] = self.entry.due_of(request)
+        if self.entry.owner.uplink.is_large(len(end.body)):
+            response[DUE] = due_of(request, self.entry.route_of(request))
         response[IDENTIFIER] = request.identifier
         return response
 
+    def _limited(self, request: Request) -> Request | Refusal:
+        """Leave no time that ends after this process, refuse if too little.
+
+        The answer still has to wait for the link of this host then.
+        """
+        route = self.entry.route_of(request)
+        if route is None:
+            return request
+        work = self.entry.placement.work_of(route.name)
+        left = self.lifetime.seconds_left
+        spare = left - self.entry.placement.sending(work.size)
+        if spare < work.seconds:
+            reason = f'the daemon stops, {spare:.3f} s are left for the answer'
+            return Refusal(ResultCode.DRAINING, reason)
+        waited = self.recorder.timer.now() - request.arrived
+        time_left = min(request.time_left, left + waited)
+        return attrs.evolve(request, time_left=time_left)
+
+    async def _answer(self, request: Request) -> Answer | Refusal:
+        """Answer a request before this process ends."""
+        limited = self._limited(request) if self.lifetime.is_ending else request
+        match limited:
+            case Refusal():
+                self.recorder.count(REFUSALS, limited.code.name)
+                return limited
+        try:
+            async with asyncio.timeout(None) as limit:
+                with self.lifetime.counted(limit):
+                    return await self.entry.handle(limited)
+        except TimeoutError:
+            self.recorder.count('requests_ended_by_stop')
+            reason = 'the daemon stops before there is an answer'
+            return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
+
     async def read(self, http: web.BaseRequest) -> Request | Refusal:
         """Read a whole request."""
         arrived = self.recorder.timer.now()
@@ -318,12 +411,18 @@
         return response
 
 
-def stopping_response() -> web.Response:
-    """Refuse a request that came late in a stop, and has not run."""
+def stopping_response(ran: Ran = Ran.NO) -> web.Response:
+    """Refuse a request that has not run, or whose answer can't leave."""
+    refusal = Refusal(ResultCode.DRAINING, 'the daemon stops')
+    headers = {'Retry-After': f'{STOPPING_RETURN_SECONDS}'}
+    if ran is not Ran.NO:
+        reason = 'the daemon stops before the answer can leave'
+        refusal = Refusal(ResultCode.OUTCOME_UNKNOWN, reason, ran)
+        headers = {}
     response = web.json_response(
-        {'code': int(ResultCode.DRAINING), 'reason': 'the daemon stops'},
-        status=HTTPStatus.SERVICE_UNAVAILABLE,
-        headers={'Retry-After': f'{STOPPING_RETURN_SECONDS}'},
+        {'code': int(refusal.code), 'reason': refusal.reason},
+        status=status_of(refusal),
+        headers=headers,
     )
     response.force_close()
     return response
@@ -339,11 +438,7 @@
 
 def respond(answer: Answer) -> web.Response:
     """Return the response that carries an answer unchanged."""
-    headers = CIMultiDict(
-        (name, text)
-        for name, text in answer.headers.items()
-        if name.lower() not in NOT_COPIED
-    )
+    headers = without_connection(answer.headers, NOT_COPIED)
     return web.Response(status=answer.status, headers=headers, body=answer.body)
 
 
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -7,18 +7,18 @@
 from aiohttp import web
 from mode import Service
 
-from tanagerbend_metrics import expose
+import tanagerbend_metrics
 from tanagerbend_metrics.names import LOOP_DELAY
+from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy.assembly import Parts
 from tanagerbend_proxy.following import EXPIRY_SECONDS
 from tanagerbend_proxy.front import Endpoint
-from tanagerbend_timer import Timer
+from tanagerbend_timer import Timer, together
 
-# How often the age of what is known is checked.
-AGE_CHECK_SECONDS: Final = 0.1
-# How often the delay of the event loop is measured, and from which on it is
-# logged.
-DELAY_CHECK_SECONDS: Final = 0.1
+# How often the delay of the event loop, entries that were kept, the age of
+# what is known and the slots of the own instance are checked.
+CHECK_SECONDS: Final = EXPIRY_SECONDS
+# Delay of the event loop from which on it is logged.
 LONG_DELAY_SECONDS: Final = 0.25
 # The platform asks once each second and sends no more after two answers
 # that are not ready; a third second covers a question on its way.
@@ -29,7 +29,6 @@
 LINGER_SECONDS: Final = 1.6
 EXIT_SECONDS: Final = 0.4
 POLL_SECONDS: Final = 0.05
-REFRESH_SECONDS: Final = 0.2
 CLOCK_CHECK_SECONDS: Final = 1.0
 # How often what was seen of instances that left is dropped.
 FORGET_SECONDS: Final = 5.0
@@ -50,12 +49,9 @@
         # When the delay of the event loop is measured next.
         self.due = float('inf')
         recorder, uplink = parts.recorder, parts.owner.uplink
-        self.ready_endpoint = Endpoint(self.answer_ready, recorder, uplink)
-        self.metrics_endpoint = Endpoint(
-            self.answer_metrics,
-            recorder,
-            uplink,
-        )
+        shared = (recorder, uplink, parts.lifetime)
+        self.ready_endpoint = Endpoint(self.answer_ready, *shared)
+        self.metrics_endpoint = Endpoint(self.answer_metrics, *shared)
 
     async def on_start(self) -> None:
         """Listen; callers are served once a configuration is known."""
@@ -74,14 +70,19 @@
 
     def _subscribe(self, timer: Timer) -> None:
         parts = self.parts
-        timer.every(EXPIRY_SECONDS, parts.follower.expire)
-        timer.every(AGE_CHECK_SECONDS, parts.follower.staleness.check)
-        timer.every(REFRESH_SECONDS, self.refresh)
+        self.due = timer.now() + CHECK_SECONDS
+        timer.every(
+            CHECK_SECONDS,
+            together(
+                self.check_delay,
+                parts.follower.expire,
+                parts.follower.staleness.check,
+                self.refresh,
+            ),
+        )
         timer.every(FORGET_SECONDS, self.forget)
         timer.every(CLOCK_CHECK_SECONDS, parts.log.check_clock)
         timer.on_pause(parts.log.paused)
-        self.due = timer.now() + DELAY_CHECK_SECONDS
-        timer.every(DELAY_CHECK_SECONDS, self.check_delay)
 
     async def refresh(self) -> None:
         """Take the slots of the own instance from its entry."""
@@ -96,7 +97,7 @@
         recorder = self.parts.recorder
         now = recorder.timer.now()
         delay = max(now - self.due, 0.0)
-        self.due = now + DELAY_CHECK_SECONDS
+        self.due = now + CHECK_SECONDS
         recorder.histograms.record(LOOP_DELAY, '', 0, delay)
         if delay >= LONG_DELAY_SECONDS:
             self.parts.log.write('loop_delayed', seconds=round(delay, 3))
@@ -131,7 +132,9 @@
             ('unsent_bytes', ''): {'': parts.link.count_unsent()},
             ('link_unused_bytes', ''): {'': int(parts.owner.uplink.unused)},
         }
-        return web.Response(body=await expose(parts.recorder, gauges))
+        return web.Response(
+            body=await tanagerbend_metrics.expose(parts.recorder, gauges)
+        )
 
     async def stop_gracefully(self) -> None:
         """Serve until nobody sends any more, then stop."""
@@ -143,13 +146,17 @@
         parts.owner.is_leaving = True
         parts.callers.is_closing = True
         grace = parts.terms.stop.grace
+        parts.lifetime.end_at(started + grace - EXIT_SECONDS)
         await timer.sleep(min(NOTICE_SECONDS, grace - FINISH_SECONDS))
         parts.callers.is_shut = True
         while (
             self._is_busy() and timer.now() < started + grace - LINGER_SECONDS
         ):
             await timer.sleep(POLL_SECONDS)
-        left = started + grace - EXIT_SECONDS - timer.now()
+        parts.owner.queue.turn_away(
+            Refusal(ResultCode.DRAINING, 'the daemon stops'),
+        )
+        left = parts.lifetime.ends - timer.now()
         try:
             async with asyncio.timeout(max(left, 0)):
                 await self._close_endpoints()
@@ -162,11 +169,11 @@
 
     async def _close_endpoints(self) -> None:
         parts = self.parts
-        await asyncio.gather(parts.callers.close(), parts.peers.close())
+        await asyncio.gather(parts.callers.finish(), parts.peers.finish())
         await self.stop()
 
     def _is_busy(self) -> bool:
-        return bool(self.parts.callers.active or self.parts.peers.active)
+        return self.parts.callers.is_busy or self.parts.peers.is_busy
 
     async def on_stop(self) -> None:
         """Close what is open."""
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -43,6 +43,8 @@
 LEAST_PACE: Final = 0.25
 
 
+# Rank of an answer that has begun to leave when the daemon stops.
+BEGUN_RANK: Final = -1
 # Added to the rank of an answer that will be late, and to that of one that
 # can't reach its reader any more.
 LATE_RANK: Final = 1_000_000
@@ -272,6 +274,11 @@
             self.waited += self.uplink.timer.now() - begun
         self.left -= size
 
+    def hurry(self) -> None:
+        """Let the rest go before all other answers, also when late."""
+        self.rank = BEGUN_RANK
+        self.due = Due()
+
     def rank_at(self, now: float) -> int:
         """Return the rank by which the rest waits for its turn.
 
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -15,7 +15,7 @@
     PrefixRoute,
     Repeat,
 )
-from tanagerbend_routing.placement import FULL_SECONDS
+from tanagerbend_routing.placement import FULL_SECONDS, JITTER
 from tanagerbend_timer import ManualTimer
 
 NEAR = ListedInstance('near', '10.0.0.1:80', 'shop', 'north', 6)
@@ -105,6 +105,16 @@
     return found
 
 
+def ends_in(placement, now):
+    return placement.ends_in(
+        NEAR,
+        placement.of(NEAR),
+        PLATE,
+        placement.work_of(PLATE.name),
+        now,
+    )
+
+
 def test_large_answers_stay_in_the_domain(plates):
     """Guards against large answers between domains while one is near."""
     plates.reported(NEAR, 0, LoadReport(12, 6, 0.0, 0.2, 0.002))
@@ -130,12 +140,12 @@
 def test_link_of_an_instance_is_used_while_it_works(plates):
     """Guards against times that are added though they pass together."""
     now = plates.timer.now()
-    without = plates.ends_in(NEAR, PLATE, now)
+    without = ends_in(plates, now)
     plates.reported(NEAR, 0, LoadReport(0, 6, 0.0, without, 0.0))
-    assert plates.ends_in(NEAR, PLATE, now) == pytest.approx(without)
+    assert ends_in(plates, now) == pytest.approx(without)
     plates.reported(NEAR, 0, LoadReport(0, 6, 0.0, without, 0.002))
     expected = without + 0.002 * 90.0
-    assert plates.ends_in(NEAR, PLATE, now) == pytest.approx(expected)
+    assert ends_in(plates, now) == pytest.approx(expected)
 
 
 def test_large_answers_count_between_reports(plates):
@@ -207,6 +217,57 @@
     assert placement.choose(both, patient, NOBODY) is slow
 
 
+def test_each_instance_is_looked_up_once(placement, monkeypatch):
+    """Guards against work for each instance that is done again."""
+    looked_up = []
+    look_up = placement.of
+
+    def count(instance):
+        looked_up.append(instance.identity)
+        return look_up(instance)
+
+    monkeypatch.setattr(placement, 'of', count)
+    placement.choose(BOTH, BROWSE, NOBODY)
+    assert looked_up == ['near', 'far']
+    assert not look_up(FAR).ranks
+
+
+def test_what_is_seen_after_entries_are_dropped_counts(placement):
+    """Guards against a choice by what was seen of an earlier entry."""
+    placement.choose(BOTH, BROWSE, NOBODY)
+    placement.retain(())
+    placement.unreachable(NEAR)
+    assert chosen(placement) == 0
+
+
+def test_no_instance_is_skipped_that_answers_first(placement):
+    """Guards against a short cut that changes the choice."""
+    chance = random.Random(7)
+    instances = tuple(
+        attrs.evolve(NEAR, identity=f'i-{number}', slots=1 + number % 3)
+        for number in range(20)
+    )
+    for _ in range(300):
+        each = chance.choice(instances)
+        placement.served(each, 'browse', chance.random(), 1.0)
+        placement.reported(each, 0, LoadReport(chance.randrange(9), 6))
+        if chance.random() < 0.1:
+            placement.failed(each)
+        jitters = random.Random()
+        jitters.setstate(placement.random.getstate())
+        work = placement.work_of('browse')
+        expected = {
+            instance.identity: placement.expected(
+                instance, placement.of(instance), BROWSE, work, 0.0
+            )
+            * (1 + JITTER * jitters.random())
+            for instance in instances
+            if placement.of(instance).is_preferred(0.0)
+        }
+        found = placement.choose(instances, BROWSE, NOBODY)
+        assert found.identity == min(expected, key=expected.get)
+
+
 def test_objective_counts_from_the_first_attempt(plates):
     """Guards against late answers to callers that were refused before."""
     for _ in range(10):
