Let large answers take 0.92 of a link

What callers saw: plates that wait for a link that could carry more. Cause: messages that don't wait are charged to the same allowance, and 15% were kept besides for headers, acknowledgements and new connections.

--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -22,7 +22,7 @@
 
 # Part of the link that bodies may take; headers, acknowledgements and new
 # connections need the rest.
-BODY_SHARE: Final = 0.85
+BODY_SHARE: Final = 0.92
 # Bytes that are written in one turn, the longest that a small message
 # waits: 34 ms on a link of 3.85 Mbit/s.
 TURN_BYTES: Final = PART_BYTES
