Explain requests whose large answer waited for a link or was lost

Cause: each line of a request was taken for a decision. Change: lines of deliveries are told as such, with the cause 'large answers filled the link of a host' where the answer was not delivered or waited for most of its time. Both new tests fail before.

--- a/packages/operator/tanagerbend_operator/request_story.py
+++ b/packages/operator/tanagerbend_operator/request_story.py
@@ -1,6 +1,8 @@
 """Why a request ended as it did, told from the log lines of the daemons."""
 
 import enum
+import math
+from collections.abc import Iterable
 from typing import Any, Final
 
 import attrs
@@ -14,6 +16,9 @@
 ENDS: Final = frozenset(
     ('request_refused', 'request_failed', 'request_late', 'request_left'),
 )
+# Events that tell how a large answer left a host.
+DELIVERIES: Final = frozenset(('answer_sent', 'answer_left'))
+READERS: Final = {'answers': 'the caller', 'placed': 'another daemon'}
 # What a host tells of itself when a request to it may have been cut.
 RESTARTS: Final = frozenset(('daemon_started', 'daemon_stopping'))
 
@@ -27,6 +32,7 @@
     NO_ANSWER = 'the instance or its daemon sent no whole answer in time'
     INSTANCE_FAILED = 'the instance failed or broke off its answer'
     INSTANCE_SLOW = 'the instance took most of the time'
+    LINK = 'large answers filled the link of a host'
     WAITED = 'most of the time was spent waiting or at other instances'
     NONE = 'none, it was answered on time'
     CALLER_LEFT = 'the caller closed its connection'
@@ -90,10 +96,15 @@
     own = logs.of_request(identifier)
     if not own:
         return None
-    end = own[-1]
+    decisions = [line for line in own if line.event not in DELIVERIES]
+    deliveries = [line for line in own if line.event in DELIVERIES]
+    end = decisions[-1] if decisions else deliveries[-1]
     around = _around(logs, end)
-    cause = find_cause(end, around)
-    sentences = [_beginning(end), *map(_step, own[:-1]), _ending(logs, end)]
+    cause = find_cause(end, around, deliveries)
+    sentences = [_delivery(line) for line in deliveries]
+    if decisions:
+        steps = map(_step, decisions[:-1])
+        sentences = [_beginning(end), *steps, _ending(logs, end), *sentences]
     sentences.append(f'Cause: {cause.value}.')
     sentences += [_context(line, end) for line in around]
     return RequestStory(
@@ -104,8 +115,17 @@
     )
 
 
-def find_cause(end: LogLine, around: list[LogLine]) -> Cause:
-    """Return the cause by the last line and what hosts tell around it."""
+def find_cause(
+    end: LogLine,
+    around: list[LogLine],
+    deliveries: Iterable[LogLine] = (),
+) -> Cause:
+    """Return the cause by the last line and what hosts tell around it.
+
+    ``deliveries`` tell how a large answer left the hosts on its way.
+    """
+    if any(_filled_link(line, end) for line in deliveries):
+        return Cause.LINK
     fields = end.fields
     match end.event:
         case 'request_left':
@@ -118,17 +138,39 @@
             is_slow = 2 * fields['served_ms'] > fields['age_ms']
             return Cause.INSTANCE_SLOW if is_slow else Cause.WAITED
         case 'request_refused':
-            cause = CAUSES.get(fields['code'], Cause.UNKNOWN)
-            has_restart = any(
-                line.event in RESTARTS and line.host != end.host
-                for line in around
-            )
-            if cause is Cause.NO_ANSWER and has_restart:
-                return Cause.HOST_LOST
-            return cause
+            return _refusal_cause(end, around)
     return Cause.UNKNOWN
 
 
+def _refusal_cause(end: LogLine, around: list[LogLine]) -> Cause:
+    cause = CAUSES.get(end.fields['code'], Cause.UNKNOWN)
+    has_restart = any(
+        line.event in RESTARTS and line.host != end.host for line in around
+    )
+    is_lost = cause is Cause.NO_ANSWER and has_restart
+    return Cause.HOST_LOST if is_lost else cause
+
+
+def _filled_link(line: LogLine, end: LogLine) -> bool:
+    """Tell whether a request was late or lost for want of a link."""
+    if line.event == 'answer_left':
+        return True
+    waited = 2 * line.fields['turns_ms'] > end.fields.get('age_ms', math.inf)
+    return waited and end.event in ENDS
+
+
+def _delivery(line: LogLine) -> str:
+    """Return how a large answer left a host."""
+    fields = line.fields
+    reader = READERS.get(str(fields['purpose']), 'its reader')
+    what = 'sent' if line.event == 'answer_sent' else 'could not send'
+    return (
+        f'{line.host} {what} the answer of {fields["bytes"]} bytes to {reader}'
+        f': {fields["all_ms"]} ms, of which it waited {fields["turns_ms"]} ms '
+        f'for the link, with {fields["ahead_ms"]} ms of others ahead.'
+    )
+
+
 def _around(logs: Logs, end: LogLine) -> list[LogLine]:
     """Return the lines of the two hosts of a request around its end."""
     address = str(end.fields.get('instance_host', ''))
--- a/packages/operator/tanagerbend_operator/tests/test_explain_request.py
+++ b/packages/operator/tanagerbend_operator/tests/test_explain_request.py
@@ -24,6 +24,19 @@
 FULL = {'code': 'QUEUE_FULL', 'ran': 'no', 'reason': '6 of 6 slots'}
 
 
+DELIVERY = {
+    'request': 'a1',
+    'purpose': 'answers',
+    'rank': 2,
+    'bytes': 90000,
+    'written': 16384,
+    'ahead_ms': 900,
+    'turns_ms': 350,
+    'all_ms': 360,
+    'unused_kb': 0,
+}
+
+
 def line(time, host, event, **fields):
     told = {'time': time, 'host': host, 'event': event, **fields}
     return f'12.5 {host} {json.dumps(told)}'
@@ -94,6 +107,30 @@
     assert 'host-3' not in found['text']
 
 
+def test_answer_that_was_not_delivered_is_explained(explained):
+    """Guards against a request that is lost after its last decision."""
+    status, found = explained(
+        line(8.0, 'host-2', 'answer_sent', **{**DELIVERY, 'purpose': 'placed'}),
+        line(9.0, 'host-1', 'answer_left', **DELIVERY),
+    )
+    assert status == 0
+    assert found['cause'] == 'link'
+    assert 'host-2 sent the answer of 90000 bytes to another' in found['text']
+    assert 'host-1 could not send' in found['text']
+
+
+def test_late_answer_that_waited_for_a_link_is_explained(explained):
+    """Guards against an instance that is blamed for the link of its host."""
+    late = {**REQUEST, 'status': 200, 'served_ms': 90}
+    sent = line(8.0, 'host-2', 'answer_sent', **DELIVERY)
+    _, found = explained(sent, line(9.0, 'host-1', 'request_late', **late))
+    assert found['cause'] == 'link'
+    fast = {**DELIVERY, 'turns_ms': 20}
+    sent = line(8.0, 'host-2', 'answer_sent', **fast)
+    _, found = explained(sent, line(9.0, 'host-1', 'request_late', **late))
+    assert found['cause'] == 'waited'
+
+
 def test_request_without_a_line(explained):
     """Guards against a cause that is made up."""
     status, text = explained(
