Count a request as offered whose owner answered without an outcome

What callers could see: more runs than their route allows. An owner that stops answers 504 without the header of outcomes for an answer that can't leave any more; the entry daemon took it for a request that had reached no instance, so that with one attempt allowed two instances ran it (review of, real daemons). Change: an answer that names no outcome counts as an offer. test_answer_that_names_no_outcome_counts_as_an_offer fails before. Unsafe requests were not repeated before either.

--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -194,4 +194,5 @@
             reason = 'answer that is not from a daemon'
             return cls(
                 Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN),
+                is_offered=True,
             )
--- a/packages/proxy/tanagerbend_proxy/tests/test_messages.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_messages.py
@@ -41,3 +41,9 @@
     end = Outcome.decode(text, ANSWER).end
     assert isinstance(end, Refusal)
     assert end.ran is Ran.UNKNOWN
+
+
+def test_answer_that_names_no_outcome_counts_as_an_offer():
+    """Guards against more runs than the attempts that a route allows."""
+    stopping = Answer(504, CIMultiDict(), b'{}')
+    assert Outcome.decode('', stopping).is_offered
