Give up a large answer that can't leave before a stop or the time of its route

Cause: a limit that has passed already ends only what waits, and a free link grants the first turn without a wait; the deadline of an answer left the time of the route out. Change: before it begins, an answer is checked against the end of the process, and it is given up with 504 at the end of its route's time if it has not begun.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -497,10 +497,10 @@
 
 def due_of(request: Request, route: PrefixRoute | None) -> Due:
     """Return until when the answer to a request is of use."""
-    deadline = request.arrived + request.time_left
     if route is None:
-        return Due(deadline=deadline)
-    return Due(route.rank, request.arrived + route.objective, deadline)
+        return Due(deadline=request.arrived + request.time_left)
+    ends = request.arrived + min(route.timeout, request.time_left)
+    return Due(route.rank, request.arrived + route.objective, ends, ends)
 
 
 def forbidden(end: Answer | Refusal, repeat: Repeat) -> str:
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -140,15 +140,14 @@
     ) -> web.StreamResponse:
         first, *rest = parts_of(body)
         if not await self._begin(delivery.transfer, len(first)):
-            self.recorder.count('requests_ended_by_stop')
-            return stopping_response(Ran.UNKNOWN)
+            self.recorder.count('answers_given_up')
+            return self._close_like(response, given_up_response())
         sent = web.StreamResponse(
             status=response.status,
             headers=response.headers,
         )
         sent.content_length = len(body)
-        if not response.keep_alive:
-            sent.force_close()
+        self._close_like(response, sent)
         try:
             await sent.prepare(request)
             await self._write(sent, first, delivery)
@@ -158,20 +157,41 @@
             self.recorder.count('answers_cut')
         return sent
 
+    def _close_like(
+        self,
+        response: web.StreamResponse,
+        sent: web.StreamResponse,
+    ) -> web.StreamResponse:
+        """Close the connection after an answer if it was to be closed."""
+        if not response.keep_alive:
+            sent.force_close()
+        return sent
+
     async def _begin(self, transfer: Transfer, size: int) -> bool:
         """Wait for the first turn; return whether the answer may be whole.
 
-        At a stop an answer is not begun that would break off.
+        At a stop an answer is not begun that would break off, and none
+        after the time that its request had.
         """
         kept = transfer.left / self.uplink.pace
+        if self.lifetime.seconds_left < kept:
+            return False
         try:
-            async with asyncio.timeout(None) as limit:
+            async with (
+                asyncio.timeout(self._seconds_until(transfer)),
+                asyncio.timeout(None) as limit,
+            ):
                 with self.lifetime.counted(limit, kept):
                     await transfer.turn(size)
         except TimeoutError:
             return False
         return True
 
+    def _seconds_until(self, transfer: Transfer) -> float | None:
+        """Return the time in which an answer must begin, None for any."""
+        left = transfer.due.ends - self.uplink.timer.now()
+        return left if left < math.inf else None
+
     async def _write(
         self,
         sent: web.StreamResponse,
@@ -411,21 +431,25 @@
         return response
 
 
-def stopping_response(ran: Ran = Ran.NO) -> web.Response:
-    """Refuse a request that has not run, or whose answer can't leave."""
-    refusal = Refusal(ResultCode.DRAINING, 'the daemon stops')
-    headers = {'Retry-After': f'{STOPPING_RETURN_SECONDS}'}
-    if ran is not Ran.NO:
-        reason = 'the daemon stops before the answer can leave'
-        refusal = Refusal(ResultCode.OUTCOME_UNKNOWN, reason, ran)
-        headers = {}
-    response = web.json_response(
+def stopping_response() -> web.Response:
+    """Refuse a request that came late in a stop, and has not run."""
+    response = _refused(Refusal(ResultCode.DRAINING, 'the daemon stops'))
+    response.headers['Retry-After'] = f'{STOPPING_RETURN_SECONDS}'
+    response.force_close()
+    return response
+
+
+def given_up_response() -> web.Response:
+    """Answer a request that has run, and whose answer can't leave in time."""
+    reason = 'the answer can not leave in time'
+    return _refused(Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN))
+
+
+def _refused(refusal: Refusal) -> web.Response:
+    return web.json_response(
         {'code': int(refusal.code), 'reason': refusal.reason},
         status=status_of(refusal),
-        headers=headers,
     )
-    response.force_close()
-    return response
 
 
 def body_of(response: web.StreamResponse) -> bytes:
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -61,11 +61,14 @@
     rank : int
     on_time, deadline : float
         When it is late, and when its reader stops to wait.
+    ends : float
+        When it is given up if it has not begun to leave.
     """
 
     rank: int = 0
     on_time: float = math.inf
     deadline: float = math.inf
+    ends: float = math.inf
 
 
 @attrs.define(order=True)
