Keep the connection after a large answer

What callers saw: a new connection for each large answer, at both hops: on links of 3.85 Mbit/s one more round trip, and at times of full links a connection that is late.

--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -163,7 +163,8 @@
         sent: web.StreamResponse,
     ) -> web.StreamResponse:
         """Close the connection after an answer if it was to be closed."""
-        if not response.keep_alive:
+        # None means that the request decides.
+        if response.keep_alive is False:
             sent.force_close()
         return sent
 
