--- a/packages/proxy/tanagerbend_proxy/tests/test_delivery.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_delivery.py
@@ -45,7 +45,7 @@
 def test_what_is_ahead_is_told_without_the_answer_itself(recorder):
     """Guards against an estimate that can't be compared with the wait."""
     uplink = Uplink(recorder.timer, LINK)
-    with uplink.expecting(LINK * 0.85):
+    with uplink.expecting(uplink.rate):
         delivery = Delivery.begin('a1', Transfer(uplink, 2, SIZE))
     assert delivery.ahead == pytest.approx(1.0)
 
