Let the pace of an idle link return to its rate

What callers could see: large answers refused for a flood that is over. Change: without waiting answers it returns within some seconds. test_pace_of_an_idle_link_returns_to_its_rate fails before.

--- a/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
@@ -298,3 +298,26 @@
         return uplink.pace / uplink.rate
 
     assert run_virtual(send_seldom()) > 0.9
+
+
+def test_pace_of_an_idle_link_returns_to_its_rate():
+    """Guards against estimates by a flood that is long over."""
+
+    async def measure():
+        uplink = Uplink(LoopTimer(), LINK)
+        sends = [
+            asyncio.create_task(send(uplink, 2, [], '')) for _ in range(20)
+        ]
+        for _ in range(50):
+            uplink.spend(LINK // 10)
+            await asyncio.sleep(0.1)
+        low = uplink.pace
+        await asyncio.gather(*sends)
+        await asyncio.sleep(60)
+        uplink.spend(0)
+        await uplink.close()
+        return low, uplink.pace
+
+    low, after = run_virtual(measure())
+    assert low < 0.5 * BODY_SHARE * LINK
+    assert after == pytest.approx(BODY_SHARE * LINK)
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -41,6 +41,9 @@
 # Part of the rate that is the least pace; a host that wakes up after a
 # freeze is soon as fast as before.
 LEAST_PACE: Final = 0.25
+# Time without waiting answers in which the pace returns to the rate: a
+# pause of this length says nothing of small messages that come now.
+PACE_HOLDS_SECONDS: Final = 5.0
 
 
 # Rank of an answer that has begun to leave when the daemon stops.
@@ -208,6 +211,9 @@
             if self.turns:
                 self.unused += allowed - self.allowed
                 self._measure(now - self.counted_at)
+            else:
+                idle = (now - self.counted_at) / PACE_HOLDS_SECONDS
+                self.pace += min(idle, 1.0) * (self.rate - self.pace)
         self.counted_at = now
 
     def _measure(self, seconds: float) -> None:
