Tell a retry from a first attempt by the times that callers often have

Cause: the longest time seen lately counted as that of first attempts. Change: times that came three times in the last 64 requests are those of first attempts; any other is measured against the next longer of them, or changes nothing. test_mixed_patience_leaves_the_objective and test_callers_of_all_times_left_change_no_objective fail before. test_objective_counts_from_the_first_attempt repeated one time of retries exactly, which only first attempts do; it asks for fifty different ones now, and for their exact objectives.

--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from typing import Final
 
@@ -55,6 +56,11 @@
 # One answer moves the estimate of a speed at most this far.
 MOST_RATIO: Final = 10.0
 LEAST_WORK_SECONDS: Final = 0.001
+# Requests by which the usual times of callers are known, and how often one
+# of them must have come.
+LATELY: Final = 64
+OFTEN: Final = 3
+MILLISECONDS: Final = 1000.0
 KILOBYTE: Final = 1024
 FIRST_AVOID_SECONDS: Final = 0.25
 LONGEST_AVOID_SECONDS: Final = 2.0
@@ -199,14 +205,17 @@
         Size of an answer.
     is_seen : bool
         Whether there was an answer yet.
-    usual_left : float
-        Seconds that callers wait from their first attempt on.
+    lately : deque of int
+        Milliseconds that the callers of the last requests had left.
+    times : Counter
+        How often each of them came.
     """
 
     seconds: float = FIRST_WORK_SECONDS
     kilobytes: float = 1.0
     is_seen: bool = False
-    usual_left: float = 0.0
+    lately: deque[int] = attrs.field(factory=deque)
+    times: Counter[int] = attrs.field(factory=Counter)
 
     @property
     def is_large(self) -> bool:
@@ -216,14 +225,25 @@
     def age_of(self, left: float) -> float:
         """Return the seconds since the first attempt of a caller.
 
-        It has ``left`` seconds; most of those that have come lately had
-        just sent their first attempt.
+        It has ``left`` seconds.  First attempts have one of a few times
+        that come often; any other time is what a retry has left.
         """
-        if left >= self.usual_left:
-            self.usual_left = left
-        age = self.usual_left - left
-        self.usual_left -= SPEED_WEIGHT * age
-        return age
+        key = round(left * MILLISECONDS) if left < math.inf else 0
+        self.lately.append(key)
+        self.times[key] += 1
+        if len(self.lately) > LATELY:
+            oldest = self.lately.popleft()
+            self.times[oldest] -= 1
+            if not self.times[oldest]:
+                self.times.pop(oldest)
+        if self.times[key] >= OFTEN:
+            return 0.0
+        usual = [
+            each
+            for each, count in self.times.items()
+            if count >= OFTEN and each > key
+        ]
+        return (min(usual, default=key) - key) / MILLISECONDS
 
     @property
     def size(self) -> float:
@@ -425,8 +445,9 @@
         first attempt.  Only large answers heed this.
         """
         work = self.work_of(route.name)
-        age = work.age_of(min(left, route.timeout))
-        return route.objective - age if work.is_large else route.objective
+        if not work.is_large:
+            return route.objective
+        return route.objective - work.age_of(left)
 
     def work_of(self, route: str) -> RouteWork:
         """Return the typical work of a route."""
