Take the end of a process and the time of a body off where they belong

Cause: one field held both the caller's time and that of the process; the time of a placed request began when its body had been read. Change: a request has its own end at this daemon, and the time of a placed request begins with its head. test_stop_does_not_make_callers_look_late and test_time_for_a_body_between_daemons_is_taken_off fail before.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -165,7 +165,7 @@
             request,
             route,
             service,
-            request.arrived + min(route.timeout, request.time_left),
+            min(request.arrived + route.timeout, request.deadline),
             request.arrived
             + self.placement.on_time_in(route, request.time_left),
         )
@@ -426,7 +426,7 @@
         caller honours a third of the time that it has left.
         """
         now = self.recorder.timer.now()
-        left = request.arrived + request.time_left - now
+        left = request.deadline - now
         if not math.isfinite(left):
             return UNKNOWN_RETURN_SECONDS
         spread = LEAST_SPREAD + (1 - LEAST_SPREAD) * self.random.random()
@@ -498,8 +498,8 @@
 def due_of(request: Request, route: PrefixRoute | None) -> Due:
     """Return until when the answer to a request is of use."""
     if route is None:
-        return Due(deadline=request.arrived + request.time_left)
-    ends = request.arrived + min(route.timeout, request.time_left)
+        return Due(deadline=request.deadline)
+    ends = min(request.arrived + route.timeout, request.deadline)
     return Due(route.rank, request.arrived + route.objective, ends, ends)
 
 
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -291,9 +291,8 @@
         if spare < work.seconds:
             reason = f'the daemon stops, {spare:.3f} s are left for the answer'
             return Refusal(ResultCode.DRAINING, reason)
-        waited = self.recorder.timer.now() - request.arrived
-        time_left = min(request.time_left, left + waited)
-        return attrs.evolve(request, time_left=time_left)
+        ends = self.recorder.timer.now() + left
+        return attrs.evolve(request, ends=ends)
 
     async def _answer(self, request: Request) -> Answer | Refusal:
         """Answer a request before this process ends."""
@@ -388,6 +387,7 @@
 
     async def run(self, http: web.BaseRequest) -> web.StreamResponse:
         """Run one request at the instance here."""
+        arrived = self.owner.recorder.timer.now()
         placed = Placed.decode(http.headers.get(own_headers.PLACED, ''))
         identifier = http.headers.get(self.names.request_id, '')
         body = await http.content.read(-1)
@@ -408,9 +408,11 @@
             headers,
             body,
             placed.time_left,
-            self.owner.recorder.timer.now(),
+            arrived,
         )
-        outcome = await self.owner.run(request, placed)
+        # The body may have been long on its way.
+        passed = self.owner.recorder.timer.now() - arrived
+        outcome = await self.owner.run(request, placed.after(passed))
         response = self._respond(identifier, outcome)
         response[DUE] = Due(
             placed.rank,
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -1,6 +1,7 @@
 """Requests and answers on their way through a daemon."""
 
 import json
+import math
 from typing import Final
 
 import attrs
@@ -48,6 +49,8 @@
         Seconds for which the caller waits; infinite if it did not say.
     arrived : float
         Monotonic seconds.
+    ends : float
+        Monotonic seconds at which this daemon must have answered.
     """
 
     identifier: str
@@ -58,6 +61,12 @@
     body: bytes = attrs.field(repr=False)
     time_left: float
     arrived: float
+    ends: float = math.inf
+
+    @property
+    def deadline(self) -> float:
+        """Monotonic seconds after which an answer is of no use."""
+        return min(self.arrived + self.time_left, self.ends)
 
 
 @attrs.frozen
@@ -85,6 +94,14 @@
     on_time: float
     time_left: float
 
+    def after(self, passed: float) -> 'Placed':
+        """Return the placement when some seconds have passed."""
+        return attrs.evolve(
+            self,
+            on_time=self.on_time - passed,
+            time_left=self.time_left - passed,
+        )
+
     def encode(self) -> str:
         """Return the text of the header between daemons."""
         return json.dumps(
