Let a daemon that stops wait for answers that are not sent yet

What callers saw: an answer of tanagerbendd could break off at a stop, over a link that carries little. Cause: 'is_idle' counted requests that are being answered; a small answer is written without waiting for its caller, so that its request has ended while its bytes still wait in the transport. Change: 'is_idle' counts the bytes in the transports of all connections, with the function that the proxy's endpoint had for it, which both use now. The second test passes before and after: a caller that goes away doesn't hold a stop. A caller that stays and reads nothing holds it for the time of the drain at most (read in drain.py, not run). Conclusion: a stop ends when all answers have left the process or the time of the drain is over.

--- a/packages/daemon/tanagerbend_daemon/front.py
+++ b/packages/daemon/tanagerbend_daemon/front.py
@@ -16,7 +16,7 @@
 from tanagerbend_daemon.cutting import cut
 from tanagerbend_daemon.drain import Drain
 from tanagerbend_daemon.entry import CallHandler
-from tanagerbend_daemon.listener import Listener, make_runner
+from tanagerbend_daemon.listener import Listener, make_runner, unsent_bytes
 from tanagerbend_daemon.order_answers import order_headers
 from tanagerbend_daemon.peer_hop import peer_proof
 from tanagerbend_daemon.statuses import status_of
@@ -93,8 +93,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being answered."""
-        return not self.active
+        """Whether no request is answered and no bytes of answers wait."""
+        return not (self.active or unsent_bytes(self.runner))
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
--- a/packages/daemon/tanagerbend_daemon/listener.py
+++ b/packages/daemon/tanagerbend_daemon/listener.py
@@ -38,6 +38,16 @@
     )
 
 
+def unsent_bytes(runner: web.ServerRunner | None) -> int:
+    """Return the bytes of answers that wait in this process."""
+    if runner is None or runner.server is None:
+        return 0
+    transports = (each.transport for each in runner.server.connections)
+    return sum(
+        each.get_write_buffer_size() for each in transports if each is not None
+    )
+
+
 class Listener:
     """Accepts connections for a server runner.
 
--- /dev/null
+++ b/packages/daemon/tanagerbend_daemon/tests/test_unsent.py
@@ -0,0 +1,99 @@
+"""Bytes of answers that wait in a daemon that stops."""
+
+import asyncio
+import socket
+
+import pytest
+
+from tanagerbend_daemon.call import Answer
+from tanagerbend_daemon.front import MAX_HELD_BYTES, CallServer
+from tanagerbend_metrics import Recorder
+from tanagerbend_timer import SystemTimer
+
+# Small enough to be written without waiting for the caller.
+SIZE = 60000
+# A link that carries little, as buffers and segments in bytes.
+WINDOW = 2048
+SEGMENT = 536
+SEND_BUFFER = 4096
+REQUEST = b'GET /a HTTP/1.1\r\nHost: shop\r\n\r\n'
+# Ends a test that waits for what doesn't happen.
+PATIENT_SECONDS = 30
+
+
+class Handler:
+    """Answers each call with bytes that need no waiting."""
+
+    recorder = Recorder(SystemTimer())
+    table = None
+    catch_up = None
+    key = b''
+
+    async def handle(self, call):
+        async def chunks():
+            yield bytes(SIZE)
+
+        return Answer(200, (('Content-Length', str(SIZE)),), chunks())
+
+
+@pytest.fixture
+async def server():
+    """Server that listens, and its address."""
+    server = CallServer(Handler())
+    host, _, port = (await server.start('127.0.0.1', 0)).rpartition(':')
+    yield server, (host, int(port))
+    await server.close()
+
+
+async def until(condition):
+    """Wait until a condition holds."""
+    async with asyncio.timeout(PATIENT_SECONDS):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def connect(server, address):
+    """Connect a caller over a thin link."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT)
+    connection.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(connection, address)
+    await until(lambda: server.runner.server.connections)
+    (made,) = server.runner.server.connections
+    made.transport.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET,
+        socket.SO_SNDBUF,
+        SEND_BUFFER,
+    )
+    return connection, made.transport
+
+
+async def test_daemon_with_unsent_bytes_is_not_idle(server):
+    """Guards against a stop that ends while a caller still reads."""
+    assert SIZE < MAX_HELD_BYTES
+    server, address = server
+    connection, transport = await connect(server, address)
+    assert server.is_idle
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(connection, REQUEST)
+    await until(transport.get_write_buffer_size)
+    await until(lambda: not server.active)
+    assert transport.get_write_buffer_size()
+    assert not server.is_idle
+    received = bytearray()
+    while len(received) < SIZE:
+        received += await loop.sock_recv(connection, SIZE)
+    await until(lambda: server.is_idle)
+    connection.close()
+
+
+async def test_caller_that_goes_away_leaves_a_daemon_idle(server):
+    """Guards against a stop that waits for a caller that has gone."""
+    server, address = server
+    connection, transport = await connect(server, address)
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(connection, REQUEST)
+    await until(transport.get_write_buffer_size)
+    connection.close()
+    await until(lambda: server.is_idle)
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from tanagerbend_daemon.connections import HOP_BY_HOP
-from tanagerbend_daemon.listener import Listener, make_runner
+from tanagerbend_daemon.listener import Listener, make_runner, unsent_bytes
 from tanagerbend_metrics import Recorder
 from tanagerbend_metrics.names import REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
@@ -198,14 +198,7 @@
     @property
     def unsent(self) -> int:
         """Bytes of answers that wait in this process."""
-        if self.runner is None or self.runner.server is None:
-            return 0
-        transports = (each.transport for each in self.runner.server.connections)
-        return sum(
-            each.get_write_buffer_size()
-            for each in transports
-            if each is not None
-        )
+        return unsent_bytes(self.runner)
 
     @property
     def is_busy(self) -> bool:
