Hurry turns of begun answers that wait when a stop begins

Change: when a stop begins, the turns of answers that are leaving are ranked again. test_answer_that_waits_for_a_turn_when_a_stop_begins_is_hurried fails without the call.

--- a/packages/emulator/tanagerbend_emulator/tests/test_deliveries.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_deliveries.py
@@ -82,3 +82,31 @@
         return is_begun
 
     assert run_virtual(wait())
+
+
+def test_answer_that_waits_for_a_turn_when_a_stop_begins_is_hurried():
+    """Guards against an answer begun before a stop that gives way to all."""
+
+    async def stop():
+        uplink = Uplink(LoopTimer(), LINK)
+        endpoint = endpoint_on(uplink)
+        late = Transfer(uplink, 2, LARGE, Due(2, 0.0, 30.0))
+        uplink.spend(LINK)
+        endpoint.begun.add(late.number)
+        begun = asyncio.create_task(late.turn(TURN_BYTES))
+        others = [
+            asyncio.create_task(Transfer(uplink, 0, LARGE).turn(TURN_BYTES))
+            for _ in range(40)
+        ]
+        await asyncio.sleep(0)
+        endpoint.hurry()
+        await asyncio.wait(
+            (begun, *others),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        is_first = begun.done() and not any(each.done() for each in others)
+        await asyncio.gather(begun, *others)
+        await uplink.close()
+        return is_first
+
+    assert run_virtual(stop())
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -67,6 +67,8 @@
         Told of each large answer.
     active : int
         Requests that are being answered.
+    begun : set of int
+        Numbers of the large answers that are leaving.
     is_shut : bool
         Whether new requests are refused.
     is_closing : bool
@@ -79,6 +81,7 @@
     lifetime: Lifetime
     deliveries: DeliveryLog | None = None
     active: int = 0
+    begun: set[int] = attrs.field(factory=set)
     is_shut: bool = False
     is_closing: bool = False
     runner: web.ServerRunner | None = None
@@ -148,6 +151,8 @@
         )
         sent.content_length = len(body)
         self._close_like(response, sent)
+        number = delivery.transfer.number
+        self.begun.add(number)
         try:
             await sent.prepare(request)
             await self._write(sent, first, delivery)
@@ -155,8 +160,14 @@
         except ConnectionError:
             # Its caller has gone; the server closes the connection.
             self.recorder.count('answers_cut')
+        finally:
+            self.begun.discard(number)
         return sent
 
+    def hurry(self) -> None:
+        """Let answers that are leaving go before all others."""
+        self.uplink.hurry(self.begun)
+
     def _close_like(
         self,
         response: web.StreamResponse,
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -141,12 +141,8 @@
         parts = self.parts
         timer = parts.recorder.timer
         started = timer.now()
-        parts.log.write('daemon_stopping', active=parts.callers.active)
-        parts.is_stopping = True
-        parts.owner.is_leaving = True
-        parts.callers.is_closing = True
+        self._begin_stop(started)
         grace = parts.terms.stop.grace
-        parts.lifetime.end_at(started + grace - EXIT_SECONDS)
         await timer.sleep(min(NOTICE_SECONDS, grace - FINISH_SECONDS))
         parts.callers.is_shut = True
         while (
@@ -167,6 +163,17 @@
             seconds=round(timer.now() - started, 3),
         )
 
+    def _begin_stop(self, started: float) -> None:
+        """Take no work of other hosts, and end what is taken in time."""
+        parts = self.parts
+        parts.log.write('daemon_stopping', active=parts.callers.active)
+        parts.is_stopping = True
+        parts.owner.is_leaving = True
+        parts.callers.is_closing = True
+        parts.lifetime.end_at(started + parts.terms.stop.grace - EXIT_SECONDS)
+        parts.callers.hurry()
+        parts.peers.hurry()
+
     async def _close_endpoints(self) -> None:
         parts = self.parts
         await asyncio.gather(parts.callers.finish(), parts.peers.finish())
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -12,7 +12,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from typing import Final
 
 import attrs
@@ -187,6 +187,13 @@
             self.pump = asyncio.create_task(self._grant())
         await granted
 
+    def hurry(self, numbers: Container[int]) -> None:
+        """Let the turns of some answers that wait go before all others."""
+        for turn in self.turns:
+            if turn.number in numbers:
+                turn.rank = BEGUN_RANK
+        heapq.heapify(self.turns)
+
     async def _grant(self) -> None:
         while self.turns:
             self._count()
