Part the endpoint, the lines of a request, and what was seen of instances from their modules

Pure moves: `Endpoint` with its answers to `proxy.endpoint`, `RequestState` and its lines to `proxy.request_lines`, `Seen`, `LoadReport` to `routing.seen`, `RouteWork` to `routing.route_work`.

--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -13,7 +13,8 @@
 from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.exchange import make_session
 from tanagerbend_proxy.following import Follower, ItemService
-from tanagerbend_proxy.front import CallerHandler, Endpoint, PeerHandler
+from tanagerbend_proxy.endpoint import Endpoint
+from tanagerbend_proxy.front import CallerHandler, PeerHandler
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.lifetime import Lifetime
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -3,7 +3,7 @@
 import asyncio
 import math
 import random
-from typing import Any, Final
+from typing import Final
 
 import aiohttp
 import attrs
@@ -19,13 +19,13 @@
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.link_use import PLACED, LinkUse
 from tanagerbend_proxy.messages import (
-    MILLISECONDS,
     Answer,
     Outcome,
     Placed,
     Request,
 )
 from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.request_lines import RequestLines, RequestState
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_proxy.uplink import Due
 from tanagerbend_routing import (
@@ -54,7 +54,6 @@
 LEAST_SPREAD: Final = 0.3
 # Time to come back where nothing is known of the request.
 UNKNOWN_RETURN_SECONDS: Final = 1.0
-NOBODY: Final[frozenset[str]] = frozenset()
 BUSY: Final = frozenset(
     (
         ResultCode.QUEUE_FULL,
@@ -64,53 +63,6 @@
 )
 
 
-@attrs.define
-class RequestState:
-    """State of one request at its entry daemon.
-
-    Parameters
-    ==========
-
-    request : Request
-    route : PrefixRoute
-    service : str
-    deadline, on_time_until : float
-        Monotonic seconds.
-    offered : int
-        Instances that the request was sent to.
-    placed : int
-        Owners that were asked.
-    tried : frozenset of str
-    last : Answer or Refusal or None
-        The best end so far.
-    has_run : bool
-        Whether an instance may have run the request.
-    instance : ListedInstance or None
-        The instance that was asked last.
-    served : float
-        Seconds that the last instance took.
-    stopped_by : str
-        Why the request was not sent once more.
-    lines : list of dict
-        Log lines so far.
-    """
-
-    request: Request
-    route: PrefixRoute
-    service: str
-    deadline: float
-    on_time_until: float
-    offered: int = 0
-    placed: int = 0
-    tried: frozenset[str] = NOBODY
-    last: Answer | Refusal | None = None
-    has_run: bool = False
-    instance: ListedInstance | None = None
-    served: float = 0.0
-    stopped_by: str = ''
-    lines: list[dict[str, Any]] = attrs.field(factory=list)
-
-
 @attrs.define
 class Entry:
     """Serves the requests of the callers on this host.
@@ -143,8 +95,11 @@
     log: DecisionLog
     random: random.Random
     link: LinkUse
+    lines: RequestLines = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        timer = self.recorder.timer
+        self.lines = RequestLines(self.log, self.knowledge, timer)
         self.placement.own_address = self.terms.instance_address
         self.placement.sending = self.owner.uplink.seconds_for
 
@@ -157,7 +112,7 @@
         route = configuration.match(request.host, request.path)
         match route:
             case Refusal():
-                self._log_without_route(request, route)
+                self.lines.refuse_without_route(request, route)
                 return route
         service = route.pick_service(self.random)
         self.allowance.requested(service, request.arrived)
@@ -172,14 +127,14 @@
         try:
             end = await self._try_instances(state)
         except asyncio.CancelledError:
-            self._log('request_left', state)
-            self.log.request('request_left', state.lines)
+            self.lines.add('request_left', state)
+            self.lines.write('request_left', state)
             raise
         match end:
             case Refusal(code=code):
                 self.recorder.count(REFUSALS, code.name)
-                self._log('request_refused', state, end)
-                self.log.request(code.name, state.lines)
+                self.lines.add('request_refused', state, end)
+                self.lines.write(code.name, state)
             case Answer(status=status):
                 self._answered(state, status)
         return end
@@ -201,8 +156,8 @@
         elif not state.lines:
             # Served on time at the first try.
             return
-        self._log(kind, state, status=status)
-        self.log.request(kind, state.lines)
+        self.lines.add(kind, state, status=status)
+        self.lines.write(kind, state)
 
     async def _try_instances(self, state: RequestState) -> Answer | Refusal:
         while True:
@@ -446,53 +401,9 @@
         """Write why a request is sent to one more instance."""
         match outcome.end:
             case Refusal():
-                self._log('request_sent_again', state, outcome.end)
+                self.lines.add('request_sent_again', state, outcome.end)
             case Answer(status=status):
-                self._log('request_sent_again', state, status=status)
-
-    def _log(
-        self,
-        event: str,
-        state: RequestState,
-        refusal: Refusal | None = None,
-        **fields: Any,
-    ) -> None:
-        """Write a decision with the inputs that decided it."""
-        now = self.recorder.timer.now()
-        if refusal is not None:
-            fields['code'] = refusal.code.name
-            fields['ran'] = refusal.ran.value
-            fields['reason'] = refusal.reason
-        instance = state.instance
-        if instance is not None:
-            fields['instance'] = instance.identity
-            fields['instance_host'] = instance.host_address
-        fields.update(
-            request=state.request.identifier,
-            stopped_by=state.stopped_by,
-            route=state.route.name,
-            service=state.service,
-            rank=state.route.rank,
-            offered=state.offered,
-            placed=state.placed,
-            served_ms=round(state.served * MILLISECONDS),
-            age_ms=round((now - state.request.arrived) * MILLISECONDS),
-            left_ms=round((state.deadline - now) * MILLISECONDS),
-            late_ms=round((now - state.on_time_until) * MILLISECONDS),
-            version=self.knowledge.version,
-        )
-        state.lines.append(self.log.line(event, fields))
-
-    def _log_without_route(self, request: Request, refusal: Refusal) -> None:
-        fields = {
-            'request': request.identifier,
-            'code': refusal.code.name,
-            'ran': refusal.ran.value,
-            'reason': refusal.reason,
-            'version': self.knowledge.version,
-        }
-        line = self.log.line('request_refused', fields)
-        self.log.request(refusal.code.name, [line])
+                self.lines.add('request_sent_again', state, status=status)
 
 
 def due_of(request: Request, route: PrefixRoute | None) -> Due:
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -12,7 +12,7 @@
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy.assembly import Parts
 from tanagerbend_proxy.following import EXPIRY_SECONDS
-from tanagerbend_proxy.front import Endpoint
+from tanagerbend_proxy.endpoint import Endpoint
 from tanagerbend_timer import Timer, together
 
 # How often the delay of the event loop, entries that were kept, the age of
--- a/packages/routing/tanagerbend_routing/__init__.py
+++ b/packages/routing/tanagerbend_routing/__init__.py
@@ -9,7 +9,7 @@
         'allowance': ('BudgetTerms', 'RetryAllowance'),
         'balancer': ('Balancer',),
         'budget': ('RetryBudget',),
-        'placement': ('LoadReport', 'Placement'),
+        'placement': ('Placement',),
         'prefixes': (
             'CallerLimits',
             'Part',
@@ -19,6 +19,7 @@
             'RoutingConfiguration',
         ),
         'registry': ('InstanceRegistry', 'ListedInstance'),
+        'seen': ('LoadReport',),
         'stats': ('InstanceStats', 'Result'),
         'table': ('Route', 'RouteTable', 'plain_path'),
     },
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -7,25 +7,17 @@
 """
 
 import math
-from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from typing import Final
 
-import attrs
-
 from tanagerbend_interfaces import Randomness
 from tanagerbend_metrics import Recorder
 from tanagerbend_routing.prefixes import PrefixRoute
 from tanagerbend_routing.registry import ListedInstance
+from tanagerbend_routing.route_work import SPEED_WEIGHT, RouteWork
+from tanagerbend_routing.seen import LoadReport, Seen
 
-# Half of a report is forgotten after this time, about three requests of
-# an instance at today's sizes.
-REPORT_HALF_LIFE_SECONDS: Final = 0.25
-SPEED_WEIGHT: Final = 0.1
 FAILURE_WEIGHT: Final = 0.15
-FAILURE_HALF_LIFE_SECONDS: Final = 2.0
-# Time to run of a route that has not been answered yet, in seconds.
-FIRST_WORK_SECONDS: Final = 0.1
 # An instance that fails all requests looks slower by this factor.
 FAILURE_FACTOR: Final = 20.0
 COLD_FACTOR: Final = 2.0
@@ -42,8 +34,6 @@
 RELAXED_RATIO: Final = 4.0
 RELAXED_WEIGHT: Final = 2.0
 JITTER: Final = 0.1
-# Answers from this size on wait for the link of the instance's host.
-LARGE_KILOBYTES: Final = 16.0
 # Time in which an instance of today's sizes frees two or three slots.
 FULL_SECONDS: Final = 0.04
 # Bytes between failure domains that count as more of the objective than
@@ -51,216 +41,13 @@
 # within ``NEAR_SHARE`` of the objective.
 COSTLY_SHARE: Final = 0.25
 NEAR_SHARE: Final = 0.5
-# Share of failures above which an instance is used only as the last.
-FAILING_SHARE: Final = 0.5
 # One answer moves the estimate of a speed at most this far.
 MOST_RATIO: Final = 10.0
 LEAST_WORK_SECONDS: Final = 0.001
-# Requests by which the usual times of callers are known, and how often one
-# of them must have come.
-LATELY: Final = 64
-OFTEN: Final = 3
-MILLISECONDS: Final = 1000.0
-KILOBYTE: Final = 1024
 FIRST_AVOID_SECONDS: Final = 0.25
 LONGEST_AVOID_SECONDS: Final = 2.0
 
 
-@attrs.frozen
-class LoadReport:
-    """What the owner of an instance says of it with an answer.
-
-    Parameters
-    ==========
-
-    busy : int
-        Running requests, and those to be served before a new one of the
-        rank of this request.
-    slots : int
-    served : float
-        Seconds that the instance took for this request; 0 if it ran none.
-    sending : float
-        Seconds for which large answers fill the link of its host.
-    per_kilobyte : float
-        Seconds that the link needs for a kilobyte; 0 if not known.
-    """
-
-    busy: int
-    slots: int
-    served: float = 0.0
-    sending: float = 0.0
-    per_kilobyte: float = 0.0
-
-
-@attrs.define
-class RankLoad:
-    """Load of an instance as the requests of one rank meet it.
-
-    Parameters
-    ==========
-
-    outstanding : int
-        Requests of this daemon at the instance.
-    reported : float
-        Requests that the owner reported: running, or to be served before
-        a new one of this rank.
-    reported_at, full_until : float
-        Monotonic seconds: of the report, and until when the owner is
-        expected to refuse requests of this rank.
-    """
-
-    outstanding: int = 0
-    reported: float = 0.0
-    reported_at: float = -math.inf
-    full_until: float = -math.inf
-
-    def faded(self, now: float) -> float:
-        """Return what is left of the report."""
-        if not self.reported:
-            return 0.0
-        age = now - self.reported_at
-        return self.reported * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
-
-
-@attrs.define(eq=False)
-class Seen:
-    """What this daemon has seen of one start of an instance.
-
-    Parameters
-    ==========
-
-    sending_until : float
-        Monotonic seconds until which large answers fill the link of the
-        host, by the last report and what was placed there since.
-    per_kilobyte : float
-        Seconds that this link needs for a kilobyte.
-    """
-
-    speed: float = 1.0
-    failures: float = 0.0
-    failed_at: float = 0.0
-    avoid_until: float = -math.inf
-    avoid_seconds: float = 0.0
-    sending_until: float = -math.inf
-    per_kilobyte: float = 0.0
-    ranks: dict[int, RankLoad] = attrs.field(factory=dict)
-
-    def of_rank(self, rank: int) -> RankLoad:
-        """Return the load as a rank meets it."""
-        found = self.ranks.get(rank)
-        if found is None:
-            found = RankLoad()
-            self.ranks[rank] = found
-        return found
-
-    def busy_now(self, rank: int, now: float) -> float:
-        """Return the expected requests before a new one of a rank."""
-        own = 0
-        for other, load in self.ranks.items():
-            if other <= rank:
-                own += load.outstanding
-        met = self.ranks.get(rank)
-        if met is None or met.reported <= own:
-            # What has faded is never more than what was reported.
-            return own
-        return max(met.faded(now), own)
-
-    def is_full(self, rank: int, now: float) -> bool:
-        """Return whether the owner is expected to refuse a rank."""
-        load = self.ranks.get(rank)
-        return load is not None and load.full_until > now
-
-    def is_preferred(self, now: float) -> bool:
-        """Return whether the instance need not be avoided."""
-        if self.avoid_until > now:
-            return False
-        # What has faded is never more than what was counted.
-        return (
-            self.failures <= FAILING_SHARE or self.failing(now) <= FAILING_SHARE
-        )
-
-    @property
-    def outstanding(self) -> int:
-        """Requests of this daemon at the instance."""
-        return sum(load.outstanding for load in self.ranks.values())
-
-    def failing(self, now: float) -> float:
-        """Return the share of failed requests, which fades."""
-        if not self.failures:
-            return 0.0
-        age = now - self.failed_at
-        return self.failures * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS)
-
-
-@attrs.define
-class RouteWork:
-    """Typical size of the work of a route.
-
-    Parameters
-    ==========
-
-    seconds : float
-        Time at an instance.
-    kilobytes : float
-        Size of an answer.
-    is_seen : bool
-        Whether there was an answer yet.
-    lately : deque of int
-        Milliseconds that the callers of the last requests had left.
-    times : Counter
-        How often each of them came.
-    """
-
-    seconds: float = FIRST_WORK_SECONDS
-    kilobytes: float = 1.0
-    is_seen: bool = False
-    lately: deque[int] = attrs.field(factory=deque)
-    times: Counter[int] = attrs.field(factory=Counter)
-
-    @property
-    def is_large(self) -> bool:
-        """Whether an answer waits for the link of its host."""
-        return self.kilobytes >= LARGE_KILOBYTES
-
-    def age_of(self, left: float) -> float:
-        """Return the seconds since the first attempt of a caller.
-
-        It has ``left`` seconds.  First attempts have one of a few times
-        that come often; any other time is what a retry has left.
-        """
-        key = round(left * MILLISECONDS) if left < math.inf else 0
-        self.lately.append(key)
-        self.times[key] += 1
-        if len(self.lately) > LATELY:
-            oldest = self.lately.popleft()
-            self.times[oldest] -= 1
-            if not self.times[oldest]:
-                self.times.pop(oldest)
-        if self.times[key] >= OFTEN:
-            return 0.0
-        usual = [
-            each
-            for each, count in self.times.items()
-            if count >= OFTEN and each > key
-        ]
-        return (min(usual, default=key) - key) / MILLISECONDS
-
-    @property
-    def size(self) -> float:
-        """Bytes of an answer, 0 if there was none yet."""
-        return KILOBYTE * self.kilobytes if self.is_seen else 0.0
-
-    def observe(self, seconds: float, kilobytes: float) -> None:
-        """Take the time and the size of one answer."""
-        if not self.is_seen:
-            # Large answers are kept near from the second one on.
-            self.is_seen = True
-            self.seconds = seconds
-            self.kilobytes = kilobytes
-        self.seconds += SPEED_WEIGHT * (seconds - self.seconds)
-        self.kilobytes += SPEED_WEIGHT * (kilobytes - self.kilobytes)
-
-
 Instances = tuple[ListedInstance, ...]
 Candidate = tuple[ListedInstance, Seen]
 
