Refuse at once what the own link can't carry in time

Change: it is refused where that is known, and a refusal of the entry daemon itself is not taken for one of an owner. Late answers, which give way, do not count. test_owners_are_not_asked_for_what_the_own_link_can_not_carry fails before.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -225,6 +225,10 @@
             on_time=placed.on_time - sending,
             time_left=placed.time_left - sending,
         )
+        least = uplink.least_seconds_for(size, placed.rank)
+        if least > placed.time_left:
+            reason = f'the link of this host is taken for {least:.3f} s'
+            return Outcome(Refusal(ResultCode.DEADLINE_UNREACHABLE, reason))
         # The answer may be smaller, so that it's worth waiting for longer.
         limit = placed.time_left + OWNER_SLACK_SECONDS
         with uplink.expecting(size, placed.rank):
@@ -288,14 +292,23 @@
                     len(body) / KILOBYTE,
                 )
             case Refusal():
-                self._learn_refusal(state, instance, outcome.end)
+                is_told = outcome.load is not None
+                self._learn_refusal(
+                    state,
+                    instance,
+                    outcome.end,
+                    is_told=is_told,
+                )
 
     def _learn_refusal(
         self,
         state: RequestState,
         instance: ListedInstance,
         refusal: Refusal,
+        *,
+        is_told: bool,
     ) -> None:
+        """Take a refusal; ``is_told`` if the owner said its load with it."""
         state.has_run |= refusal.ran is not Ran.NO
         if not isinstance(state.last, Answer):
             state.last = refusal
@@ -304,7 +317,9 @@
         ):
             self.placement.failed(instance)
         elif refusal.code in BUSY:
-            self.placement.full(instance, state.route.rank)
+            # A refusal of this daemon itself tells nothing of the instance.
+            if is_told:
+                self.placement.full(instance, state.route.rank)
         else:
             self.placement.unreachable(instance)
             self.log.write(
--- a/packages/proxy/tanagerbend_proxy/uplink.py
+++ b/packages/proxy/tanagerbend_proxy/uplink.py
@@ -146,6 +146,15 @@
         owed = self.announced + size - min(self.allowed, 0.0)
         return owed / self.pace
 
+    def least_seconds_for(self, size: float, rank: int) -> float:
+        """Return the time until an answer of a rank has been sent.
+
+        Answers that will be late give way to it and do not count.
+        """
+        if not self.is_large(int(size)):
+            return 0.0
+        return (max(self.ahead_of(rank), 0.0) + size) / self.pace
+
     def spend(self, size: int) -> None:
         """Count a message that does not wait."""
         self._count()
