Refuse an order with the true reason where there is no key for it

Callers saw 428 ORDER_KEY_REQUIRED, "send the order again with the key of this answer", without a key, from a daemon that knew the instances of the service from the host list alone. A caller that follows the advice can't.

Cause: OrderPath._with_fresh_key dropped the refusal of fresh_key (no instance with a known incarnation) and answered as if a key were there.

Change: a refusal whose advice is to use its key gives way to the reason why there is none, with Retry-After of 1 s, the time in which a daemon that has just started hears the others. The stand-in of a caller honours the time to come back.

--- a/packages/daemon/tanagerbend_daemon/order_path.py
+++ b/packages/daemon/tanagerbend_daemon/order_path.py
@@ -28,6 +28,13 @@
 MILLISECONDS: Final = 1000
 FIRST_PAUSE_SECONDS: Final = 0.02
 LONGEST_PAUSE_SECONDS: Final = 0.5
+# Time in which a daemon that has just started hears the other daemons,
+# and with them the incarnations that an order key names.
+RETURN_SECONDS: Final = 1
+# Refusals whose advice is to use the key that they carry.
+ADVISE_KEY: Final = frozenset(
+    (ResultCode.ORDER_KEY_REQUIRED, ResultCode.ORDER_KEY_VOID),
+)
 
 
 @attrs.define
@@ -236,7 +243,11 @@
         return self.issuer.issue(service, member.host, member.incarnation)
 
     def _with_fresh_key(self, call: Call, refusal: Refusal) -> Refusal:
-        """Add a key to a refusal of an order that was not run."""
+        """Add a key to a refusal of an order that was not run.
+
+        Where there is none, a refusal that advises to use it gives way to
+        the reason why, and to the time to send the order again.
+        """
         match refusal:
             case OrderRefusal(ran=Ran.NO, owner=owner):
                 key = self.fresh_key(call.service, _excluded(owner))
@@ -245,6 +256,14 @@
         match key:
             case OrderKey(token=token):
                 return attrs.evolve(refusal, fresh_key=token)
+            case Refusal(code=code, reason=reason):
+                if refusal.code in ADVISE_KEY:
+                    return attrs.evolve(
+                        refusal,
+                        code=code,
+                        reason=reason,
+                        return_seconds=RETURN_SECONDS,
+                    )
         return refusal
 
 
--- a/packages/daemon/tanagerbend_daemon/tests/test_orders_in_memory.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_orders_in_memory.py
@@ -3,13 +3,22 @@
 import asyncio
 import random
 
+import attrs
 import pytest
 
 from tanagerbend_daemon.call import Answer
-from tanagerbend_daemon.tests.memory_fleet import MemoryFleet
+from tanagerbend_daemon.tests.memory_fleet import SHEET, MemoryFleet
 from tanagerbend_interfaces import BackendRequest
-from tanagerbend_model import Ran, Refusal, ResultCode, headers
+from tanagerbend_model import (
+    Ran,
+    Refusal,
+    ResultCode,
+    Version,
+    accept,
+    headers,
+)
 from tanagerbend_orders import Recorded
+from tanagerbend_routing import RouteTable
 from tanagerbend_timer import ManualTimer
 
 FAULTS = ['lost', 'delayed', 'late copy', 'crossed']
@@ -179,6 +188,47 @@
     assert fresh.host != 'host-0'
 
 
+@pytest.fixture
+def unheard(fleet):
+    """A daemon that knows the others from the host list alone."""
+    path = fleet.nodes['host-0'].path
+
+    def instances(service):
+        return tuple(
+            attrs.evolve(member, incarnation=0)
+            for member in path.roster.instances(service)
+        )
+
+    path.calls.table = RouteTable.build(
+        Version((), 1, b''),
+        accept(SHEET).sheet,
+        instances,
+    )
+    return fleet
+
+
+async def test_order_without_a_key_is_told_when_to_return(unheard):
+    """Guards against advice to use a key that the answer does not carry."""
+    (refusal,) = await unheard.run(unheard.call('host-0'))
+    assert (refusal.code, refusal.ran) == (ResultCode.NO_INSTANCE, Ran.NO)
+    assert not refusal.fresh_key
+    assert dict(refusal.header_pairs)['Retry-After'] == '1'
+    (known,) = await unheard.run(unheard.call('host-1'))
+    assert known.code is ResultCode.ORDER_KEY_REQUIRED
+    assert known.fresh_key
+
+
+async def test_voided_order_without_a_key_is_told_when_to_return(unheard):
+    """Guards against the same advice in the refusal of a voided order."""
+    key = key_for(unheard, 'host-2')
+    path = f'/.tanagerbend/orders/{key}'
+    await unheard.run(unheard.call('host-1', method='DELETE', path=path))
+    (refusal,) = await unheard.run(unheard.call('host-0', key))
+    assert (refusal.code, refusal.ran) == (ResultCode.NO_INSTANCE, Ran.NO)
+    assert refusal.return_seconds
+    assert not unheard.runs
+
+
 async def test_oversized_order_voids_its_key(fleet):
     """Guards against "not run" for a large order that may still arrive."""
     key = key_for(fleet, 'host-2')
--- a/packages/orders/tanagerbend_orders/record.py
+++ b/packages/orders/tanagerbend_orders/record.py
@@ -3,12 +3,15 @@
 import asyncio
 import enum
 import hashlib
+from typing import Final
 
 import attrs
 
 from tanagerbend_model import Ran, Refusal, ResultCode, headers
 from tanagerbend_orders.keys import OrderKey
 
+RETRY_AFTER: Final = 'Retry-After'
+
 
 class State(enum.Enum):
     """State of an order at its owner."""
@@ -54,10 +57,13 @@
         Token for another attempt; empty if no instance is known.
     owner : str
         ``host/incarnation`` if the owner of the key decided.
+    return_seconds : int
+        When to send the order again without key; 0 if it can be sent now.
     """
 
     fresh_key: str = ''
     owner: str = ''
+    return_seconds: int = 0
 
     @property
     def header_pairs(self) -> tuple[tuple[str, str], ...]:
@@ -65,6 +71,7 @@
         pairs = (
             (headers.FRESH_ORDER_KEY, self.fresh_key),
             (headers.ORDER_OWNER, self.owner),
+            (RETRY_AFTER, str(self.return_seconds or '')),
         )
         return tuple(pair for pair in pairs if pair[1])
 
--- a/packages/standins/tanagerbend_standins/caller.py
+++ b/packages/standins/tanagerbend_standins/caller.py
@@ -45,6 +45,8 @@
         Version in force at the entry daemon.
     owner : str
         Daemon that decided about an order, else an empty string.
+    return_seconds : int
+        When the answer asks to send again, 0 if it does not.
     """
 
     status: int
@@ -56,6 +58,7 @@
     order_key: str = ''
     version: str = ''
     owner: str = ''
+    return_seconds: int = 0
 
     @property
     def is_answer(self) -> bool:
@@ -171,11 +174,17 @@
         ===========
 
         Each attempt goes through a random daemon.  The key is the one that
-        a daemon hands out; without a key an order is sent once only.
+        a daemon hands out; without a key an order is sent again only when
+        a daemon names a time for it.
         """
+        begun = time.monotonic()
         reply = await self.call(service, path, body, is_observed=False)
+        while reply.ran is Ran.NO and reply.return_seconds:
+            if time.monotonic() - begun > CALL_SECONDS:
+                break
+            await asyncio.sleep(reply.return_seconds)
+            reply = await self.call(service, path, body, is_observed=False)
         key = reply.order_key
-        begun = time.monotonic()
         while key and not reply.is_final:
             if time.monotonic() - begun > CALL_SECONDS:
                 break
@@ -225,4 +234,5 @@
         received.get(headers.FRESH_ORDER_KEY, ''),
         received.get(headers.VERSION, ''),
         received.get(headers.ORDER_OWNER, ''),
+        int(received.get('Retry-After', '0')),
     )
