--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -444,8 +444,10 @@
     match end:
         case Answer(status=status) if status < SERVER_ERROR:
             return 'answered'
-        case Answer() if repeat is Repeat.NEVER:
+        case Answer() if repeat is not Repeat.FREELY:
             return 'it has run and must not run twice'
-        case Refusal(ran=ran) if ran is not Ran.NO and repeat is Repeat.NEVER:
+        case Refusal(ran=ran) if (
+            ran is not Ran.NO and repeat is not Repeat.FREELY
+        ):
             return 'it may have run and must not run twice'
     return ''
--- a/packages/proxy/tanagerbend_proxy/knowledge.py
+++ b/packages/proxy/tanagerbend_proxy/knowledge.py
@@ -48,6 +48,15 @@
             version=offered.version,
             before=before,
         )
+        unknown = offered.unknown_kinds
+        if unknown:
+            self.recorder.count('versions_with_unknown_kinds')
+            self.log.write(
+                'kinds_unknown',
+                version=offered.version,
+                routes=len(unknown),
+                first=unknown[0],
+            )
         return True
 
     def instance_changed(self, event: str, instance: ListedInstance) -> None:
--- a/packages/routing/tanagerbend_routing/prefixes.py
+++ b/packages/routing/tanagerbend_routing/prefixes.py
@@ -15,6 +15,8 @@
 
     FREELY = 'freely'
     NEVER = 'never'
+    # The kind of the route is not known, so nothing may be repeated.
+    UNKNOWN = 'unknown'
 
 
 @attrs.frozen
@@ -227,6 +229,16 @@
         }
         return attrs.evolve(self, hosts=hosts)
 
+    @property
+    def unknown_kinds(self) -> tuple[str, ...]:
+        """Names of the routes whose kind is not known."""
+        return tuple(
+            route.name
+            for found in self.hosts.values()
+            for route in found.values()
+            if route.repeat is Repeat.UNKNOWN
+        )
+
     def match(self, host: str, path: str) -> PrefixRoute | Refusal:
         """Return the route of a request; ``path`` may hold a query."""
         plain = path.partition('?')[0]
