Follow the store on after a malformed answer or an unexpected error

Operators of like systems met it: one malformed message took a process down. Here a daemon kept running and never heard of a change again: an answer of the store that is JSON of another shape (a list, null, a missing or mistyped field), or nested deep enough to exhaust the stack, raised in the task that follows the store, which ended for good. Callers would see an old configuration and instances that left.

--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import random
+import traceback
 from typing import Final, Protocol
 
 from tanagerbend_metrics import Recorder
@@ -41,6 +42,8 @@
 SLOW_SECONDS: Final = 0.4
 # Shortest time for which a peer waits or a reading speed is computed.
 LEAST_SECONDS: Final = 0.001
+# Characters of an error that are logged.
+MOST_REASON: Final = 200
 FIRST_BACKOFF_SECONDS: Final = 0.05
 LONGEST_BACKOFF_SECONDS: Final = 0.5
 # How often entries that were kept after an outage are checked.
@@ -130,11 +133,15 @@
         """Follow the service, or a peer that does, until cancelled."""
         try:
             while True:
-                await self._follow()
+                if not await _follow_safely(self):
+                    # What was read may have been taken in part.
+                    self.applier.revision = None
+                    await self._back_off()
         finally:
             await self.attempts.close()
 
-    async def _follow(self) -> None:
+    async def follow_once(self) -> None:
+        """Ask the present source once, and others if it doesn't tell."""
         source = self._choose_peer()
         if source is None:
             await self._follow_service()
@@ -329,3 +336,24 @@
     async def expire(self) -> None:
         """Drop entries that did not come back after an outage."""
         self.knowledge.registry.expire()
+
+
+async def _follow_safely(follower: Follower) -> bool:
+    """Follow, and log an error of our own, which must not end it."""
+    try:
+        await follower.follow_once()
+    except Exception as error:  # noqa: BLE001
+        _log_unexpected(follower, error)
+        return False
+    return True
+
+
+def _log_unexpected(follower: Follower, error: Exception) -> None:
+    """Count and log an error of our own, which must not end the following."""
+    follower.recorder.count('following_failed')
+    where = traceback.extract_tb(error.__traceback__)[-1]
+    follower.staleness.write(
+        'following_failed',
+        reason=f'{type(error).__name__}: {error}'[:MOST_REASON],
+        place=f'{where.name}, line {where.lineno}',
+    )
--- a/packages/standins/tanagerbend_standins/item_store.py
+++ b/packages/standins/tanagerbend_standins/item_store.py
@@ -26,6 +26,8 @@
         Status of every answer, 0 to serve.
     loses_answers : bool
         Whether answers are never sent.
+    answers_with : bytes or None
+        Body of every answer instead of the right one.
     keeps_from : int
         Changes up to this revision are forgotten.
     """
@@ -38,6 +40,7 @@
         self.calls = 0
         self.refuses_with = 0
         self.loses_answers = False
+        self.answers_with: bytes | None = None
         self.changed = asyncio.Event()
         self.runner: web.ServerRunner | None = None
 
@@ -103,6 +106,8 @@
             await asyncio.Event().wait()
         if self.refuses_with:
             return web.Response(status=self.refuses_with)
+        if self.answers_with is not None:
+            return web.Response(body=self.answers_with)
         if request.path == '/v1/kv-range':
             return self._range(request.query)
         if request.path == '/v1/kv-watch':
