Refuse at once what a daemon itself is too slow for, and leave slow owners

A request that would end after its deadline is refused on arrival, with a time to come back at which the daemon has caught up. An owner tells it with each answer, so that entries place their requests at other owners meanwhile.

Weighed: refusing what will be late instead of what can't be answered at all; late answers of this site earn about half, so this would refuse more than it gains, and calls of 0.2 s between services fail their whole request.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -126,7 +126,9 @@
             + self.placement.on_time_in(route, request.time_left),
         )
         try:
-            end = await self._try_instances(state)
+            end = self._refuse_behind(state)
+            if end is None:
+                end = await self._try_instances(state)
         except asyncio.CancelledError:
             self.lines.add('request_left', state)
             self.lines.write('request_left', state)
@@ -140,6 +142,22 @@
                 self._answered(state, status)
         return end
 
+    def _refuse_behind(self, state: RequestState) -> Refusal | None:
+        """Refuse at once what this daemon itself is too slow for."""
+        behind = self.owner.delay.of_request
+        if not behind:
+            return None
+        left = state.deadline - self.recorder.timer.now()
+        work = self.placement.work_of(state.route.name).seconds
+        if behind + work <= left:
+            return None
+        state.stopped_by = 'this daemon is behind'
+        reason = (
+            f'this daemon needs {behind:.3f} s,'
+            f' work {work:.3f} s, deadline in {left:.3f} s'
+        )
+        return Refusal(ResultCode.DEADLINE_UNREACHABLE, reason)
+
     def _answered(self, state: RequestState, status: int) -> None:
         now = self.recorder.timer.now()
         route = state.route
@@ -401,8 +419,11 @@
         if not math.isfinite(left):
             return UNKNOWN_RETURN_SECONDS
         spread = LEAST_SPREAD + (1 - LEAST_SPREAD) * self.random.random()
-        wait = min(left / HONOURED_PART, self._spare_seconds(request))
-        return max(wait * spread, LEAST_SECONDS)
+        longest = left / HONOURED_PART
+        wait = spread * min(longest, self._spare_seconds(request))
+        # Not before this daemon has caught up.
+        least = min(self.owner.delay.of_request, longest)
+        return max(wait, least, LEAST_SECONDS)
 
     def _spare_seconds(self, request: Request) -> float:
         """Return how long a caller may stay away and still be on time."""
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -31,6 +31,7 @@
     'served',
     'sending',
     'per_kilobyte',
+    'behind',
 )
 
 
@@ -182,6 +183,7 @@
             round(load.served, 4),
             round(load.sending, 4),
             round(load.per_kilobyte, 7),
+            round(load.behind, 3),
         )
         return json.dumps(
             (*told, self.is_offered, load.busy, load.slots, *times),
@@ -205,6 +207,7 @@
                 told['served'],
                 told['sending'],
                 told['per_kilobyte'],
+                told['behind'],
             )
             return cls(end, load, bool(told['offered']))
         except (ValueError, TypeError):
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -13,6 +13,7 @@
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.loop_delay import LoopDelay
 from tanagerbend_proxy.messages import (
     MILLISECONDS,
     Answer,
@@ -52,6 +53,8 @@
         Whether requests of other hosts are refused.
     sizes : ServiceTimes
         Bytes of the answers of each route, as their times are kept.
+    delay : LoopDelay
+        Of this daemon.
     """
 
     address: str
@@ -63,8 +66,10 @@
     uplink: Uplink
     is_leaving: bool = False
     sizes: ServiceTimes = attrs.field(factory=ServiceTimes)
+    delay: LoopDelay = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.delay = LoopDelay(self.recorder.timer)
         self.queue.departures.link = self.uplink
 
     async def run(self, request: Request, placed: Placed) -> Outcome:
@@ -129,6 +134,7 @@
             served,
             sending,
             per_kilobyte,
+            self.delay.of_request,
         )
 
     async def _send(
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -46,8 +46,6 @@
     def __init__(self, parts: Parts) -> None:
         super().__init__()
         self.parts = parts
-        # When the delay of the event loop is measured next.
-        self.due = float('inf')
         recorder, uplink = parts.recorder, parts.owner.uplink
         shared = (recorder, uplink, parts.lifetime)
         self.ready_endpoint = Endpoint(self.answer_ready, *shared)
@@ -70,7 +68,7 @@
 
     def _subscribe(self, timer: Timer) -> None:
         parts = self.parts
-        self.due = timer.now() + CHECK_SECONDS
+        parts.owner.delay.due = timer.now() + CHECK_SECONDS
         timer.every(
             CHECK_SECONDS,
             together(
@@ -95,9 +93,7 @@
     async def check_delay(self) -> None:
         """Note how late the event loop runs what is due."""
         recorder = self.parts.recorder
-        now = recorder.timer.now()
-        delay = max(now - self.due, 0.0)
-        self.due = now + CHECK_SECONDS
+        delay = self.parts.owner.delay.checked(CHECK_SECONDS)
         recorder.histograms.record(LOOP_DELAY, '', 0, delay)
         if delay >= LONG_DELAY_SECONDS:
             self.parts.log.write('loop_delayed', seconds=round(delay, 3))
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -231,6 +231,8 @@
         seconds *= taken + CROWDING * load
         if seen.failures:
             seconds *= 1 + FAILURE_FACTOR * seen.failing(now)
+        if seen.behind:
+            seconds += seen.behind_now(now)
         if not work.is_large:
             return seconds
         # The link is used by others while the instance works.
@@ -282,6 +284,10 @@
         load.reported_at = now
         seen.sending_until = now + report.sending
         seen.per_kilobyte = report.per_kilobyte
+        if instance.address != self.own_address:
+            # A request waits for the own daemon wherever it is placed.
+            seen.behind = report.behind
+            seen.behind_at = now
 
     def asked(self, instance: ListedInstance, route: str) -> None:
         """Count a large answer that is to come, until the next report."""
--- a/packages/routing/tanagerbend_routing/seen.py
+++ b/packages/routing/tanagerbend_routing/seen.py
@@ -30,6 +30,8 @@
         Seconds for which large answers fill the link of its host.
     per_kilobyte : float
         Seconds that the link needs for a kilobyte; 0 if not known.
+    behind : float
+        Seconds for which a request waits for the owner itself.
     """
 
     busy: int
@@ -37,6 +39,7 @@
     served: float = 0.0
     sending: float = 0.0
     per_kilobyte: float = 0.0
+    behind: float = 0.0
 
 
 @attrs.define
@@ -81,6 +84,9 @@
         host, by the last report and what was placed there since.
     per_kilobyte : float
         Seconds that this link needs for a kilobyte.
+    behind, behind_at : float
+        Seconds for which a request waited for the owner itself, and the
+        monotonic seconds of that report.
     """
 
     speed: float = 1.0
@@ -90,6 +96,8 @@
     avoid_seconds: float = 0.0
     sending_until: float = -math.inf
     per_kilobyte: float = 0.0
+    behind: float = 0.0
+    behind_at: float = 0.0
     ranks: dict[int, RankLoad] = attrs.field(factory=dict)
 
     def of_rank(self, rank: int) -> RankLoad:
@@ -131,6 +139,13 @@
         """Requests of this daemon at the instance."""
         return sum(load.outstanding for load in self.ranks.values())
 
+    def behind_now(self, now: float) -> float:
+        """Return the seconds of waiting for the owner, which fade."""
+        if not self.behind:
+            return 0.0
+        age = now - self.behind_at
+        return self.behind * 0.5 ** (age / FAILURE_HALF_LIFE_SECONDS)
+
     def failing(self, now: float) -> float:
         """Return the share of failed requests, which fades."""
         if not self.failures:
