Refuse a large body before it is taken, where that is certain

Callers with a large request that can't be served sent all of it before they heard so: for a body over the limit, without a route, without an instance, or at a daemon that is too slow for it. That takes time of the link and memory at a host that is short of both.

Change: a body of 16 KB or more whose length is named is refused by the request's head in these cases, counted as uploads_refused_early.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -29,6 +29,7 @@
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_proxy.uplink import Due
 from tanagerbend_routing import (
+    InstanceRegistry,
     ListedInstance,
     Placement,
     PrefixRoute,
@@ -106,14 +107,9 @@
 
     async def handle(self, request: Request) -> Answer | Refusal:
         """Answer a request, or refuse it with a reason."""
-        configuration = self.knowledge.configuration
-        if configuration is None:
-            reason = 'no configuration is known yet'
-            return Refusal(ResultCode.NO_CONFIGURATION, reason)
-        route = configuration.match(request.host, request.path)
+        route = self._match(request)
         match route:
             case Refusal():
-                self.lines.refuse_without_route(request, route)
                 return route
         service = route.pick_service(self.random)
         self.allowance.requested(service, request.arrived)
@@ -126,7 +122,7 @@
             + self.placement.on_time_in(route, request.time_left),
         )
         try:
-            end = self._refuse_behind(state)
+            end = self._refuse_behind(request, route)
             if end is None:
                 end = await self._try_instances(state)
         except asyncio.CancelledError:
@@ -142,16 +138,43 @@
                 self._answered(state, status)
         return end
 
-    def _refuse_behind(self, state: RequestState) -> Refusal | None:
+    def _match(self, request: Request) -> PrefixRoute | Refusal:
+        configuration = self.knowledge.configuration
+        if configuration is None:
+            reason = 'no configuration is known yet'
+            return Refusal(ResultCode.NO_CONFIGURATION, reason)
+        route = configuration.match(request.host, request.path)
+        match route:
+            case Refusal():
+                self.lines.refuse_without_route(request, route)
+        return route
+
+    def refuse_early(self, request: Request) -> Refusal | None:
+        """Refuse a request without its body, None if it may be served."""
+        route = self._match(request)
+        match route:
+            case Refusal():
+                return route
+        registry = self.knowledge.registry
+        for part in route.parts:
+            if registry.usable(part.service):
+                return self._refuse_behind(request, route)
+        return no_place(registry, route.parts[0].service)
+
+    def _refuse_behind(
+        self,
+        request: Request,
+        route: PrefixRoute,
+    ) -> Refusal | None:
         """Refuse at once what this daemon itself is too slow for."""
         behind = self.owner.delay.of_request
         if not behind:
             return None
-        left = state.deadline - self.recorder.timer.now()
-        work = self.placement.work_of(state.route.name).seconds
+        ends = min(request.arrived + route.timeout, request.deadline)
+        left = ends - self.recorder.timer.now()
+        work = self.placement.work_of(route.name).seconds
         if behind + work <= left:
             return None
-        state.stopped_by = 'this daemon is behind'
         reason = (
             f'this daemon needs {behind:.3f} s,'
             f' work {work:.3f} s, deadline in {left:.3f} s'
@@ -384,22 +407,13 @@
     def _final(self, state: RequestState) -> Answer | Refusal:
         last = state.last
         if last is None:
-            return self._no_place(state)
+            return no_place(self.knowledge.registry, state.service)
         match last:
             case Refusal(ran=Ran.NO) if state.has_run:
                 # An earlier send may have run, so nothing is promised.
                 return attrs.evolve(last, ran=Ran.UNKNOWN)
         return last
 
-    def _no_place(self, state: RequestState) -> Refusal:
-        """Return why no owner was asked."""
-        service = state.service
-        if self.knowledge.registry.usable(service):
-            reason = f'all instances of {service!r} refused work just now'
-            return Refusal(ResultCode.QUEUE_FULL, reason)
-        reason = f'no instance of {service!r} is known'
-        return Refusal(ResultCode.NO_INSTANCE, reason)
-
     def route_of(self, request: Request) -> PrefixRoute | None:
         """Return the route of a request, None without one."""
         configuration = self.knowledge.configuration
@@ -443,6 +457,15 @@
                 self.lines.add('request_sent_again', state, status=status)
 
 
+def no_place(registry: InstanceRegistry, service: str) -> Refusal:
+    """Return why no owner of an instance of a service was asked."""
+    if registry.usable(service):
+        reason = f'all instances of {service!r} refused work just now'
+        return Refusal(ResultCode.QUEUE_FULL, reason)
+    reason = f'no instance of {service!r} is known'
+    return Refusal(ResultCode.NO_INSTANCE, reason)
+
+
 def due_of(request: Request, route: PrefixRoute | None) -> Due:
     """Return until when the answer to a request is of use."""
     if route is None:
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -33,6 +33,9 @@
 
 # Largest body before a configuration names its own limit, in bytes.
 FIRST_BODY_LIMIT: Final = 1048576
+# Bodies from this size on are refused before they are taken, if it is known
+# then that they can't be served.
+LARGE_BODY_BYTES: Final = 16384
 # Set by the server itself, or meant for another connection.
 NOT_COPIED: Final = HOP_BY_HOP | {'content-length', 'date', 'server'}
 
@@ -49,10 +52,13 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a caller."""
-        request = await self.read(http)
+        begun = self.begin(http)
+        request = self._refuse_early(http, begun)
+        if request is None:
+            request = await self.read(http, begun)
         match request:
             case Refusal():
-                return self.refuse(request, None)
+                return self.refuse(request, begun)
         end = await self._answer(request)
         match end:
             case Refusal():
@@ -97,16 +103,43 @@
             reason = 'the daemon stops before there is an answer'
             return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
 
-    async def read(self, http: web.BaseRequest) -> Request | Refusal:
-        """Read a whole request."""
-        arrived = self.recorder.timer.now()
+    def _refuse_early(
+        self,
+        http: web.BaseRequest,
+        begun: Request,
+    ) -> Refusal | None:
+        """Refuse a large body before it is taken, where that is certain."""
+        length = http.content_length
+        if length is None or length < LARGE_BODY_BYTES:
+            return None
+        if length > self._most_body_bytes():
+            return too_large(self._most_body_bytes())
+        refusal = self.entry.refuse_early(begun)
+        if refusal is not None:
+            self.recorder.count('uploads_refused_early', refusal.code.name)
+        return refusal
+
+    def _most_body_bytes(self) -> int:
         configuration = self.entry.knowledge.configuration
         limits = None if configuration is None else configuration.limits
-        most = limits.body_bytes if limits else FIRST_BODY_LIMIT
-        body = await read_body(http, most)
+        return limits.body_bytes if limits else FIRST_BODY_LIMIT
+
+    async def read(
+        self,
+        http: web.BaseRequest,
+        begun: Request,
+    ) -> Request | Refusal:
+        """Read the body of a request."""
+        if not http.body_exists:
+            return begun
+        body = await read_body(http, self._most_body_bytes())
         match body:
             case Refusal():
                 return body
+        return attrs.evolve(begun, body=body)
+
+    def begin(self, http: web.BaseRequest) -> Request:
+        """Return a request without its body."""
         headers = without_connection(http.headers, NOT_COPIED)
         headers[self.names.caller_service] = self.caller_service
         headers.popall(self.names.expected_instance, None)
@@ -117,9 +150,9 @@
             http.headers.get('Host', '').partition(':')[0].lower(),
             http.raw_path,
             headers,
-            body,
+            b'',
             time_left(http.headers.get(self.names.time_left)),
-            arrived,
+            self.recorder.timer.now(),
         )
 
     def refuse(
@@ -242,6 +275,12 @@
         return math.inf
 
 
+def too_large(most: int) -> Refusal:
+    """Refuse a body of more than ``most`` bytes."""
+    reason = f'body of more than {most} bytes'
+    return Refusal(ResultCode.BODY_TOO_LARGE, reason)
+
+
 async def read_body(http: web.BaseRequest, most: int) -> bytes | Refusal:
     """Read a body of at most ``most`` bytes."""
     if not http.body_exists:
@@ -251,7 +290,6 @@
     async for chunk in http.content.iter_any():
         size += len(chunk)
         if size > most:
-            reason = f'body of more than {most} bytes'
-            return Refusal(ResultCode.BODY_TOO_LARGE, reason)
+            return too_large(most)
         chunks.append(chunk)
     return b''.join(chunks)
