Ask an owner that refuses in a row less often

In the lines of one daemon, 1,304 requests were sent on after QUEUE_FULL and 812 found all owners full: each daemon asked each owner again 40 ms after its refusal, through all of an overload, and a question costs two daemons about as much as a request that is served.

Change: the time doubles with each refusal in a row, up to 0.16 s, and starts again once the owner has served a request of the rank.

--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -48,8 +48,11 @@
 RELAXED_RATIO: Final = 4.0
 RELAXED_WEIGHT: Final = 2.0
 JITTER: Final = 0.1
-# Time in which an instance of today's sizes frees two or three slots.
+# Time in which an instance of today's sizes frees two or three slots, for
+# which an owner is not asked that refused.  It doubles with each refusal in
+# a row: a question costs two daemons about as much as a served request.
 FULL_SECONDS: Final = 0.04
+LONGEST_FULL_SECONDS: Final = 0.16
 # Bytes between failure domains that count as more of the objective than
 # this are spared while an instance of the own domain is expected to answer
 # within ``NEAR_SHARE`` of the objective.
@@ -282,6 +285,8 @@
         load = seen.of_rank(rank)
         load.reported = report.busy
         load.reported_at = now
+        if report.served:
+            load.full_seconds = 0.0
         seen.sending_until = now + report.sending
         seen.per_kilobyte = report.per_kilobyte
         if instance.address != self.own_address:
@@ -304,7 +309,9 @@
         It has requests that wait, so no slot stays free meanwhile.
         """
         load = self.of(instance).of_rank(rank)
-        load.full_until = self.timer.now() + FULL_SECONDS
+        longer = max(FULL_SECONDS, 2 * load.full_seconds)
+        load.full_seconds = min(longer, LONGEST_FULL_SECONDS)
+        load.full_until = self.timer.now() + load.full_seconds
 
     def served(
         self,
--- a/packages/routing/tanagerbend_routing/seen.py
+++ b/packages/routing/tanagerbend_routing/seen.py
@@ -57,12 +57,16 @@
     reported_at, full_until : float
         Monotonic seconds: of the report, and until when the owner is
         expected to refuse requests of this rank.
+    full_seconds : float
+        How long it is not asked after its last refusal, 0 if it has taken
+        a request since.
     """
 
     outstanding: int = 0
     reported: float = 0.0
     reported_at: float = -math.inf
     full_until: float = -math.inf
+    full_seconds: float = 0.0
 
     def faded(self, now: float) -> float:
         """Return what is left of the report."""
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import itertools
 import random
 
 import attrs
@@ -17,7 +18,11 @@
     Repeat,
 )
 from tanagerbend_routing.candidates import MOST_COMPARED
-from tanagerbend_routing.placement import FULL_SECONDS, JITTER
+from tanagerbend_routing.placement import (
+    FULL_SECONDS,
+    JITTER,
+    LONGEST_FULL_SECONDS,
+)
 from tanagerbend_timer import ManualTimer
 
 NEAR = ListedInstance('near', '10.0.0.1:80', 'shop', 'north', 6)
@@ -278,6 +283,32 @@
     return placement
 
 
+def test_owner_that_refuses_in_a_row_is_asked_less_often(placement):
+    """Guards against questions that cost more than what is served."""
+    asked = []
+    timer = placement.timer
+    for _ in range(100):
+        found = placement.choose((NEAR,), BROWSE, NOBODY)
+        if found is not None:
+            asked.append(timer.now())
+            placement.full(found, 0)
+        timer.time += 0.01
+    gaps = [later - sooner for sooner, later in itertools.pairwise(asked)]
+    assert gaps[0] < 2 * FULL_SECONDS
+    assert max(gaps) <= LONGEST_FULL_SECONDS + 0.02
+    assert len(asked) <= 9
+
+
+def test_owner_that_takes_requests_is_asked_soon_after_a_refusal(placement):
+    """Guards against an owner that is left alone for its past."""
+    for _ in range(5):
+        placement.full(NEAR, 0)
+    placement.reported(NEAR, 0, LoadReport(6, 6, 0.1))
+    placement.full(NEAR, 0)
+    placement.timer.time += FULL_SECONDS + 0.001
+    assert placement.choose((NEAR,), BROWSE, NOBODY) is NEAR
+
+
 def test_free_slot_on_the_own_host_goes_first(beside):
     """Guards against a second daemon on the way where none is needed."""
     for _ in range(50):
