Read the headers of other daemons as finite numbers, and log early refusals

Two faults found in reading the change as a newcomer. A load that is no number in the header of another daemon's answer was kept, and every later choice among the instances of the service then raised; a header nested deep raised RecursionError.

Change: numbers of other daemons are checked where they are read; an early refusal is counted and written as every other one. The refusal of a slow daemon moves to loop_delay, the line of a request that is sent again to request_lines.

test_load_that_is_no_number_is_not_taken and test_headers_of_another_daemon_raise_nothing fail on the old code.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -111,18 +111,10 @@
         match route:
             case Refusal():
                 return route
-        service = route.pick_service(self.random)
-        self.allowance.requested(service, request.arrived)
-        state = RequestState(
-            request,
-            route,
-            service,
-            min(request.arrived + route.timeout, request.deadline),
-            request.arrived
-            + self.placement.on_time_in(route, request.time_left),
-        )
+        state = self._state(request, route)
+        self.allowance.requested(state.service, request.arrived)
         try:
-            end = self._refuse_behind(request, route)
+            end = self._refuse_behind(state)
             if end is None:
                 end = await self._try_instances(state)
         except asyncio.CancelledError:
@@ -130,14 +122,27 @@
             self.lines.write('request_left', state)
             raise
         match end:
-            case Refusal(code=code):
-                self.recorder.count(REFUSALS, code.name)
-                self.lines.add('request_refused', state, end)
-                self.lines.write(code.name, state)
+            case Refusal():
+                self._refused(state, end)
             case Answer(status=status):
                 self._answered(state, status)
         return end
 
+    def _state(self, request: Request, route: PrefixRoute) -> RequestState:
+        patience = self.placement.on_time_in(route, request.time_left)
+        return RequestState(
+            request,
+            route,
+            route.pick_service(self.random),
+            min(request.arrived + route.timeout, request.deadline),
+            request.arrived + patience,
+        )
+
+    def _refused(self, state: RequestState, refusal: Refusal) -> None:
+        self.recorder.count(REFUSALS, refusal.code.name)
+        self.lines.add('request_refused', state, refusal)
+        self.lines.write(refusal.code.name, state)
+
     def _match(self, request: Request) -> PrefixRoute | Refusal:
         configuration = self.knowledge.configuration
         if configuration is None:
@@ -155,31 +160,19 @@
         match route:
             case Refusal():
                 return route
-        registry = self.knowledge.registry
-        for part in route.parts:
-            if registry.usable(part.service):
-                return self._refuse_behind(request, route)
-        return no_place(registry, route.parts[0].service)
-
-    def _refuse_behind(
-        self,
-        request: Request,
-        route: PrefixRoute,
-    ) -> Refusal | None:
+        state = self._state(request, route)
+        refusal = self._refuse_behind(state)
+        if not self.knowledge.registry.usable(state.service):
+            refusal = no_place(self.knowledge.registry, state.service)
+        if refusal is not None:
+            self._refused(state, refusal)
+        return refusal
+
+    def _refuse_behind(self, state: RequestState) -> Refusal | None:
         """Refuse at once what this daemon itself is too slow for."""
-        behind = self.owner.delay.of_request
-        if not behind:
-            return None
-        ends = min(request.arrived + route.timeout, request.deadline)
-        left = ends - self.recorder.timer.now()
-        work = self.placement.work_of(route.name).seconds
-        if behind + work <= left:
-            return None
-        reason = (
-            f'this daemon needs {behind:.3f} s,'
-            f' work {work:.3f} s, deadline in {left:.3f} s'
-        )
-        return Refusal(ResultCode.DEADLINE_UNREACHABLE, reason)
+        left = state.deadline - self.recorder.timer.now()
+        work = self.placement.work_of(state.route.name).seconds
+        return self.owner.delay.refuse(work, left)
 
     def _answered(self, state: RequestState, status: int) -> None:
         now = self.recorder.timer.now()
@@ -220,8 +213,8 @@
                 state.stopped_by = f'{MOST_PLACEMENTS} owners were asked'
             if state.stopped_by:
                 break
-            self._log_again(state, outcome)
-        return self._final(state)
+            self.lines.sent_again(state, outcome.end)
+        return final_end(state, self.knowledge.registry)
 
     async def _place(
         self,
@@ -404,16 +397,6 @@
         typical = self.placement.work_of(state.route.name).seconds
         return RETURN_SECONDS + max(LEAST_SECONDS, typical / 2)
 
-    def _final(self, state: RequestState) -> Answer | Refusal:
-        last = state.last
-        if last is None:
-            return no_place(self.knowledge.registry, state.service)
-        match last:
-            case Refusal(ran=Ran.NO) if state.has_run:
-                # An earlier send may have run, so nothing is promised.
-                return attrs.evolve(last, ran=Ran.UNKNOWN)
-        return last
-
     def route_of(self, request: Request) -> PrefixRoute | None:
         """Return the route of a request, None without one."""
         configuration = self.knowledge.configuration
@@ -448,13 +431,19 @@
         passed = self.recorder.timer.now() - request.arrived
         return max(route.objective - passed - 2 * work.seconds, 0.0)
 
-    def _log_again(self, state: RequestState, outcome: Outcome) -> None:
-        """Write why a request is sent to one more instance."""
-        match outcome.end:
-            case Refusal():
-                self.lines.add('request_sent_again', state, outcome.end)
-            case Answer(status=status):
-                self.lines.add('request_sent_again', state, status=status)
+
+def final_end(
+    state: RequestState,
+    registry: InstanceRegistry,
+) -> Answer | Refusal:
+    """Return how a request ends that is not sent again."""
+    match state.last:
+        case None:
+            return no_place(registry, state.service)
+        case Refusal(ran=Ran.NO) as last if state.has_run:
+            # An earlier send may have run, so nothing is promised.
+            return attrs.evolve(last, ran=Ran.UNKNOWN)
+    return state.last
 
 
 def no_place(registry: InstanceRegistry, service: str) -> Refusal:
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -112,9 +112,11 @@
         length = http.content_length
         if length is None or length < LARGE_BODY_BYTES:
             return None
-        if length > self._most_body_bytes():
-            return too_large(self._most_body_bytes())
-        refusal = self.entry.refuse_early(begun)
+        most = self._most_body_bytes()
+        if length > most:
+            refusal = too_large(most)
+        else:
+            refusal = self.entry.refuse_early(begun)
         if refusal is not None:
             self.recorder.count('uploads_refused_early', refusal.code.name)
         return refusal
--- a/packages/proxy/tanagerbend_proxy/loop_delay.py
+++ b/packages/proxy/tanagerbend_proxy/loop_delay.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_timer import Timer
 
 # Passes of the event loop that a request needs: it is read, it is sent on,
@@ -62,3 +63,17 @@
         """Seconds for which a request waits for the processor here."""
         seconds = self.seconds
         return PASSES * seconds if seconds >= LEAST_DELAY_SECONDS else 0.0
+
+    def refuse(self, work: float, left: float) -> Refusal | None:
+        """Refuse what can't be answered in the seconds that are left.
+
+        ``work`` is the time of an instance for it, in seconds.
+        """
+        behind = self.of_request
+        if not behind or behind + work <= left:
+            return None
+        reason = (
+            f'this daemon needs {behind:.3f} s,'
+            f' work {work:.3f} s, deadline in {left:.3f} s'
+        )
+        return Refusal(ResultCode.DEADLINE_UNREACHABLE, reason)
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -2,7 +2,7 @@
 
 import json
 import math
-from typing import Final
+from typing import Any, Final
 
 import attrs
 from multidict import CIMultiDict
@@ -35,6 +35,25 @@
 )
 
 
+# Raised by headers of another daemon that can't be read.
+UNFIT: Final = (ValueError, TypeError, OverflowError, RecursionError)
+
+
+def finite(found: Any) -> float:
+    """Return a number of another daemon.
+
+    Raises
+    ======
+
+    ValueError, TypeError, OverflowError
+        If it is none, or not finite.
+    """
+    number = float(found)
+    if not math.isfinite(number):
+        raise ValueError(f'{number} is not finite')
+    return number
+
+
 @attrs.frozen
 class Request:
     """A request as a caller sent it, without headers of one connection.
@@ -126,10 +145,10 @@
                 str(told['route']),
                 int(told['rank']),
                 Repeat(told['repeat']),
-                told['on_time_ms'] / MILLISECONDS,
-                told['left_ms'] / MILLISECONDS,
+                finite(told['on_time_ms']) / MILLISECONDS,
+                finite(told['left_ms']) / MILLISECONDS,
             )
-        except (ValueError, TypeError) as error:
+        except UNFIT as error:
             reason = f'placement of another daemon: {error}'
             return Refusal(ResultCode.HEADER_INVALID, reason)
 
@@ -202,15 +221,15 @@
                     Ran(told['ran']),
                 )
             load = LoadReport(
-                told['busy'],
-                told['slots'],
-                told['served'],
-                told['sending'],
-                told['per_kilobyte'],
-                told['behind'],
+                int(told['busy']),
+                int(told['slots']),
+                finite(told['served']),
+                finite(told['sending']),
+                finite(told['per_kilobyte']),
+                finite(told['behind']),
             )
             return cls(end, load, bool(told['offered']))
-        except (ValueError, TypeError):
+        except UNFIT:
             reason = 'answer that is not from a daemon'
             return cls(
                 Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN),
--- a/packages/proxy/tanagerbend_proxy/request_lines.py
+++ b/packages/proxy/tanagerbend_proxy/request_lines.py
@@ -110,6 +110,14 @@
         )
         state.lines.append(self.log.line(event, fields))
 
+    def sent_again(self, state: RequestState, end: Answer | Refusal) -> None:
+        """Add why a request is sent to one more instance."""
+        match end:
+            case Refusal():
+                self.add('request_sent_again', state, end)
+            case Answer(status=status):
+                self.add('request_sent_again', state, status=status)
+
     def write(self, kind: str, state: RequestState) -> None:
         """Write the lines of a request that ended in a way."""
         self.log.request(kind, state.lines)
--- a/packages/proxy/tanagerbend_proxy/tests/test_messages.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_messages.py
@@ -43,6 +43,24 @@
     assert end.ran is Ran.UNKNOWN
 
 
+@pytest.mark.parametrize('place', range(3, 9))
+@pytest.mark.parametrize('wrong', ['"x"', 'null', '[]', 'NaN', '1e999'])
+def test_load_that_is_no_number_is_not_taken(place, wrong):
+    """Guards against one header that breaks every choice that follows."""
+    told = ['0', '"yes"', 'true', '1', '6', '0.1', '0.0', '0.0', '0.0']
+    told[place] = wrong
+    found = Outcome.decode(f'[{", ".join(told)}]', ANSWER)
+    assert isinstance(found.end, Refusal)
+    assert found.load is None
+
+
+@pytest.mark.parametrize('text', ['[' * 60000, '["a","b",0,"never",1e999,1]'])
+def test_headers_of_another_daemon_raise_nothing(text):
+    """Guards against a header that ends in an error of our own."""
+    assert isinstance(Placed.decode(text), Refusal)
+    assert isinstance(Outcome.decode(text, ANSWER).end, Refusal)
+
+
 def test_answer_that_names_no_outcome_counts_as_an_offer():
     """Guards against more runs than the attempts that a route allows."""
     stopping = Answer(504, CIMultiDict(), b'{}')
