--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -62,6 +62,7 @@
     LARGE_ANSWERS: 'end',
     LARGE_BYTES: 'end',
     'log_lines_left_out': 'event',
+    'uploads_refused_early': 'code',
 }
 # Exposed from the start, so that an alert on them never lacks a series.
 ALWAYS_EXPOSED: Final = (
--- a/packages/operator/tanagerbend_operator/tests/test_docs.py
+++ b/packages/operator/tanagerbend_operator/tests/test_docs.py
@@ -157,8 +157,11 @@
 
 def logged_events():
     """Return the event literals of the log lines on a platform."""
-    entry = ROOT / 'packages/proxy/tanagerbend_proxy/entry.py'
-    found = set(re.findall("'(request_[a-z_]+)'", entry.read_text()))
+    proxy = ROOT / 'packages/proxy/tanagerbend_proxy'
+    found = set()
+    for module in ('entry.py', 'request_lines.py'):
+        text = (proxy / module).read_text()
+        found |= set(re.findall("'(request_[a-z_]+)'", text))
     for name in ('write', 'tell'):
         for node, path in calls_of(name):
             if path in {'logs.py', 'output.py'} or not node.args:
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -354,7 +354,9 @@
         elif refusal.code in BUSY:
             # A refusal of this daemon itself tells nothing of the instance.
             if is_told:
-                self.placement.full(instance, state.route.rank)
+                work = self.placement.work_of(state.route.name)
+                rank = state.route.rank
+                self.placement.full(instance, rank, is_large=work.is_large)
         else:
             self.placement.unreachable(instance)
             self.log.write(
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -303,13 +303,20 @@
         begin = max(seen.sending_until, self.timer.now())
         seen.sending_until = begin + work.kilobytes * seen.per_kilobyte
 
-    def full(self, instance: ListedInstance, rank: int) -> None:
+    def full(
+        self,
+        instance: ListedInstance,
+        rank: int,
+        *,
+        is_large: bool = False,
+    ) -> None:
         """Ask an owner that refused a rank no more for a moment.
 
-        It has requests that wait, so no slot stays free meanwhile.
+        It has requests that wait, so no slot stays free meanwhile.  For a
+        large answer the link decides, which is free after each answer.
         """
         load = self.of(instance).of_rank(rank)
-        longer = max(FULL_SECONDS, 2 * load.full_seconds)
+        longer = max(FULL_SECONDS, 0.0 if is_large else 2 * load.full_seconds)
         load.full_seconds = min(longer, LONGEST_FULL_SECONDS)
         load.full_until = self.timer.now() + load.full_seconds
 
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -299,6 +299,14 @@
     assert len(asked) <= 9
 
 
+def test_owner_whose_link_is_full_is_asked_as_often(placement):
+    """Guards against callers of large answers that are held for longer."""
+    for _ in range(5):
+        placement.full(NEAR, 0, is_large=True)
+    placement.timer.time += FULL_SECONDS + 0.001
+    assert placement.choose((NEAR,), BROWSE, NOBODY) is NEAR
+
+
 def test_owner_that_takes_requests_is_asked_soon_after_a_refusal(placement):
     """Guards against an owner that is left alone for its past."""
     for _ in range(5):
