Show that calls of repeated runs exceed the budget of repeats

The emulator counts arrivals at instances over the whole fleet, as the platform does: the first arrival of a request is none, later ones are repeats, and so is each call of a run that is a repeat. Instances can reject work, and daemons can start again.

--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -10,8 +10,16 @@
 from multidict import CIMultiDict
 
 from tanagerbend_admission import ObjectiveQueue
+from tanagerbend_emulator.arrivals import Arrivals
 from tanagerbend_emulator.links import HostLink
-from tanagerbend_emulator.loads import KindLoad, Load, ServiceLoad
+from tanagerbend_emulator.loads import (
+    KindLoad,
+    Load,
+    Restart,
+    ServiceLoad,
+    Shedding,
+    Slowness,
+)
 from tanagerbend_emulator.virtual import LateTimer, LoopTimer
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode
@@ -82,6 +90,7 @@
     entry: Entry | None = None
     waiting: int = 0
     runs: int = 0
+    calls: int = 0
     slots: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -89,6 +98,14 @@
 
     async def run(self, request: Request, limit: float) -> Answer | Refusal:
         """Run a request within ``limit`` seconds."""
+        now = asyncio.get_running_loop().time()
+        is_repeat = self.entry.fleet.arrivals.reach(
+            self.service.name,
+            request.identifier,
+            now,
+        )
+        if self._is_shedding(now):
+            return Refusal(ResultCode.BACKEND_SHED_LOAD, 'told to shed')
         if self.slots.locked() and self.waiting >= self.service.queue:
             if self.service.is_silent:
                 await asyncio.sleep(limit)
@@ -96,18 +113,18 @@
                 return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
             return Refusal(ResultCode.BACKEND_SHED_LOAD, 'queue is full')
         kind = self.load.kind(request.path.strip('/'))
-        started = asyncio.get_running_loop().time()
         try:
             async with asyncio.timeout(limit):
-                return await self._work(kind, request, started + limit)
+                return await self._work(kind, now + limit, is_repeat=is_repeat)
         except TimeoutError:
             return Answer(OVER, CIMultiDict(), b'')
 
     async def _work(
         self,
         kind: KindLoad,
-        request: Request,
         until: float,
+        *,
+        is_repeat: bool,
     ) -> Answer:
         self.waiting += 1
         try:
@@ -118,7 +135,7 @@
         try:
             await asyncio.sleep(self._seconds(kind) / 2)
             for name in kind.calls:
-                if not await self._call(name, request, until):
+                if not await self._call(name, until, is_repeat=is_repeat):
                     return Answer(FAILED, CIMultiDict(), b'')
             await asyncio.sleep(self._seconds(kind) / 2)
         finally:
@@ -130,17 +147,29 @@
         now = asyncio.get_running_loop().time()
         seconds = kind.work * self.speed
         for slow in self.load.slowness:
-            number = int(self.listed.identity.rpartition('-')[2])
-            is_hit = slow.service == self.service.name
-            is_hit &= number < slow.instances
-            if is_hit and slow.begin <= now < slow.end:
+            if self._is_hit(slow, now):
                 seconds *= slow.factor
         return seconds * self.random.lognormvariate(0, kind.work_spread)
 
-    async def _call(self, name: str, parent: Request, until: float) -> bool:
+    def _is_shedding(self, now: float) -> bool:
+        return any(
+            self._is_hit(shedding, now)
+            and self.random.random() < shedding.share
+            for shedding in self.load.shedding
+        )
+
+    def _is_hit(self, trouble: Slowness | Shedding, now: float) -> bool:
+        number = int(self.listed.identity.rpartition('-')[2])
+        is_hit = trouble.service == self.service.name
+        is_hit &= number < trouble.instances
+        return is_hit and trouble.begin <= now < trouble.end
+
+    async def _call(self, name: str, until: float, *, is_repeat: bool) -> bool:
         left = until - asyncio.get_running_loop().time()
-        call = make_request(f'{parent.identifier}.{name}', name, left)
-        end = await self.entry.handle(call)
+        self.calls += 1
+        identifier = f'{self.listed.identity}.{self.calls}'
+        self.entry.fleet.arrivals.called(identifier, is_repeat=is_repeat)
+        end = await self.entry.handle(make_request(identifier, name, left))
         match end:
             case Answer(status=status):
                 return status == OK
@@ -191,6 +220,12 @@
     fleet: 'EmulatedFleet | None' = None
     out: HostLink | None = None
 
+    async def handle(self, request: Request) -> Answer | Refusal:
+        """Answer a request of a caller or of the instance here."""
+        kind = self.fleet.load.kind(request.path.strip('/'))
+        self.fleet.arrivals.requested(kind.service, request.arrived)
+        return await super().handle(request)
+
     async def _forward(
         self,
         request: Request,
@@ -239,6 +274,7 @@
         self.make_queue = make_queue
         self.random = chance
         self.recorder = Recorder(LoopTimer())
+        self.arrivals = Arrivals()
         self.configuration = configure(load)
         self.owners: dict[str, EmulatedOwner] = {}
         self.links: dict[str, HostLink] = {}
@@ -293,6 +329,16 @@
         self.owners[listed.identity] = owner
         self.entries[listed.failure_domain].append(entry)
 
+    def restart(self, restart: Restart) -> None:
+        """Let daemons forget what they have counted."""
+        for owner in self.owners.values():
+            instance = owner.instance
+            number = int(instance.listed.identity.rpartition('-')[2])
+            is_hit = instance.service.name == restart.service
+            if is_hit and number < restart.instances:
+                allowance = RetryAllowance(self.load.budget)
+                instance.entry.allowance = allowance
+
     def _make_link(
         self,
         listed: ListedInstance,
--- a/packages/emulator/tanagerbend_emulator/loads.py
+++ b/packages/emulator/tanagerbend_emulator/loads.py
@@ -131,6 +131,37 @@
     factor: float
 
 
+@attrs.frozen
+class Shedding:
+    """Instances of a service that reject work for a while.
+
+    Parameters
+    ==========
+
+    service : str
+    begin, end : float
+        Seconds.
+    instances : int
+    share : float
+        Part of the requests that they reject.
+    """
+
+    service: str
+    begin: float
+    end: float
+    instances: int
+    share: float
+
+
+@attrs.frozen
+class Restart:
+    """Daemons beside instances of a service that start again at a time."""
+
+    service: str
+    at: float
+    instances: int
+
+
 @attrs.frozen
 class Load:
     """A deployment and the requests that it gets.
@@ -150,6 +181,8 @@
     kinds : tuple of KindLoad
     floods : tuple of Flood
     slowness : tuple of Slowness
+    shedding : tuple of Shedding
+    restarts : tuple of Restart
     shares : tuple of float
         Parts of the requests that enter in each failure domain; equal if
         there are none.
@@ -167,6 +200,8 @@
     kinds: tuple[KindLoad, ...]
     floods: tuple[Flood, ...] = ()
     slowness: tuple[Slowness, ...] = ()
+    shedding: tuple[Shedding, ...] = ()
+    restarts: tuple[Restart, ...] = ()
     shares: tuple[float, ...] = ()
     wake_delay: float = 0.0
 
@@ -202,6 +237,8 @@
     found['kinds'] = tuple(_kind(fields) for fields in found['kinds'])
     found['floods'] = _all(Flood, found.get('floods', ()))
     found['slowness'] = _all(Slowness, found.get('slowness', ()))
+    found['shedding'] = _all(Shedding, found.get('shedding', ()))
+    found['restarts'] = _all(Restart, found.get('restarts', ()))
     load = Load(**found)
     _check(load)
     return load
@@ -223,7 +260,10 @@
     services = {service.name for service in load.services}
     called = {name for kind in load.kinds for name in kind.calls}
     flooded = {flood.kind for flood in load.floods}
-    slowed = {slow.service for slow in load.slowness}
+    slowed = {
+        each.service
+        for each in (*load.slowness, *load.shedding, *load.restarts)
+    }
     served = {kind.service for kind in load.kinds}
     unknown = (called | flooded) - kinds | (slowed | served) - services
     if load.shares and len(load.shares) != len(load.domains):
--- a/packages/emulator/tanagerbend_emulator/trial.py
+++ b/packages/emulator/tanagerbend_emulator/trial.py
@@ -13,7 +13,7 @@
     EmulatedFleet,
     make_request,
 )
-from tanagerbend_emulator.loads import Flood, KindLoad, Load
+from tanagerbend_emulator.loads import Flood, KindLoad, Load, Restart
 from tanagerbend_emulator.policies import POLICIES
 from tanagerbend_emulator.virtual import run_virtual
 from tanagerbend_model import Ran
@@ -99,6 +99,9 @@
         In the order of their ends.
     carried : float
         Bytes that all links have carried.
+    beyond : dict of str to int
+        Repeats beyond the budget of each service, in its worst window;
+        negative where the budget was kept.
     """
 
     whole: Share = attrs.field(factory=Share)
@@ -109,6 +112,7 @@
     refused_again: int = 0
     requests: list[Ended] = attrs.field(factory=list)
     carried: float = 0.0
+    beyond: dict[str, int] = attrs.field(factory=dict)
 
     def add(self, kind: KindLoad, domain: str, sent: float, end: str) -> None:
         """Count a request in all groups."""
@@ -143,11 +147,19 @@
             callers = Callers(load, fleet, verdict, kind)
             chance = random.Random(f'{seed}.{number}')
             group.create_task(callers.arrive(chance, group))
+        for restart in load.restarts:
+            group.create_task(_restart(fleet, restart))
+    verdict.beyond = fleet.arrivals.beyond(load.budget)
     verdict.carried = sum(link.carried for link in fleet.links.values())
     await asyncio.gather(*(link.close() for link in fleet.links.values()))
     return verdict
 
 
+async def _restart(fleet: EmulatedFleet, restart: Restart) -> None:
+    await asyncio.sleep(restart.at)
+    fleet.restart(restart)
+
+
 @attrs.define(eq=False)
 class Callers:
     """Callers of one kind of request."""
