Charge the calls of repeated runs to the services that they call

Cause: a daemon counts the repeats that it sends against the service that it sends them to; a run that is itself a repeat makes its calls again, which nobody counted. The error grows with each level of calls.

The daemon beside an instance sees what the instance runs and what it calls. It charges the calls of repeats to the allowance of the called service, which grows with the calls that it sees, and refuses a repeat (RETRY_BUDGET_SPENT, not run) whose calls that allowance doesn't cover, repeats that run and have not called yet included. So the budget holds at each level by what one daemon knows: repeats of a level are at most a share of its requests, their calls the same share of the requests below.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -349,6 +349,9 @@
             refusal.code is ResultCode.BACKEND_SHED_LOAD
         ):
             self.placement.failed(instance)
+        elif refusal.code is ResultCode.RETRY_BUDGET_SPENT:
+            # Tells nothing of what the instance can take.
+            return
         elif refusal.code in BUSY:
             # A refusal of this daemon itself tells nothing of the instance.
             if is_told:
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -102,7 +102,9 @@
             self.sizes.mean(placed.route),
             self.sizes.deviation(placed.route),
         )
-        refusal = await self.queue.enter(work)
+        refusal = self.repeats.refuse(placed)
+        if refusal is None:
+            refusal = await self.queue.enter(work)
         if refusal is not None:
             return Outcome(refusal, self.report(placed.rank))
         if not self.registry.takes_work(placed.instance):
--- a/packages/proxy/tanagerbend_proxy/repeats.py
+++ b/packages/proxy/tanagerbend_proxy/repeats.py
@@ -1,13 +1,24 @@
-"""What one daemon repeats, and what repeated runs of its instance cause."""
+"""What one daemon repeats, and what repeated runs of its instance cause.
+
+The load it answers: a called service in an overload, whose callers fail and
+are sent again.  A repeat is refused where it would run, if the budgets of
+the services that the run would call don't cover it.
+"""
+
+from typing import Final
 
 import attrs
 
 from tanagerbend_metrics import Recorder
 from tanagerbend_metrics.names import CAUSED_REPEATS, REPEATS
-from tanagerbend_model import Refusal
-from tanagerbend_proxy.messages import Answer, Request
+from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_proxy.messages import Answer, Placed, Request
 from tanagerbend_routing import InstanceRegistry, RetryAllowance, Runs
 
+# Calls of a run below which it is taken to make none: requests of callers
+# that were taken for calls now and then.
+NEGLIGIBLE_CALLS: Final = 0.05
+
 
 @attrs.define
 class Repeats:
@@ -41,9 +52,31 @@
         """
         self.allowance.requested(service, request.arrived)
         share = self.runs.called(service, request.deadline)
-        self._count(share)
+        if share:
+            self.allowance.charge(service, share, request.arrived)
+            self._count(share)
         return share
 
+    def refuse(self, placed: Placed) -> Refusal | None:
+        """Refuse a repeat whose calls would exceed a budget below.
+
+        What may only be a repeat, a part of a call, is let through, since
+        its caller has more to lose than a second try.
+        """
+        if placed.repeated < 1:
+            return None
+        now = self.recorder.timer.now()
+        expected = self.runs.repeated_calls()
+        for service, calls in self.runs.rates.calls_of(placed.route).items():
+            left = self.allowance.left(service, now, self.daemons)
+            if calls > max(left - expected[service], NEGLIGIBLE_CALLS):
+                reason = (
+                    f'its {calls:.2f} calls of {service!r} would be repeats,'
+                    f' {left:.2f} are left, {expected[service]:.2f} expected'
+                )
+                return Refusal(ResultCode.RETRY_BUDGET_SPENT, reason)
+        return None
+
     def take(self, service: str, end: Answer | Refusal) -> bool:
         """Take a repeat of a request that ended; False if none is left."""
         now = self.recorder.timer.now()
--- a/packages/routing/tanagerbend_routing/allowance.py
+++ b/packages/routing/tanagerbend_routing/allowance.py
@@ -3,9 +3,14 @@
 The load it answers: many requests that fail at once.  All daemons draw on
 one budget for each service and share no state, so each keeps to the ratio
 for the requests that it has seen itself and to its part of the rest.
+
+Calls of a run that is a repeat are repeats at the service that is called.
+They are charged to that service by the daemon beside the calling instance,
+which sees the requests for the service as well, so that what it allows
+below covers what it lets run again above.
 """
 
-from collections import deque
+from collections import defaultdict, deque
 from typing import Final
 
 import attrs
@@ -35,6 +40,28 @@
     extra: float
 
 
+@attrs.define
+class Spending:
+    """What was counted for a service in a sliding window."""
+
+    counted: deque[tuple[float, float]] = attrs.field(factory=deque)
+    whole: float = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        """Count an amount."""
+        self.counted.append((now, amount))
+        self.whole += amount
+
+    def since(self, begin: float) -> float:
+        """Return what was counted after ``begin``, and forget the rest."""
+        while self.counted and self.counted[0][0] <= begin:
+            self.whole -= self.counted.popleft()[1]
+        if not self.counted:
+            # Rounding errors of fractions would add up.
+            self.whole = 0.0
+        return self.whole
+
+
 class RetryAllowance:
     """Counts requests and repeats of each service in a sliding window.
 
@@ -58,36 +85,28 @@
 
     def __init__(self, terms: BudgetTerms) -> None:
         self.terms = terms
-        self.requests: dict[str, deque[float]] = {}
-        self.repeats: dict[str, deque[float]] = {}
+        self.requests: defaultdict[str, Spending] = defaultdict(Spending)
+        self.repeats: defaultdict[str, Spending] = defaultdict(Spending)
 
     def requested(self, service: str, now: float) -> None:
         """Count a request for a service."""
-        self.requests.setdefault(service, deque()).append(now)
+        self.requests[service].add(1, now)
 
     def take(self, service: str, now: float, daemons: int) -> bool:
         """Take one repeat; False if this daemon has none left."""
         if self.left(service, now, daemons) < 1:
             return False
-        self.repeats.setdefault(service, deque()).append(now)
+        self.charge(service, 1, now)
         return True
 
+    def charge(self, service: str, amount: float, now: float) -> None:
+        """Count repeats that can't be refused any more."""
+        self.repeats[service].add(amount, now)
+
     def left(self, service: str, now: float, daemons: int) -> float:
         """Return the repeats that this daemon may still send."""
         terms = self.terms
-        allowed = terms.ratio * self._count(self.requests, service, now)
+        begin = now - terms.window
+        allowed = terms.ratio * self.requests[service].since(begin)
         allowed += terms.extra / max(daemons, 1)
-        return allowed * SAFETY - self._count(self.repeats, service, now)
-
-    def _count(
-        self,
-        times: dict[str, deque[float]],
-        service: str,
-        now: float,
-    ) -> int:
-        seen = times.get(service)
-        if seen is None:
-            return 0
-        while seen and seen[0] <= now - self.terms.window:
-            seen.popleft()
-        return len(seen)
+        return allowed * SAFETY - self.repeats[service].since(begin)
