Let the fixed part of the budget of repeats grow after a start

Now the part grows over the first window; one repeat may be sent at once, so that a caller doesn't fail only since its daemon has just started.

That a daemon divides the fixed part by too few daemons was not seen: the listing of the store is taken as a whole, and without it no instance is known to be sent to.

test_daemons_that_start_again_do_not_get_the_budget_anew fails without the change (210 repeats, 88 expected at most).

--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import math
 import random
 from collections.abc import Callable
 from typing import Any, Final
@@ -311,6 +312,8 @@
             self.load.budget,
             instance=instance,
         )
+        # The daemons have run for a while.
+        owner.repeats.allowance.began = -math.inf
         entry = EmulatedEntry(
             make_terms(self.load, listed),
             knowledge,
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -87,7 +87,8 @@
 
     def forget_repeats(self) -> None:
         """Begin to count requests and repeats."""
-        allowance = RetryAllowance(self.budget)
+        now = self.recorder.timer.now()
+        allowance = RetryAllowance(self.budget, now)
         self.repeats = Repeats(allowance, self.registry, self.recorder)
 
     async def run(self, request: Request, placed: Placed) -> Outcome:
--- a/packages/routing/tanagerbend_routing/allowance.py
+++ b/packages/routing/tanagerbend_routing/allowance.py
@@ -10,6 +10,7 @@
 below covers what it lets run again above.
 """
 
+import math
 from collections import defaultdict, deque
 from typing import Final
 
@@ -18,6 +19,9 @@
 # Part of the fleet's budget that is given out; the rest covers daemons
 # that count a request in another window than the platform does.
 SAFETY: Final = 0.7
+# Repeats that a daemon may send at once after its start, if its part of the
+# fixed ones is as large.
+FIRST_REPEATS: Final = 1.0
 
 
 @attrs.frozen
@@ -81,10 +85,15 @@
     ==========
 
     terms : BudgetTerms
+    began : float
+        Monotonic seconds at which counting began.  A daemon that has just
+        started does not know what it sent before, so its part of the fixed
+        repeats grows over the first window.
     """
 
-    def __init__(self, terms: BudgetTerms) -> None:
+    def __init__(self, terms: BudgetTerms, began: float = -math.inf) -> None:
         self.terms = terms
+        self.began = began
         self.requests: defaultdict[str, Spending] = defaultdict(Spending)
         self.repeats: defaultdict[str, Spending] = defaultdict(Spending)
 
@@ -105,8 +114,13 @@
 
     def left(self, service: str, now: float, daemons: int) -> float:
         """Return the repeats that this daemon may still send."""
-        terms = self.terms
-        begin = now - terms.window
-        allowed = terms.ratio * self.requests[service].since(begin)
-        allowed += terms.extra / max(daemons, 1)
-        return allowed * SAFETY - self.repeats[service].since(begin)
+        begin = now - self.terms.window
+        allowed = self.terms.ratio * self.requests[service].since(begin)
+        given_out = SAFETY * allowed + self._fixed(now, daemons)
+        return given_out - self.repeats[service].since(begin)
+
+    def _fixed(self, now: float, daemons: int) -> float:
+        """Return the repeats that don't depend on requests."""
+        part = SAFETY * self.terms.extra / max(daemons, 1)
+        grown = part * (now - self.began) / self.terms.window
+        return min(part, max(grown, FIRST_REPEATS))
