Believe an old refusal of an instance for no later request

An instance that writes a refusal once more on a kept connection, and names no request in it, ended the next request with "not run": its caller was told to come back (REFUSED), or it was sent to a second instance while it ran (TWICE). Now "not run" and "another instance has the address" count only if they name the request, or name none on a connection that was opened for it.

--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -323,7 +323,7 @@
         return Refusal(ResultCode.ANSWER_TRUNCATED, reason, Ran.UNKNOWN)
     headers = without_connection(response.headers, HOP_BY_HOP)
     seconds = asyncio.get_running_loop().time() - started
-    return Answer(response.status, headers, body, seconds)
+    return Answer(response.status, headers, body, seconds, attempt.is_new)
 
 
 async def _read_body(response: aiohttp.ClientResponse) -> bytes:
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -175,12 +175,15 @@
     body : bytes
     body_seconds : float
         From the headers to the end of the body.
+    is_first : bool
+        Whether the connection was opened for its request.
     """
 
     status: int
     headers: CIMultiDict[str] = attrs.field(repr=False)
     body: bytes = attrs.field(repr=False)
     body_seconds: float = 0.0
+    is_first: bool = False
 
 
 @attrs.frozen
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -195,13 +195,16 @@
     def _check(self, request: Request, answer: Answer) -> Answer | Refusal:
         """Tell an answer of the instance from other bytes."""
         names = self.names
-        if answer.status == MISDIRECTED:
+        named = answer.headers.get(names.request_id)
+        is_own = named == request.identifier
+        # On a kept connection it may be the refusal of an earlier request.
+        is_fresh = is_own or (named is None and answer.is_first)
+        if is_fresh and answer.status == MISDIRECTED:
             reason = 'another instance has the address'
             return Refusal(ResultCode.NO_INSTANCE, reason)
-        if names.not_run in answer.headers:
+        if is_fresh and names.not_run in answer.headers:
             reason = f'instance did not run it, status {answer.status}'
             return Refusal(ResultCode.BACKEND_SHED_LOAD, reason)
-        is_own = answer.headers.get(names.request_id) == request.identifier
         is_success = OK <= answer.status < REDIRECTS
         if is_own and (names.stamp in answer.headers or not is_success):
             return answer
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/tests/test_late_refusals.py
@@ -0,0 +1,145 @@
+"""Refusals of an instance that are written once more, on a kept connection."""
+
+import asyncio
+
+import attrs
+import pytest
+from multidict import CIMultiDict
+
+from tanagerbend_admission import ObjectiveQueue
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Ran, ResultCode
+from tanagerbend_proxy.exchange import make_session
+from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.messages import Answer, Placed, Request
+from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.uplink import Uplink
+from tanagerbend_routing import (
+    BudgetTerms,
+    InstanceRegistry,
+    ListedInstance,
+    Repeat,
+)
+from tanagerbend_timer import SystemTimer
+
+NAMES = HeaderNames(
+    **{name: f'X-{name}' for name in attrs.fields_dict(HeaderNames)},
+)
+BUDGET = BudgetTerms(ratio=0.2, window=10.0, extra=60.0)
+WORK_SECONDS = 0.05
+REFUSALS = {
+    'shed': b'HTTP/1.1 503 Service Unavailable\r\nX-not_run: 1\r\n',
+    'of another instance': b'HTTP/1.1 421 Misdirected Request\r\n',
+}
+
+
+def named(identifier):
+    """Return the line that names a request."""
+    return b'X-request_id: ' + identifier + b'\r\n'
+
+
+def identifier_of(head):
+    """Return the identifier in the headers of a request."""
+    return head.split(b'X-request_id: ')[1].split(b'\r\n')[0]
+
+
+@attrs.define
+class FaultyInstance:
+    """Instance that refuses, runs the next request, and refuses once more."""
+
+    refusal: bytes
+    is_named: bool
+    is_late: bool
+    runs: list = attrs.field(factory=list)
+
+    async def serve(self, reader, writer):
+        """Serve a kept connection."""
+        try:
+            await self._answer_two(reader, writer)
+        finally:
+            writer.close()
+
+    async def _answer_two(self, reader, writer):
+        first = identifier_of(await reader.readuntil(b'\r\n\r\n'))
+        name = named(first) if self.is_named else b''
+        refusal = self.refusal + name + b'Content-Length: 0\r\n\r\n'
+        writer.write(refusal)
+        if not self.is_late:
+            writer.write(refusal)
+        second = identifier_of(await reader.readuntil(b'\r\n\r\n'))
+        self.runs.append(second)
+        if self.is_late:
+            writer.write(refusal)
+        await asyncio.sleep(WORK_SECONDS)
+        writer.write(
+            b'HTTP/1.1 200 OK\r\nX-stamp: 1\r\n'
+            + named(second)
+            + b'Content-Length: 4\r\n\r\ndone',
+        )
+        await reader.read()
+
+
+@pytest.fixture
+async def ask():
+    """Function that sends two orders over an owner to an instance."""
+    session = make_session(5.0, 1)
+    servers = []
+
+    async def send(instance):
+        server = await asyncio.start_server(instance.serve, '127.0.0.1', 0)
+        servers.append(server)
+        host, port = server.sockets[0].getsockname()
+        recorder = Recorder(SystemTimer())
+        registry = InstanceRegistry(recorder)
+        address = f'{host}:{port}'
+        registry.put(ListedInstance('i-1', address, 'shop', 'north', 1))
+        owner = Owner(
+            address,
+            session,
+            ObjectiveQueue(recorder.timer, 1),
+            NAMES,
+            recorder,
+            registry,
+            Uplink(recorder.timer),
+            BUDGET,
+        )
+        placed = Placed('i-1', 'order', 0, Repeat.NEVER, 2.0, 2.0)
+        ends = []
+        for number in ('1', '2'):
+            headers = CIMultiDict({NAMES.request_id: number})
+            request = Request(number, 'POST', 'h', '/', headers, b'', 2.0, 0.0)
+            ends.append((await owner.run(request, placed)).end)
+        return ends
+
+    yield send
+    await session.close()
+    for server in servers:
+        server.close()
+
+
+@pytest.mark.parametrize('is_late', [False, True])
+@pytest.mark.parametrize('is_named', [False, True])
+@pytest.mark.parametrize('kind', REFUSALS)
+async def test_old_refusal_does_not_say_that_a_request_has_not_run(
+    ask, kind, is_named, is_late
+):
+    """Guards against "not run" for an order that runs, and a second run."""
+    instance = FaultyInstance(REFUSALS[kind], is_named, is_late)
+    first, second = await ask(instance)
+    assert first.ran is Ran.NO
+    ran = b'2' in instance.runs
+    match second:
+        case Answer(body=body):
+            assert body == b'done'
+        case _:
+            assert second.ran is Ran.UNKNOWN or not ran
+
+
+async def test_refusal_on_a_new_connection_is_believed(ask):
+    """Guards against refusals that are passed on as unknown outcomes."""
+    for kind, code in (
+        ('shed', ResultCode.BACKEND_SHED_LOAD),
+        ('of another instance', ResultCode.NO_INSTANCE),
+    ):
+        first, _ = await ask(FaultyInstance(REFUSALS[kind], False, True))
+        assert (first.code, first.ran) == (code, Ran.NO)
--- a/packages/standins/tanagerbend_standins/instance.py
+++ b/packages/standins/tanagerbend_standins/instance.py
@@ -134,12 +134,15 @@
         if expected not in {None, self.identity}:
             return web.Response(
                 status=HTTPStatus.MISDIRECTED_REQUEST,
-                headers={'Instance-Id': self.identity},
+                headers={
+                    'Instance-Id': self.identity,
+                    'Request-Id': identifier,
+                },
             )
         if self.faults.take('sheds'):
             return web.Response(
                 status=HTTPStatus.SERVICE_UNAVAILABLE,
-                headers={'Not-Executed': '1'},
+                headers={'Not-Executed': '1', 'Request-Id': identifier},
             )
         self.runs[identifier] += 1
         self.order.append(request.raw_path)
