Show that a head which is cut short is no answer

An answer whose instance closes in the middle of the head can't reach a caller as an empty success: cut after each byte, with and without a length, it ends as a lost answer with the compiled parser and with the interpreted one, which the library uses where it has no compiled part.

--- a/packages/proxy/tanagerbend_proxy/tests/test_broken_answers.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_broken_answers.py
@@ -5,6 +5,8 @@
 import struct
 
 import pytest
+from aiohttp import client_proto
+from aiohttp.http_parser import HttpResponseParserPy as Interpreted
 from multidict import CIMultiDict
 
 from tanagerbend_model import Ran, Refusal
@@ -68,6 +70,35 @@
     assert got.ran is Ran.UNKNOWN
 
 
+@pytest.fixture(params=['compiled', 'interpreted'])
+def parser(request, monkeypatch):
+    """Each of the parsers that the library may use on a machine."""
+    if request.param == 'interpreted':
+        monkeypatch.setattr(client_proto, 'HttpResponseParser', Interpreted)
+    return request.param
+
+
+@pytest.mark.parametrize('end', ['Content-Length: 4', 'Connection: close'])
+async def test_head_that_is_cut_short_is_no_answer(
+    session, server, parser, end
+):
+    """Guards against an empty success where the head of an answer ended."""
+    head = OK + f'Request-Id: 7\r\nServer-Stamp: 1\r\n{end}\r\n\r\n'.encode()
+    lengths = iter(range(1, len(head)))
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head[: next(lengths)])
+        await writer.drain()
+        writer.close()
+
+    address = await server(serve)
+    for _ in range(1, len(head)):
+        got = await ask(session, address)
+        assert isinstance(got, Refusal)
+        assert got.ran is Ran.UNKNOWN
+
+
 async def test_answer_without_length_that_is_reset_is_no_answer(
     session, server
 ):
