Close the raw connections of tests when their handlers end

Twelve warnings of a whole run named stream writers that nobody had closed: raw servers of tests, whose handlers ended with the connection open. The warning comes wherever the garbage collector runs; on arm64 with Python 3.11.6 it came in the parser of the interpreter, and a run of one file ended with SystemError (AST constructor recursion depth mismatch). Handlers are wrapped so that they close their connection.

--- a/packages/daemon/tanagerbend_daemon/tests/test_outbound.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_outbound.py
@@ -5,6 +5,7 @@
 from tanagerbend_daemon.tests.call_path import answering, plain, read_head
 from tanagerbend_interfaces import BackendRequest, BackendResponse
 from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_standins.raw_server import Closing
 from tanagerbend_standins import eventually
 from tanagerbend_timer import SystemTimer
 
@@ -50,7 +51,7 @@
         await reader.read()
         writer.close()
 
-    closed = await asyncio.start_server(read_and_leave, '127.0.0.1', 0)
+    closed = await asyncio.start_server(Closing(read_and_leave), '127.0.0.1', 0)
     host, port = closed.sockets[0].getsockname()
     closed.close()
     outcomes = [
--- a/packages/proxy/tanagerbend_proxy/tests/test_broken_answers.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_broken_answers.py
@@ -13,6 +13,7 @@
 from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.messages import Answer
 from tanagerbend_proxy.tests.test_exchange import ask, session
+from tanagerbend_standins.raw_server import Closing
 
 __all__ = ('session',)
 
@@ -38,7 +39,7 @@
     started = []
 
     async def start(serve):
-        made = await asyncio.start_server(serve, '127.0.0.1', 0)
+        made = await asyncio.start_server(Closing(serve), '127.0.0.1', 0)
         started.append(made)
         host, port = made.sockets[0].getsockname()
         return f'{host}:{port}'
--- a/packages/proxy/tanagerbend_proxy/tests/test_exchange.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_exchange.py
@@ -17,6 +17,7 @@
     without_connection,
 )
 from tanagerbend_proxy.messages import Answer
+from tanagerbend_standins.raw_server import Closing
 
 PARTS = 4
 PART_SECONDS = 0.1
@@ -101,7 +102,7 @@
 async def early():
     """Server that answers early, and its address."""
     made = EarlyServer()
-    server = await asyncio.start_server(made.serve, '127.0.0.1', 0)
+    server = await asyncio.start_server(Closing(made.serve), '127.0.0.1', 0)
     yield made, '{}:{}'.format(*server.sockets[0].getsockname())
     server.close()
 
--- a/packages/proxy/tanagerbend_proxy/tests/test_late_refusals.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_late_refusals.py
@@ -20,6 +20,7 @@
     ListedInstance,
     Repeat,
 )
+from tanagerbend_standins.raw_server import Closing
 from tanagerbend_timer import SystemTimer
 
 NAMES = HeaderNames(
@@ -54,12 +55,6 @@
 
     async def serve(self, reader, writer):
         """Serve a kept connection."""
-        try:
-            await self._answer_two(reader, writer)
-        finally:
-            writer.close()
-
-    async def _answer_two(self, reader, writer):
         first = identifier_of(await reader.readuntil(b'\r\n\r\n'))
         name = named(first) if self.is_named else b''
         refusal = self.refusal + name + b'Content-Length: 0\r\n\r\n'
@@ -86,7 +81,11 @@
     servers = []
 
     async def send(instance):
-        server = await asyncio.start_server(instance.serve, '127.0.0.1', 0)
+        server = await asyncio.start_server(
+            Closing(instance.serve),
+            '127.0.0.1',
+            0,
+        )
         servers.append(server)
         host, port = server.sockets[0].getsockname()
         recorder = Recorder(SystemTimer())
