--- a/packages/daemon/tanagerbend_daemon/tests/test_entry.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_entry.py
@@ -77,6 +77,14 @@
     assert len(peers.requests) == 1
 
 
+async def test_run_that_failed_is_not_repeated(make_entry):
+    """Guards against repeats above for what has failed in a call below."""
+    handler, peers = make_entry(attrs.evolve(peer_answer(), status=500))
+    answer = await handler.handle(make_call())
+    assert answer.status == 500
+    assert len(peers.requests) == 1
+
+
 async def test_streamed_body_is_not_sent_twice(make_entry):
     """Guards against a retry with the rest of a body."""
     handler, peers = make_entry(FULL, peer_answer())
--- a/packages/emulator/tanagerbend_emulator/tests/test_repeats.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_repeats.py
@@ -52,6 +52,18 @@
     )
 
 
+def many_calls():
+    """Return few requests, of which each leads to sixteen calls below."""
+    load = depths()
+    calls = {'page': ('item',) * 2, 'item': ('cost',) * 8, 'order': ('item',)}
+    kinds = tuple(
+        attrs.evolve(each, rate=each.rate / 10, calls=calls.get(each.name, ()))
+        for each in load.kinds
+    )
+    troubles = tuple(attrs.evolve(each, share=0.2) for each in load.shedding)
+    return attrs.evolve(load, kinds=kinds, shedding=troubles)
+
+
 def restarting():
     """Return a load in which all daemons start again three times."""
     load = shedding()
@@ -77,6 +89,7 @@
     [
         pytest.param(shedding(), id='shedding'),
         pytest.param(depths(), id='three levels'),
+        pytest.param(many_calls(), id='many calls'),
         pytest.param(restarting(), id='restarts'),
         pytest.param(many_hosts(30), id='30 daemons'),
         pytest.param(many_hosts(300), id='300 daemons'),
--- a/packages/operator/tanagerbend_operator/request_story.py
+++ b/packages/operator/tanagerbend_operator/request_story.py
@@ -27,6 +27,7 @@
     """Kinds of causes, each with what an operator can do."""
 
     OVERLOAD = 'more work than the instances could do in time'
+    REPEATS_SPENT = 'no repeats were left at a service that it calls'
     NO_INSTANCE = 'no instance could be reached'
     HOST_LOST = 'the daemon beside the instance restarted or was lost'
     NO_ANSWER = 'the instance or its daemon sent no whole answer in time'
@@ -46,6 +47,7 @@
     'DEADLINE_UNREACHABLE': Cause.OVERLOAD,
     'DEADLINE_PASSED': Cause.OVERLOAD,
     'BACKEND_SHED_LOAD': Cause.OVERLOAD,
+    'RETRY_BUDGET_SPENT': Cause.REPEATS_SPENT,
     'NO_INSTANCE': Cause.NO_INSTANCE,
     'INSTANCE_UNREACHABLE': Cause.NO_INSTANCE,
     'CONNECTION_LOST': Cause.NO_ANSWER,
--- a/packages/operator/tanagerbend_operator/tests/test_explain_request.py
+++ b/packages/operator/tanagerbend_operator/tests/test_explain_request.py
@@ -21,6 +21,7 @@
     'late_ms': -100,
 }
 LOST = {'code': 'CONNECTION_LOST', 'ran': 'unknown', 'reason': 'reset'}
+SPENT = {'code': 'RETRY_BUDGET_SPENT', 'ran': 'no', 'reason': '1.4 calls'}
 FULL = {'code': 'QUEUE_FULL', 'ran': 'no', 'reason': '6 of 6 slots'}
 
 
@@ -80,6 +81,7 @@
     [
         ('request_refused', FULL, 'overload'),
         ('request_refused', LOST, 'no_answer'),
+        ('request_refused', SPENT, 'repeats_spent'),
         ('request_failed', {'status': 500}, 'instance_failed'),
         ('request_late', {'status': 200, 'served_ms': 390}, 'instance_slow'),
         ('request_late', {'status': 200, 'served_ms': 90}, 'waited'),
