Forget requests of earlier windows in calm, too

The times of requests were dropped only when somebody asked what repeats are left, which nobody does in calm: some 90 bytes stayed for each request of a host (a time before, a pair since calls are charged), found while reading the change once more. Now each count drops what has left the window. test_requests_of_earlier_windows_are_forgotten failed before.

--- a/packages/routing/tanagerbend_routing/allowance.py
+++ b/packages/routing/tanagerbend_routing/allowance.py
@@ -99,7 +99,7 @@
 
     def requested(self, service: str, now: float) -> None:
         """Count a request for a service."""
-        self.requests[service].add(1, now)
+        self._add(self.requests[service], 1, now)
 
     def take(self, service: str, now: float, daemons: int) -> bool:
         """Take one repeat; False if this daemon has none left."""
@@ -110,7 +110,7 @@
 
     def charge(self, service: str, amount: float, now: float) -> None:
         """Count repeats that can't be refused any more."""
-        self.repeats[service].add(amount, now)
+        self._add(self.repeats[service], amount, now)
 
     def left(self, service: str, now: float, daemons: int) -> float:
         """Return the repeats that this daemon may still send."""
@@ -119,6 +119,11 @@
         given_out = SAFETY * allowed + self._fixed(now, daemons)
         return given_out - self.repeats[service].since(begin)
 
+    def _add(self, spending: Spending, amount: float, now: float) -> None:
+        spending.add(amount, now)
+        # In calm nobody asks what is left.
+        spending.since(now - self.terms.window)
+
     def _fixed(self, now: float, daemons: int) -> float:
         """Return the repeats that don't depend on requests."""
         part = SAFETY * self.terms.extra / max(daemons, 1)
--- a/packages/routing/tanagerbend_routing/tests/test_allowance.py
+++ b/packages/routing/tanagerbend_routing/tests/test_allowance.py
@@ -50,3 +50,11 @@
     for number in range(100000):
         allowance.charge('shop', 0.1, number / 1000)
     assert allowance.left('shop', 1000.0, 1) == pytest.approx(42, abs=1e-9)
+
+
+def test_requests_of_earlier_windows_are_forgotten():
+    """Guards against memory that grows with each request in calm."""
+    allowance = RetryAllowance(TERMS)
+    for number in range(5000):
+        allowance.requested('shop', number / 10)
+    assert len(allowance.requests['shop'].counted) <= 10 * TERMS.window
