Forget the calls of routes that are gone

Found while reading the change once more: what was seen of a removed route was halved until its time was 0, some hours of work later, and the next step of the rates ended with a division by zero, and the request with it. Routes and services of which next to nothing is left are dropped, and runs without time tell no rate.

--- a/packages/routing/tanagerbend_routing/call_rates.py
+++ b/packages/routing/tanagerbend_routing/call_rates.py
@@ -13,7 +13,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from typing import Final
 
 import attrs
@@ -23,8 +23,11 @@
 # Seconds of all runs after which what was seen counts half, so that rates
 # follow a change.
 HALVED_AFTER_SECONDS: Final = 120.0
-# Calls of one kind that are worth keeping.
+# Calls of one kind, and runs of a route, that are worth keeping.
 LEAST_CALLS: Final = 0.5
+LEAST_RUNS: Final = 0.01
+# Time below which the runs of a route tell no rate.
+LEAST_SECONDS: Final = 0.001
 # Share of the mean rate that every route keeps: a route that begins to make
 # calls is found again.
 LEAST_SHARE: Final = 0.01
@@ -78,11 +81,14 @@
         seconds = math.fsum(each.seconds for each in times.values())
         mean = math.fsum(made.values()) / seconds
         for route, time in times.items():
-            rate = made[route] / time.seconds
+            rate = made[route] / max(time.seconds, LEAST_SECONDS)
             self.rates[route] = max(rate, LEAST_SHARE * mean)
 
-    def halve(self) -> None:
-        """Let the calls so far count half."""
+    def halve(self, routes: Container[str]) -> None:
+        """Let the calls so far count half; keep the rates of some routes."""
+        self.rates = {
+            route: rate for route, rate in self.rates.items() if route in routes
+        }
         halves = ((each, calls / 2) for each, calls in self.seen.items())
         self.seen = Counter(
             dict(half for half in halves if half[1] >= LEAST_CALLS)
@@ -146,8 +152,12 @@
 
     def _halve(self) -> None:
         self.seconds /= 2
-        for time in self.times.values():
+        for route, time in tuple(self.times.items()):
             time.runs /= 2
             time.seconds /= 2
-        for calls in self.services.values():
-            calls.halve()
+            if time.runs < LEAST_RUNS:
+                self.times.pop(route)
+        for service, calls in tuple(self.services.items()):
+            calls.halve(self.times)
+            if not calls.seen:
+                self.services.pop(service)
--- a/packages/routing/tanagerbend_routing/tests/test_runs.py
+++ b/packages/routing/tanagerbend_routing/tests/test_runs.py
@@ -101,3 +101,26 @@
         rates.ended(beside[0], 0.1)
         rates.called('price', beside)
     assert len(rates.services['price'].seen) < 200
+
+
+def test_routes_that_are_gone_are_forgotten():
+    """Guards against an error, and memory, of routes long removed."""
+    rates = CallRates()
+    rates.ended('removed', 0.2)
+    rates.called('gone', ['removed'])
+    for _ in range(1200):
+        rates.ended('page', 60.0)
+        for _ in range(10):
+            rates.called('price', ['page'])
+    assert set(rates.times) == {'page'}
+    assert set(rates.services) == {'price'}
+
+
+def test_run_that_took_no_time_is_no_error():
+    """Guards against a division by the time of a route."""
+    rates = CallRates()
+    rates.ended('page', 1.0)
+    rates.ended('order', 0.0)
+    for _ in range(20):
+        shares = rates.called('price', ['page', 'order'])
+    assert shares['page'] > 0
