--- a/packages/emulator/tanagerbend_emulator/tests/test_emulator.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_emulator.py
@@ -16,7 +16,8 @@
     read_load,
     run_trials,
 )
-from tanagerbend_emulator.fleet import EmulatedFleet, make_request
+from tanagerbend_emulator.fleet import EmulatedFleet
+from tanagerbend_emulator.instance import make_request
 from tanagerbend_emulator.policies import POLICIES
 from tanagerbend_emulator.virtual import run_virtual
 from tanagerbend_model import Refusal, ResultCode
--- a/packages/emulator/tanagerbend_emulator/tests/test_slow_daemon.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_slow_daemon.py
@@ -6,7 +6,8 @@
 import pytest
 
 from tanagerbend_emulator import LOADS, read_load
-from tanagerbend_emulator.fleet import EmulatedFleet, make_request
+from tanagerbend_emulator.fleet import EmulatedFleet
+from tanagerbend_emulator.instance import make_request
 from tanagerbend_emulator.policies import POLICIES
 from tanagerbend_emulator.virtual import run_virtual
 from tanagerbend_model import Ran, Refusal, ResultCode
--- a/packages/emulator/tanagerbend_emulator/tests/test_splits.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_splits.py
@@ -7,11 +7,8 @@
 import pytest
 
 from tanagerbend_emulator import LOADS, read_load
-from tanagerbend_emulator.fleet import (
-    EmulatedFleet,
-    EmulatedOwner,
-    make_request,
-)
+from tanagerbend_emulator.fleet import EmulatedFleet, EmulatedOwner
+from tanagerbend_emulator.instance import make_request
 from tanagerbend_emulator.policies import POLICIES
 from tanagerbend_emulator.virtual import run_virtual
 from tanagerbend_model import Refusal
--- a/packages/emulator/tanagerbend_emulator/trial.py
+++ b/packages/emulator/tanagerbend_emulator/trial.py
@@ -7,12 +7,8 @@
 
 import attrs
 
-from tanagerbend_emulator.fleet import (
-    OK,
-    EmulatedEntry,
-    EmulatedFleet,
-    make_request,
-)
+from tanagerbend_emulator.fleet import EmulatedEntry, EmulatedFleet
+from tanagerbend_emulator.instance import OK, make_request
 from tanagerbend_emulator.loads import Flood, KindLoad, Load, Restart
 from tanagerbend_emulator.policies import POLICIES
 from tanagerbend_emulator.virtual import run_virtual
