Refuse no request that is a repeat only by estimate

Only a request that was sent to an instance before is certain; an estimate stays below, is charged in full, and is let through.

test_request_taken_for_a_call_of_a_repeat_is_not_refused failed before.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -25,6 +25,7 @@
     Request,
 )
 from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.repeats import CERTAIN
 from tanagerbend_proxy.request_lines import RequestLines, RequestState
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_proxy.uplink import Due
@@ -231,7 +232,7 @@
             state.route.repeat,
             state.on_time_until - now,
             left,
-            1.0 if state.offered else state.caused,
+            CERTAIN if state.offered else state.caused,
         )
         self.placement.asked(instance, placed.route)
         load = self.placement.of(instance).of_rank(state.route.rank)
--- a/packages/proxy/tanagerbend_proxy/repeats.py
+++ b/packages/proxy/tanagerbend_proxy/repeats.py
@@ -18,6 +18,10 @@
 # Calls of a run below which it is taken to make none: requests of callers
 # that were taken for calls now and then.
 NEGLIGIBLE_CALLS: Final = 0.05
+# Share of a request that is certain to be a repeat, and the largest that is
+# an estimate: a caller may have sent it.
+CERTAIN: Final = 1.0
+MOST_CERTAIN: Final = 0.99
 
 
 @attrs.define
@@ -55,15 +59,15 @@
         if share:
             self.allowance.charge(service, share, request.arrived)
             self._count(share)
-        return share
+        return min(share, MOST_CERTAIN)
 
     def refuse(self, placed: Placed) -> Refusal | None:
         """Refuse a repeat whose calls would exceed a budget below.
 
-        What may only be a repeat, a part of a call, is let through, since
-        its caller has more to lose than a second try.
+        What may be a call of a repeat is let through: it is an estimate,
+        and its caller has more to lose than a second try.
         """
-        if placed.repeated < 1:
+        if placed.repeated < CERTAIN:
             return None
         now = self.recorder.timer.now()
         expected = self.runs.repeated_calls()
--- a/packages/proxy/tanagerbend_proxy/tests/test_repeats.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_repeats.py
@@ -76,6 +76,16 @@
     assert repeats.refuse(attrs.evolve(AGAIN, route='other')) is None
 
 
+def test_request_taken_for_a_call_of_a_repeat_is_not_refused(repeats):
+    """Guards against callers that are refused on a guess."""
+    timer = repeats.recorder.timer
+    repeats.allowance.charge('price', 100, timer.now())
+    with repeats.runs.hold(Run('page', 30.0, repeated=1.0), timer):
+        share = repeats.requested('page', call(timer))
+    assert 0.9 < share < 1
+    assert repeats.refuse(attrs.evolve(AGAIN, repeated=share)) is None
+
+
 def test_calls_of_repeats_use_up_the_repeats_of_the_called_service(repeats):
     """Guards against repeats that nobody charges."""
     timer = repeats.recorder.timer
