Tell a repeat in a header of its own

Found while reading the change once more: a placement that says that it is a repeat had a seventh field, which a daemon of an earlier release refuses as malformed. The share is in a header of its own now, which they don't read; callers can't set it, and instances don't get it.

test_daemons_of_an_earlier_release_read_the_placement_of_a_repeat and the tests of the new header failed before.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -277,6 +277,8 @@
     ) -> Outcome:
         headers = CIMultiDict(request.headers)
         headers[own_headers.PLACED] = placed.encode()
+        if placed.repeated:
+            headers[own_headers.REPEATED] = placed.encode_repeated()
         self.owner.uplink.spend(len(request.body))
         address = f'{instance.host_address}:{self.terms.peer_port}'
         end = await send(
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -146,6 +146,7 @@
         headers[self.names.caller_service] = self.caller_service
         headers.popall(self.names.expected_instance, None)
         headers.popall(own_headers.PLACED, None)
+        headers.popall(own_headers.REPEATED, None)
         return Request(
             http.headers.get(self.names.request_id, ''),
             http.method,
@@ -210,7 +211,10 @@
     async def run(self, http: web.BaseRequest) -> web.StreamResponse:
         """Run one request at the instance here."""
         arrived = self.owner.recorder.timer.now()
-        placed = Placed.decode(http.headers.get(own_headers.PLACED, ''))
+        placed = Placed.decode(
+            http.headers.get(own_headers.PLACED, ''),
+            http.headers.get(own_headers.REPEATED, ''),
+        )
         identifier = http.headers.get(self.names.request_id, '')
         body = await http.content.read(-1)
         match placed:
@@ -222,6 +226,7 @@
             return self._respond(identifier, Outcome(refusal))
         headers = without_connection(http.headers, NOT_COPIED)
         headers.popall(own_headers.PLACED, None)
+        headers.popall(own_headers.REPEATED, None)
         request = Request(
             identifier,
             http.method,
--- a/packages/proxy/tanagerbend_proxy/headers.py
+++ b/packages/proxy/tanagerbend_proxy/headers.py
@@ -39,5 +39,6 @@
 
 # Headers between daemons, on top of those of the platform.
 PLACED: str = 'Tanagerbend-Placed'
+REPEATED: str = 'Tanagerbend-Repeated'
 OUTCOME: str = 'Tanagerbend-Outcome'
 FOLLOW: str = 'Tanagerbend-Follow'
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -22,7 +22,6 @@
     'on_time_ms',
     'left_ms',
 )
-REPEATED_FIELD: Final = 'repeated'
 OUTCOME_FIELDS: Final = (
     'code',
     'ran',
@@ -128,27 +127,29 @@
 
     def encode(self) -> str:
         """Return the text of the header between daemons."""
-        told = (
-            self.instance,
-            self.route,
-            self.rank,
-            self.repeat.value,
-            round(self.on_time * MILLISECONDS),
-            round(self.time_left * MILLISECONDS),
+        return json.dumps(
+            (
+                self.instance,
+                self.route,
+                self.rank,
+                self.repeat.value,
+                round(self.on_time * MILLISECONDS),
+                round(self.time_left * MILLISECONDS),
+            ),
         )
-        # Daemons of earlier releases refuse a field that they don't know.
-        repeated = round(self.repeated, 3)
-        return json.dumps((*told, repeated) if repeated else told)
+
+    def encode_repeated(self) -> str:
+        """Return the text of a header of its own, empty for a first send.
+
+        Daemons of earlier releases refuse a field that they don't know.
+        """
+        return f'{self.repeated:.3f}' if self.repeated else ''
 
     @classmethod
-    def decode(cls, text: str) -> 'Placed | Refusal':
-        """Read the header of another daemon."""
+    def decode(cls, text: str, repeated: str = '') -> 'Placed | Refusal':
+        """Read the headers of another daemon."""
         try:
-            found = json.loads(text)
-            is_first = len(found) == len(PLACED_FIELDS)
-            extra = () if is_first else (REPEATED_FIELD,)
-            names = PLACED_FIELDS + extra
-            told = dict(zip(names, found, strict=True))
+            told = dict(zip(PLACED_FIELDS, json.loads(text), strict=True))
             return cls(
                 str(told['instance']),
                 str(told['route']),
@@ -156,7 +157,7 @@
                 Repeat(told['repeat']),
                 finite(told['on_time_ms']) / MILLISECONDS,
                 finite(told['left_ms']) / MILLISECONDS,
-                min(max(finite(told.get(REPEATED_FIELD, 0.0)), 0.0), 1.0),
+                min(max(finite(repeated or 0), 0.0), 1.0),
             )
         except UNFIT as error:
             reason = f'placement of another daemon: {error}'
--- a/packages/proxy/tanagerbend_proxy/tests/test_messages.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_messages.py
@@ -1,5 +1,6 @@
 """Headers between daemons."""
 
+import attrs
 import pytest
 from multidict import CIMultiDict
 
@@ -16,6 +17,31 @@
     assert Placed.decode(PLACED.encode()) == PLACED
 
 
+def test_daemons_of_an_earlier_release_read_the_placement_of_a_repeat():
+    """Guards against repeats that are refused while a release is rolled out."""
+    again = attrs.evolve(PLACED, repeated=1.0)
+    assert again.encode() == PLACED.encode()
+
+
+def test_share_of_a_repeat_is_read_as_written():
+    """Guards against repeats that the daemon beside an instance misses."""
+    for share in (0.0, 0.125, 1.0):
+        again = attrs.evolve(PLACED, repeated=share)
+        assert Placed.decode(again.encode(), again.encode_repeated()) == again
+
+
+@pytest.mark.parametrize('text', ('x', 'nan', 'inf', '1e999', '[]'))
+def test_share_that_is_no_number_is_refused(text):
+    """Guards against a share that breaks what is counted."""
+    assert isinstance(Placed.decode(PLACED.encode(), text), Refusal)
+
+
+@pytest.mark.parametrize(('text', 'share'), [('-3', 0.0), ('7', 1.0)])
+def test_share_is_at_most_one(text, share):
+    """Guards against a daemon that charges others at will."""
+    assert Placed.decode(PLACED.encode(), text).repeated == share
+
+
 @pytest.mark.parametrize('text', ('', '7', '[]', '["i-1"]', '{}', '[' * 99))
 def test_broken_placement_is_refused(text):
     """Guards against running a request that no daemon has placed."""
