Show that a request ends instances on and on

What callers saw: a request under which three instances had ended was sent to more of them, and ended each; its neighbours were lost with it.

--- a/packages/standins/tanagerbend_standins/instance.py
+++ b/packages/standins/tanagerbend_standins/instance.py
@@ -71,6 +71,12 @@
 
     extra_bytes : int
         Added to the body of each answer.
+    crash_mark : str
+        A request with it in its path ends the instance; empty for none.
+    down_seconds : float
+        Time after which a crashed instance has started again.
+    crashes : list of float
+        Seconds of the event loop.
     """
 
     def __init__(
@@ -83,6 +89,13 @@
         self.service = service
         self.seconds = seconds
         self.extra_bytes = 0
+        self.crash_mark = ''
+        self.down_seconds = 1.0
+        self.crashes: list[float] = []
+        self.starts = 1
+        self.restart: asyncio.Task[None] | None = None
+        self.server: web.Server | None = None
+        self.site: web.TCPSite | None = None
         self.faults = InstanceFaults()
         self.runs: Counter[str] = Counter()
         self.order: list[str] = []
@@ -95,24 +108,43 @@
 
     async def start(self, address: str = '127.0.0.1') -> str:
         """Listen; return ``address:port``."""
-        server = web.Server(self.serve, handler_cancellation=True)
-        self.runner = web.ServerRunner(server, shutdown_timeout=0)
+        self.server = web.Server(self.serve, handler_cancellation=True)
+        self.runner = web.ServerRunner(self.server, shutdown_timeout=0)
         await self.runner.setup()
-        site = web.TCPSite(self.runner, address, 0)
-        await site.start()
+        self.site = web.TCPSite(self.runner, address, 0)
+        await self.site.start()
         host, port = self.runner.addresses[0]
         self.address = f'{host}:{port}'
         return self.address
 
     async def close(self) -> None:
         """Stop listening."""
+        if self.restart is not None:
+            self.restart.cancel()
+            await asyncio.wait((self.restart,))
         await self.runner.cleanup()
 
+    async def crash(self) -> None:
+        """End all connections, and start again after a while."""
+        self.crashes.append(asyncio.get_running_loop().time())
+        await self.site.stop()
+        for connection in list(self.server.connections):
+            if connection.transport is not None:
+                _reset(connection.transport)
+        self.restart = asyncio.create_task(self._start_again())
+
+    async def _start_again(self) -> None:
+        await asyncio.sleep(self.down_seconds)
+        self.starts += 1
+        host, _, port = self.address.rpartition(':')
+        self.site = web.TCPSite(self.runner, host, int(port))
+        await self.site.start()
+
     def entry(self, **changes: Any) -> dict[str, Any]:
         """Return the entry that the instance writes of itself."""
         return {
             'address': self.address,
-            'born': 1,
+            'born': self.starts,
             'info': {
                 'service': self.service,
                 'version': 'v1',
@@ -147,6 +179,8 @@
         self.runs[identifier] += 1
         self.order.append(request.raw_path)
         self.headers = dict(request.headers)
+        if self.crash_mark and self.crash_mark in request.raw_path:
+            await self.crash()
         return await self._run(request, identifier, body)
 
     async def _run(
@@ -175,7 +209,7 @@
         faults = self.faults
         headers = {'Request-Id': identifier, 'Server-Stamp': 'mark'}
         if faults.take('resets'):
-            _reset(request)
+            _reset(request.transport)
         if faults.take('fails'):
             return web.Response(
                 status=HTTPStatus.INTERNAL_SERVER_ERROR, headers=headers
@@ -215,13 +249,13 @@
         head = '\r\n'.join(('HTTP/1.1 200 OK', *lines, '', 'part'))
         request.transport.write(head.encode())
         await asyncio.sleep(LATE_SECONDS)
-        _reset(request)
+        _reset(request.transport)
         return web.Response()
 
 
-def _reset(request: web.BaseRequest) -> None:
-    """Reset the connection instead of closing it."""
+def _reset(transport: asyncio.Transport) -> None:
+    """Reset a connection instead of closing it."""
     linger = struct.pack('ii', 1, 0)
-    sock = request.transport.get_extra_info('socket')
+    sock = transport.get_extra_info('socket')
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    request.transport.abort()
+    transport.abort()
