--- a/packages/standins/tanagerbend_standins/instance.py
+++ b/packages/standins/tanagerbend_standins/instance.py
@@ -56,6 +56,39 @@
         return bool(left)
 
 
+@attrs.define
+class Crashes:
+    """Ends of the process of an instance.
+
+    Parameters
+    ==========
+
+    mark : str
+        A request with it in its path ends the instance; empty for none.
+    down_seconds : float
+        Time after which the instance has started again.
+    times : list of float
+        Seconds of the event loop.
+    starts : int
+    restart : asyncio.Task or None
+    """
+
+    mark: str = ''
+    down_seconds: float = 1.0
+    times: list[float] = attrs.field(factory=list)
+    starts: int = 1
+    restart: 'asyncio.Task[None] | None' = None
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the instance has not started again yet."""
+        return len(self.times) >= self.starts
+
+    def are_due(self, path: str) -> bool:
+        """Tell whether a request ends the instance."""
+        return bool(self.mark) and self.mark in path
+
+
 class StandinInstance:
     """Instance that runs requests and counts them.
 
@@ -71,12 +104,7 @@
 
     extra_bytes : int
         Added to the body of each answer.
-    crash_mark : str
-        A request with it in its path ends the instance; empty for none.
-    down_seconds : float
-        Time after which a crashed instance has started again.
-    crashes : list of float
-        Seconds of the event loop.
+    crashes : Crashes
     """
 
     def __init__(
@@ -89,12 +117,7 @@
         self.service = service
         self.seconds = seconds
         self.extra_bytes = 0
-        self.crash_mark = ''
-        self.down_seconds = 1.0
-        self.crashes: list[float] = []
-        self.starts = 1
-        self.restart: asyncio.Task[None] | None = None
-        self.server: web.Server | None = None
+        self.crashes = Crashes()
         self.site: web.TCPSite | None = None
         self.faults = InstanceFaults()
         self.runs: Counter[str] = Counter()
@@ -108,8 +131,8 @@
 
     async def start(self, address: str = '127.0.0.1') -> str:
         """Listen; return ``address:port``."""
-        self.server = web.Server(self.serve, handler_cancellation=True)
-        self.runner = web.ServerRunner(self.server, shutdown_timeout=0)
+        server = web.Server(self.serve, handler_cancellation=True)
+        self.runner = web.ServerRunner(server, shutdown_timeout=0)
         await self.runner.setup()
         self.site = web.TCPSite(self.runner, address, 0)
         await self.site.start()
@@ -119,23 +142,24 @@
 
     async def close(self) -> None:
         """Stop listening."""
-        if self.restart is not None:
-            self.restart.cancel()
-            await asyncio.wait((self.restart,))
+        restart = self.crashes.restart
+        if restart is not None:
+            restart.cancel()
+            await asyncio.wait((restart,))
         await self.runner.cleanup()
 
     async def crash(self) -> None:
         """End all connections, and start again after a while."""
-        self.crashes.append(asyncio.get_running_loop().time())
+        self.crashes.times.append(asyncio.get_running_loop().time())
         await self.site.stop()
-        for connection in list(self.server.connections):
+        for connection in list(self.runner.server.connections):
             if connection.transport is not None:
                 _reset(connection.transport)
-        self.restart = asyncio.create_task(self._start_again())
+        self.crashes.restart = asyncio.create_task(self._start_again())
 
     async def _start_again(self) -> None:
-        await asyncio.sleep(self.down_seconds)
-        self.starts += 1
+        await asyncio.sleep(self.crashes.down_seconds)
+        self.crashes.starts += 1
         host, _, port = self.address.rpartition(':')
         self.site = web.TCPSite(self.runner, host, int(port))
         await self.site.start()
@@ -144,7 +168,7 @@
         """Return the entry that the instance writes of itself."""
         return {
             'address': self.address,
-            'born': self.starts,
+            'born': self.crashes.starts,
             'info': {
                 'service': self.service,
                 'version': 'v1',
@@ -179,7 +203,7 @@
         self.runs[identifier] += 1
         self.order.append(request.raw_path)
         self.headers = dict(request.headers)
-        if self.crash_mark and self.crash_mark in request.raw_path:
+        if self.crashes.are_due(request.raw_path):
             await self.crash()
         return await self._run(request, identifier, body)
 
