Judge requests by their crashes, and charge what was given up

Cause: only requests that somebody waited for counted as in flight.

Change: packages/quarantine now holds what both call paths need to decide. A case is the set of crashes in which a request was in flight, and of those that a success has struck; it is judged by what is left (three, or one in which it was alone), and two cases join by union, so that daemons agree in whatever order they hear. Flights keep what was given up until its deadline, and one end of a process is one crash. The gate also keeps two suspects apart without holding up anything else. Quarantine keeps its interface and the control messages.

--- a/packages/daemon/tanagerbend_daemon/containment.py
+++ b/packages/daemon/tanagerbend_daemon/containment.py
@@ -19,7 +19,15 @@
 )
 from tanagerbend_membership.readers import weight
 from tanagerbend_model import Ran, Refusal, ResultCode, WorkClass
-from tanagerbend_quarantine import Quarantine, SoloGate, Verdict, fingerprint
+from tanagerbend_quarantine import (
+    Company,
+    Flight,
+    Flights,
+    Quarantine,
+    SoloGate,
+    Verdict,
+    fingerprint,
+)
 
 # Instances that a suspect is offered to, if backend servers are down.
 MAX_INSTANCES: Final = 3
@@ -30,15 +38,8 @@
 
     COMPLETE = 'complete'
     BROKEN = 'broken'
-    CUT = 'cut by this side, or never sent'
-
-
-@attrs.define(eq=False)
-class Flight:
-    """A request that the backend server may be running."""
-
-    request: BackendRequest
-    is_alone: bool
+    CUT = 'cut by this side, may run on'
+    UNSENT = 'never sent'
 
 
 @attrs.define
@@ -70,7 +71,10 @@
     notices: SuspectNotices
     drop_kept: Callable[[], None]
     gate: SoloGate = attrs.field(factory=SoloGate)
-    flights: set[Flight] = attrs.field(factory=set)
+    flights: Flights = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.flights = Flights(self.quarantine.timer)
 
     async def exchange(
         self,
@@ -78,36 +82,35 @@
         deadline: float,
     ) -> BackendResponse | Refusal:
         """Send a request, after all others if it is a suspect."""
-        await self.gate.enter(is_solo=self._verdict(request) is Verdict.SUSPECT)
-        verdict = self._verdict(request)
-        if verdict is Verdict.CONVICTED:
-            self.gate.leave()
+        name = self._fingerprint(request)
+        company = self.quarantine.company(name)
+        await self.gate.enter(company)
+        if self.quarantine.check(name) is Verdict.CONVICTED:
+            self.gate.leave(company)
             return convicted()
-        flight = Flight(request, self.gate.has_solo)
-        self.flights.add(flight)
-        if flight.is_alone:
+        is_alone = company is Company.NOBODY and not self.flights.at_risk()
+        flight = Flight(name, deadline, is_alone)
+        self.flights.begin(flight)
+        if company is Company.NOBODY:
             self.drop_kept()
         response: BackendResponse | Refusal | None = None
         try:
             response = await self.backend.exchange(request, deadline)
         finally:
             if response is None:
-                self._ended(flight, End.CUT)
+                self._ended(flight, End.CUT, company)
         match response:
             case BackendResponse(chunks=chunks):
-                watched = HeldBody(chunks, partial(self._end_body, flight))
-                return attrs.evolve(response, chunks=watched)
+                on_end = partial(self._end_body, flight, company)
+                return attrs.evolve(response, chunks=HeldBody(chunks, on_end))
             case Refusal(code=ResultCode.CONNECTION_LOST):
-                await self._finish(flight, End.BROKEN)
+                await self._finish(flight, End.BROKEN, company)
+            case Refusal(ran=Ran.NO):
+                self._ended(flight, End.UNSENT, company)
             case _:
-                self._ended(flight, End.CUT)
+                self._ended(flight, End.CUT, company)
         return response
 
-    def _verdict(self, request: BackendRequest) -> Verdict:
-        if self.quarantine.is_empty:
-            return Verdict.CLEAR
-        return self.quarantine.check(self._fingerprint(request))
-
     def _fingerprint(self, request: BackendRequest) -> bytes:
         return fingerprint(
             self.service,
@@ -119,29 +122,43 @@
     async def _end_body(
         self,
         flight: Flight,
+        company: Company,
         error: BaseException | None,
     ) -> None:
-        await self._finish(flight, _end_of(error))
+        await self._finish(flight, _end_of(error), company)
 
-    async def _finish(self, flight: Flight, end: End) -> None:
-        self._ended(flight, end)
+    async def _finish(
+        self,
+        flight: Flight,
+        end: End,
+        company: Company,
+    ) -> None:
+        self._ended(flight, end, company)
         if end is End.BROKEN:
             await self.notices.delivered()
 
-    def _ended(self, flight: Flight, end: End) -> None:
-        if end is End.BROKEN:
-            self.quarantine.recorder.count('backend_connections_broken')
-            notice = self.quarantine.crashed(
-                [self._fingerprint(other.request) for other in self.flights],
-                is_alone=flight.is_alone,
-            )
-            self.notices.send(notice)
-        elif end is End.COMPLETE and not self.quarantine.is_empty:
-            self.notices.send(
-                self.quarantine.succeeded(self._fingerprint(flight.request)),
-            )
-        self.flights.discard(flight)
-        self.gate.leave()
+    def _ended(self, flight: Flight, end: End, company: Company) -> None:
+        match end:
+            case End.BROKEN:
+                self._crashed(flight)
+            case End.COMPLETE:
+                notice = self.quarantine.succeeded(flight.fingerprint)
+                self.notices.send(notice)
+        if end is End.CUT:
+            self.flights.give_up(flight)
+        else:
+            self.flights.end(flight)
+        self.gate.leave(company)
+
+    def _crashed(self, flight: Flight) -> None:
+        self.quarantine.recorder.count('backend_connections_broken')
+        if flight not in self.flights.flying:
+            return
+        notice = self.quarantine.crashed(
+            self.flights.crashed(),
+            is_alone=flight.is_alone,
+        )
+        self.notices.send(notice)
 
 
 def _end_of(error: BaseException | None) -> End:
--- a/packages/daemon/tanagerbend_daemon/tests/test_containment.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_containment.py
@@ -21,7 +21,7 @@
 from tanagerbend_interfaces import BackendRequest
 from tanagerbend_membership import Roster
 from tanagerbend_metrics import Recorder
-from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_quarantine import Quarantine, Verdict, fingerprint
 from tanagerbend_timer import ManualTimer, SystemTimer
 
@@ -193,3 +193,67 @@
     # The entry daemon sends it to another instance.
     assert got.pop(first).code is ResultCode.INSTANCE_UNREACHABLE
     assert [type(outcome) for outcome in got.values()] == [Answer] * 3
+
+
+class CrashingServer:
+    """Backend server that runs requests until it is told to end."""
+
+    def __init__(self):
+        self.read = []
+        self.ended = asyncio.Event()
+
+    async def exchange(self, request, _deadline):
+        """Run a request until the process ends."""
+        self.read.append(request.path)
+        await self.ended.wait()
+        return Refusal(ResultCode.CONNECTION_LOST, 'reset', Ran.UNKNOWN)
+
+
+@pytest.fixture
+def crashing():
+    recorder = Recorder(SystemTimer())
+    quarantine = Quarantine(recorder)
+    notices = SuspectNotices(
+        quarantine,
+        Roster(member('host-1'), recorder),
+        NoPeers(),
+    )
+    return GuardedBackend(
+        CrashingServer(),
+        'artwork',
+        quarantine,
+        notices,
+        lambda: None,
+    )
+
+
+async def test_crash_with_many_in_flight_is_one_crash(crashing):
+    """Guards against neighbours that one crash convicts."""
+    paths = [f'/{number}' for number in range(6)]
+    sent = [asyncio.create_task(send(crashing, path)) for path in paths]
+    while len(crashing.backend.read) < len(paths):
+        await asyncio.sleep(0)
+    crashing.backend.ended.set()
+    await asyncio.gather(*sent)
+    verdicts = {crashing.quarantine.check(print_of(path)) for path in paths}
+    assert verdicts == {Verdict.SUSPECT}
+
+
+async def test_neighbour_of_a_request_that_was_given_up_is_not_convicted(
+    crashing,
+):
+    """Guards against a crash charged to a suspect that only seemed alone."""
+    quarantine = crashing.quarantine
+    given_up = asyncio.create_task(send(crashing, '/poison'))
+    while not crashing.backend.read:
+        await asyncio.sleep(0)
+    given_up.cancel()
+    await asyncio.wait((given_up,))
+    quarantine.crashed([print_of('/plate')])
+    suspect = asyncio.create_task(send(crashing, '/plate'))
+    while len(crashing.backend.read) < 2:
+        await asyncio.sleep(0)
+    crashing.backend.ended.set()
+    await suspect
+    assert quarantine.check(print_of('/plate')) is Verdict.SUSPECT
+    assert quarantine.check(print_of('/poison')) is Verdict.SUSPECT
--- a/packages/quarantine/tanagerbend_quarantine/__init__.py
+++ b/packages/quarantine/tanagerbend_quarantine/__init__.py
@@ -1,7 +1,22 @@
 """Fingerprints of requests that crash backend servers."""
 
+from tanagerbend_quarantine.cases import Case, Cases, Crash, Told, Verdict
 from tanagerbend_quarantine.fingerprint import fingerprint
-from tanagerbend_quarantine.gate import SoloGate
-from tanagerbend_quarantine.quarantine import Notice, Quarantine, Verdict
+from tanagerbend_quarantine.flights import Flight, Flights
+from tanagerbend_quarantine.gate import Company, SoloGate
+from tanagerbend_quarantine.quarantine import Notice, Quarantine
 
-__all__ = ('Notice', 'Quarantine', 'SoloGate', 'Verdict', 'fingerprint')
+__all__ = (
+    'Case',
+    'Cases',
+    'Company',
+    'Crash',
+    'Flight',
+    'Flights',
+    'Notice',
+    'Quarantine',
+    'SoloGate',
+    'Told',
+    'Verdict',
+    'fingerprint',
+)
--- a/packages/quarantine/tanagerbend_quarantine/gate.py
+++ b/packages/quarantine/tanagerbend_quarantine/gate.py
@@ -1,8 +1,27 @@
-"""Gate that many requests pass together, and a suspect alone."""
+"""Gate that many requests pass together, and a suspect apart."""
 
 import asyncio
+import enum
 from collections import deque
 
+import attrs
+
+
+class Company(enum.Enum):
+    """Which requests may run beside a request."""
+
+    ANY = 'any request'
+    NO_SUSPECTS = 'requests that are clear'
+    NOBODY = 'no request'
+
+
+@attrs.define(eq=False)
+class Waiting:
+    """A request that waits in front of the gate."""
+
+    company: Company
+    admitted: 'asyncio.Future[None]'
+
 
 class SoloGate:
     """Lets requests through in order of arrival.
@@ -10,19 +29,20 @@
     Explanation
     ===========
 
-    A solo request enters once all others have left, and requests behind it
-    wait until it has left.
+    A request that wants no company enters once all others have left, and
+    requests behind it wait until it has left.  One that wants no suspects
+    beside it waits for the one before it, and holds up nobody else.
 
     Examples
     ========
 
     >>> async def example():
     ...     gate = SoloGate()
-    ...     await gate.enter(is_solo=True)
-    ...     waiting = asyncio.ensure_future(gate.enter(is_solo=False))
+    ...     await gate.enter(Company.NOBODY)
+    ...     waiting = asyncio.ensure_future(gate.enter(Company.ANY))
     ...     await asyncio.sleep(0)
     ...     print(waiting.done())
-    ...     gate.leave()
+    ...     gate.leave(Company.NOBODY)
     ...     await waiting
     ...     print(gate.inside)
     >>> asyncio.run(example())
@@ -33,41 +53,69 @@
     def __init__(self) -> None:
         self.inside = 0
         self.has_solo = False
-        self.waiting: deque[tuple[bool, asyncio.Future[None]]] = deque()
+        self.has_suspect = False
+        self.waiting: deque[Waiting] = deque()
 
-    async def enter(self, *, is_solo: bool) -> None:
+    async def enter(self, company: Company) -> None:
         """Wait until the request may pass; ``leave`` must follow."""
-        if not self.waiting and self._fits(is_solo):
-            self._admit(is_solo)
+        if not self._is_held_up(company) and self._fits(company):
+            self._admit(company)
             return
-        admitted = asyncio.get_running_loop().create_future()
-        self.waiting.append((is_solo, admitted))
+        own = Waiting(company, asyncio.get_running_loop().create_future())
+        self.waiting.append(own)
         try:
-            await admitted
+            await own.admitted
         except asyncio.CancelledError:
-            if admitted.done() and not admitted.cancelled():
-                self.leave()
+            if own.admitted.done() and not own.admitted.cancelled():
+                self.leave(company)
             else:
-                self.waiting.remove((is_solo, admitted))
+                self.waiting.remove(own)
                 self._admit_waiting()
             raise
 
-    def leave(self) -> None:
+    def leave(self, company: Company) -> None:
         """Let the next requests pass."""
         self.inside -= 1
-        self.has_solo = False
+        match company:
+            case Company.NOBODY:
+                self.has_solo = False
+            case Company.NO_SUSPECTS:
+                self.has_suspect = False
         self._admit_waiting()
 
+    def _is_held_up(self, company: Company) -> bool:
+        """Return whether a request that came earlier goes first."""
+        return any(
+            each.company is Company.NOBODY or each.company is company
+            for each in self.waiting
+        )
+
     def _admit_waiting(self) -> None:
-        while self.waiting and self._fits(self.waiting[0][0]):
-            is_solo, admitted = self.waiting.popleft()
-            if not admitted.cancelled():
-                self._admit(is_solo)
-                admitted.set_result(None)
+        left: deque[Waiting] = deque()
+        is_open = True
+        for each in self.waiting:
+            if each.admitted.cancelled():
+                continue
+            if is_open and self._fits(each.company):
+                self._admit(each.company)
+                each.admitted.set_result(None)
+                continue
+            left.append(each)
+            is_open = is_open and each.company is not Company.NOBODY
+        self.waiting = left
 
-    def _fits(self, is_solo: bool) -> bool:
-        return not self.inside if is_solo else not self.has_solo
+    def _fits(self, company: Company) -> bool:
+        match company:
+            case Company.NOBODY:
+                return not self.inside
+            case Company.NO_SUSPECTS:
+                return not (self.has_solo or self.has_suspect)
+        return not self.has_solo
 
-    def _admit(self, is_solo: bool) -> None:
+    def _admit(self, company: Company) -> None:
         self.inside += 1
-        self.has_solo = is_solo
+        match company:
+            case Company.NOBODY:
+                self.has_solo = True
+            case Company.NO_SUSPECTS:
+                self.has_suspect = True
--- a/packages/quarantine/tanagerbend_quarantine/quarantine.py
+++ b/packages/quarantine/tanagerbend_quarantine/quarantine.py
@@ -1,24 +1,19 @@
-"""Suspects and convictions of one daemon."""
+"""Suspects and convictions as the control messages name them."""
 
-import enum
-from collections import OrderedDict
+import itertools
 from collections.abc import Iterable
-from typing import Final
 
 import attrs
 
-from tanagerbend_metrics import Event, Recorder
-
-QUARANTINE_SECONDS: Final = 600.0
-MAX_FINGERPRINTS: Final = 10_000
-
-
-class Verdict(enum.Enum):
-    """What is known of a fingerprint."""
-
-    CLEAR = 'clear'
-    SUSPECT = 'suspect'
-    CONVICTED = 'convicted'
+from tanagerbend_metrics import Recorder
+from tanagerbend_quarantine.cases import (
+    MAX_FINGERPRINTS,
+    QUARANTINE_SECONDS,
+    Cases,
+    Crash,
+    Verdict,
+)
+from tanagerbend_quarantine.gate import Company
 
 
 @attrs.frozen
@@ -82,25 +77,26 @@
     ) -> None:
         self.recorder = recorder
         self.timer = recorder.timer
-        self.seconds = seconds
-        self.limit = limit
-        # Fingerprints with the monotonic time of their end, oldest first.
-        self.suspects: OrderedDict[bytes, float] = OrderedDict()
-        self.convicts: OrderedDict[bytes, float] = OrderedDict()
+        self.cases = Cases(recorder, seconds, limit)
+        self.numbers = itertools.count()
 
     @property
     def is_empty(self) -> bool:
         """Whether every request is clear."""
-        return not (self.suspects or self.convicts)
+        return self.cases.is_empty
+
+    @property
+    def suspects(self) -> tuple[bytes, ...]:
+        """Fingerprints of suspects, oldest first."""
+        return tuple(self.cases.suspects)
 
     def check(self, fingerprint: bytes) -> Verdict:
         """Return what is known of a request."""
-        self._expire()
-        if fingerprint in self.convicts:
-            return Verdict.CONVICTED
-        if fingerprint in self.suspects:
-            return Verdict.SUSPECT
-        return Verdict.CLEAR
+        return self.cases.verdict(fingerprint)
+
+    def company(self, fingerprint: bytes) -> Company:
+        """Return which requests may run beside a request."""
+        return self.cases.company(fingerprint)
 
     def crashed(
         self,
@@ -112,35 +108,26 @@
 
         ``is_alone`` says that a suspect ran and nothing else.
         """
-        self._expire()
-        new = [
-            fingerprint
-            for fingerprint in dict.fromkeys(in_flight)
-            if fingerprint not in self.convicts
+        before = {name: self.check(name) for name in in_flight}
+        self.cases.crashed(before, self._crash(is_alone=is_alone))
+        changed = [
+            (name, self.check(name))
+            for name, verdict in before.items()
+            if self.check(name) is not verdict
         ]
-        if is_alone:
-            notice = Notice(convicted=tuple(new))
-        else:
-            notice = Notice(
-                suspected=tuple(
-                    fingerprint
-                    for fingerprint in new
-                    if fingerprint not in self.suspects
-                ),
-            )
-        self.merge(notice)
-        return notice
+        return Notice(
+            _named(changed, Verdict.SUSPECT),
+            _named(changed, Verdict.CONVICTED),
+        )
 
     def succeeded(self, fingerprint: bytes) -> Notice:
         """Clear a suspect that ran to its end; return what is new."""
-        if fingerprint not in self.suspects:
-            return Notice()
-        notice = Notice(cleared=(fingerprint,))
-        self.merge(notice)
-        return notice
+        if self.cases.succeeded(fingerprint):
+            return Notice(cleared=(fingerprint,))
+        return Notice()
 
     def merge(self, notice: Notice) -> None:
-        """Take over what this or another daemon has found.
+        """Take over what another daemon has found.
 
         Explanation
         ===========
@@ -148,30 +135,28 @@
         A conviction is not withdrawn by a clearing, which may concern an
         earlier run.
         """
-        for fingerprint in notice.cleared:
-            self.suspects.pop(fingerprint, None)
-        for suspect in notice.suspected:
-            if suspect not in self.convicts:
-                self._add(self.suspects, suspect)
+        for cleared in notice.cleared:
+            if self.check(cleared) is Verdict.SUSPECT:
+                self.cases.lift(cleared)
+        for name in notice.suspected:
+            if self.check(name) is Verdict.CLEAR:
+                self.cases.crashed((name,), self._crash(is_alone=False))
         for convict in notice.convicted:
-            self.suspects.pop(convict, None)
-            self._add(self.convicts, convict)
-            self.recorder.note(Event.REQUEST_CONVICTED, convict.hex())
+            self.cases.crashed((convict,), self._crash(is_alone=True))
+
+    def _crash(self, *, is_alone: bool) -> Crash:
+        """Return a crash of its own, since control messages name none."""
+        number = str(next(self.numbers))
+        return Crash(number, self.timer.now(), is_alone)
 
     def snapshot(self) -> Notice:
         """Return everything, for a daemon that has just started."""
-        self._expire()
-        return Notice(tuple(self.suspects), tuple(self.convicts))
-
-    def _add(self, table: OrderedDict[bytes, float], entry: bytes) -> None:
-        table.pop(entry, None)
-        table[entry] = self.timer.now() + self.seconds
-        while len(table) > self.limit:
-            table.popitem(last=False)
-            self.recorder.count('quarantine_overflow')
-
-    def _expire(self) -> None:
-        now = self.timer.now()
-        for table in (self.suspects, self.convicts):
-            while table and next(iter(table.values())) <= now:
-                table.popitem(last=False)
+        self.cases.expire()
+        return Notice(self.suspects, tuple(self.cases.convicts))
+
+
+def _named(
+    found: Iterable[tuple[bytes, Verdict]],
+    wanted: Verdict,
+) -> tuple[bytes, ...]:
+    return tuple(name for name, verdict in found if verdict is wanted)
