Stop requests that end instances on the users' path

What callers saw: a request under which three instances had ended was sent to more of them, and ended each, for as long as it came; requests beside it were lost with them.

Cause: containment stood on one of two call paths. proxy and platform took a lost connection for any other failure; nothing remembered it between two sendings, and no daemon told another.

Change, on top of the cases of packages/quarantine: - proxy.guard, at the owner: a request that is lost while the instance refuses connections was in a crash. Suspects keep apart from each other, one of two crashes runs alone, so that the third tells. What ran to its end in the last ten seconds is no suspect. - proxy.suspicions: both the entry and the owner refuse a convicted request with 604, not run; evidence travels with the request in both directions. - proxy.crash_news: daemons tell those 1, 2, 4, ... places ahead in a ring, and compare with one of them every two seconds while there is a suspect; one that has started, or whose instance is not listed, asks.

--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -12,11 +12,12 @@
 from tanagerbend_emulator.arrivals import Arrivals
 from tanagerbend_emulator.instance import HOST, EmulatedInstance
 from tanagerbend_emulator.links import HostLink
-from tanagerbend_emulator.loads import Load, Restart, ServiceLoad
+from tanagerbend_emulator.loads import Crashed, Load, Restart, ServiceLoad
 from tanagerbend_emulator.virtual import LateTimer, LoopTimer
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy import HeaderNames, Listening, StopTerms, Terms
+from tanagerbend_proxy.crash_news import CrashNews, make_suspicions
 from tanagerbend_proxy.entry import Entry, due_of
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.link_use import LinkUse
@@ -24,6 +25,7 @@
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.uplink import HEADER_BYTES, Due, Uplink
 from tanagerbend_routing import (
+    InstanceRegistry,
     ListedInstance,
     Part,
     Placement,
@@ -33,6 +35,8 @@
 
 # Nothing changes in an emulation.
 APPLY_SECONDS: Final = 2.0
+# After which a message to a host that is cut off is given up.
+LOST_SECONDS: Final = 1.0
 NAMES: Final = HeaderNames(
     **{name: name for name in attrs.fields_dict(HeaderNames)},
 )
@@ -59,6 +63,10 @@
 
     instance: EmulatedInstance | None = None
 
+    async def is_instance_down(self) -> bool:
+        """Return whether the instance has ended."""
+        return self.instance.is_down
+
     async def _send(
         self,
         request: Request,
@@ -135,6 +143,12 @@
         self.configuration = configure(load)
         self.owners: dict[str, EmulatedOwner] = {}
         self.links: dict[str, HostLink] = {}
+        self.news: dict[str, CrashNews] = {}
+        # Hosts that no daemon reaches, and messages about crashes.
+        self.cut_off: set[str] = set()
+        self.messages = 0
+        # Seconds at which requests of a kind ended an instance.
+        self.ended: dict[str, list[float]] = {}
         self.entries: dict[str, list[EmulatedEntry]] = {
             domain: [] for domain in load.domains
         }
@@ -166,8 +180,10 @@
             knowledge.registry,
             out.uplink,
             self.load.budget,
+            make_suspicions(self.recorder, NAMES, SilentLog()),
             instance=instance,
         )
+        self._connect(owner, knowledge.registry)
         # The daemons have run for a while.
         owner.repeats.allowance.began = -math.inf
         entry = EmulatedEntry(
@@ -188,6 +204,41 @@
         self.owners[listed.identity] = owner
         self.entries[listed.failure_domain].append(entry)
 
+    def _connect(
+        self,
+        owner: EmulatedOwner,
+        registry: InstanceRegistry,
+    ) -> None:
+        """Let a daemon tell the others of crashes."""
+
+        async def ask(host: str, text: str) -> str | Refusal:  # noqa: WPS430
+            self.messages += 1
+            if self.cut_off & {host, own_host}:
+                await asyncio.sleep(LOST_SECONDS)
+                return Refusal(ResultCode.PEER_UNREACHABLE, 'cut off')
+            await asyncio.sleep(2 * self.load.between_domains)
+            return self.news[host].answer(text)
+
+        own_host = owner.address.rpartition(':')[0]
+        self.news[own_host] = CrashNews(
+            owner.suspicions,
+            registry,
+            own_host,
+            ask,
+            self.random,
+        )
+
+    def ended_by(self, kind: str) -> None:
+        """Note that a request of a kind has ended its instance."""
+        now = asyncio.get_running_loop().time()
+        self.ended.setdefault(kind, []).append(now)
+
+    def crash(self, crashed: Crashed) -> None:
+        """End instances for reasons of their own."""
+        for owner in self.owners.values():
+            if owner.instance.is_among(crashed):
+                owner.instance.crash()
+
     def restart(self, restart: Restart) -> None:
         """Let daemons forget what they have counted."""
         for owner in self.owners.values():
--- a/packages/emulator/tanagerbend_emulator/instance.py
+++ b/packages/emulator/tanagerbend_emulator/instance.py
@@ -9,6 +9,7 @@
 from multidict import CIMultiDict
 
 from tanagerbend_emulator.loads import (
+    Crashed,
     KindLoad,
     Load,
     Restart,
@@ -55,6 +56,8 @@
     waiting: int = 0
     runs: int = 0
     calls: int = 0
+    down_until: float = 0.0
+    running: 'set[asyncio.Task[Answer]]' = attrs.field(factory=set)
     slots: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -63,6 +66,8 @@
     async def run(self, request: Request, limit: float) -> Answer | Refusal:
         """Run a request within ``limit`` seconds."""
         now = asyncio.get_running_loop().time()
+        if self.is_down:
+            return Refusal(ResultCode.INSTANCE_UNREACHABLE, 'is down')
         is_repeat = self.entry.fleet.arrivals.reach(
             self.service.name,
             request.identifier,
@@ -77,11 +82,34 @@
                 return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
             return Refusal(ResultCode.BACKEND_SHED_LOAD, 'queue is full')
         kind = self.load.kind(request.path.strip('/'))
+        task = asyncio.ensure_future(
+            self._work(kind, now + limit, is_repeat=is_repeat),
+        )
+        self.running.add(task)
         try:
-            async with asyncio.timeout(limit):
-                return await self._work(kind, now + limit, is_repeat=is_repeat)
-        except TimeoutError:
+            await asyncio.wait((task,), timeout=limit)
+            is_over = not task.done()
+        finally:
+            self.running.discard(task)
+            task.cancel()
+        if is_over:
             return Answer(OVER, CIMultiDict(), b'')
+        if task.cancelled():
+            reason = 'the instance ended'
+            return Refusal(ResultCode.CONNECTION_LOST, reason, Ran.UNKNOWN)
+        return task.result()
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the instance has ended and not started again."""
+        return asyncio.get_running_loop().time() < self.down_until
+
+    def crash(self) -> None:
+        """End, with all requests that run or wait."""
+        now = asyncio.get_running_loop().time()
+        self.down_until = now + self.service.down
+        for task in self.running:
+            task.cancel()
 
     async def _work(
         self,
@@ -96,6 +124,9 @@
         finally:
             self.waiting -= 1
         self.runs += 1
+        if kind.is_crashing:
+            self.entry.fleet.ended_by(kind.name)
+            self.crash()
         try:
             await asyncio.sleep(self._seconds(kind) / 2)
             for name in kind.calls:
@@ -125,7 +156,10 @@
     def _is_hit(self, trouble: Slowness | Shedding, now: float) -> bool:
         return self.is_among(trouble) and trouble.begin <= now < trouble.end
 
-    def is_among(self, trouble: Slowness | Shedding | Restart) -> bool:
+    def is_among(
+        self,
+        trouble: Slowness | Shedding | Restart | Crashed,
+    ) -> bool:
         """Return whether this is one of the instances of a trouble."""
         number = int(self.listed.identity.rpartition('-')[2])
         is_hit = trouble.service == self.service.name
@@ -150,7 +184,12 @@
     return bytes(int(kilobytes * KILOBYTE))
 
 
-def make_request(identifier: str, kind: str, time_left: float) -> Request:
+def make_request(
+    identifier: str,
+    kind: str,
+    time_left: float,
+    body: bytes = b'',
+) -> Request:
     """Return a request of a kind; ``time_left`` in seconds."""
     return Request(
         identifier,
@@ -158,7 +197,7 @@
         HOST,
         f'/{kind}/',
         CIMultiDict(),
-        b'',
+        body,
         time_left,
         asyncio.get_running_loop().time(),
     )
--- a/packages/emulator/tanagerbend_emulator/loads.py
+++ b/packages/emulator/tanagerbend_emulator/loads.py
@@ -38,6 +38,8 @@
         if the links don't matter.
     fast_hosts : int
         Hosts whose links carry ``FAST_FACTOR`` times as much.
+    down : float
+        Seconds after which an instance that ended has started again.
     """
 
     name: str
@@ -48,6 +50,7 @@
     is_silent: bool = False
     link: float = math.inf
     fast_hosts: int = 0
+    down: float = 1.0
 
     def link_of(self, number: int) -> float:
         """Return the bytes a second of the link of a host."""
@@ -80,6 +83,10 @@
         Times that a caller comes back after a promise.
     calls : tuple of str
         Kinds that an instance calls while it runs the request.
+    is_unique : bool
+        Whether each request differs from the others of its kind.
+    is_crashing : bool
+        Whether an instance ends when it begins to run one.
     """
 
     name: str
@@ -99,6 +106,8 @@
     work_spread: float = 0.25
     kilobytes_spread: float = 0.0
     most_kilobytes: float = math.inf
+    is_unique: bool = False
+    is_crashing: bool = False
 
     def draw_kilobytes(self, chance: random.Random) -> float:
         """Return the size of one answer."""
@@ -162,6 +171,15 @@
     instances: int
 
 
+@attrs.frozen
+class Crashed:
+    """Instances of a service that end at a time, for reasons of their own."""
+
+    service: str
+    at: float
+    instances: int
+
+
 @attrs.frozen
 class Load:
     """A deployment and the requests that it gets.
@@ -183,6 +201,7 @@
     slowness : tuple of Slowness
     shedding : tuple of Shedding
     restarts : tuple of Restart
+    crashed : tuple of Crashed
     shares : tuple of float
         Parts of the requests that enter in each failure domain; equal if
         there are none.
@@ -202,6 +221,7 @@
     slowness: tuple[Slowness, ...] = ()
     shedding: tuple[Shedding, ...] = ()
     restarts: tuple[Restart, ...] = ()
+    crashed: tuple[Crashed, ...] = ()
     shares: tuple[float, ...] = ()
     wake_delay: float = 0.0
 
@@ -239,6 +259,7 @@
     found['slowness'] = _all(Slowness, found.get('slowness', ()))
     found['shedding'] = _all(Shedding, found.get('shedding', ()))
     found['restarts'] = _all(Restart, found.get('restarts', ()))
+    found['crashed'] = _all(Crashed, found.get('crashed', ()))
     load = Load(**found)
     _check(load)
     return load
@@ -262,7 +283,12 @@
     flooded = {flood.kind for flood in load.floods}
     slowed = {
         each.service
-        for each in (*load.slowness, *load.shedding, *load.restarts)
+        for each in (
+            *load.slowness,
+            *load.shedding,
+            *load.restarts,
+            *load.crashed,
+        )
     }
     served = {kind.service for kind in load.kinds}
     unknown = (called | flooded) - kinds | (slowed | served) - services
--- a/packages/emulator/tanagerbend_emulator/trial.py
+++ b/packages/emulator/tanagerbend_emulator/trial.py
@@ -9,7 +9,13 @@
 
 from tanagerbend_emulator.fleet import EmulatedEntry, EmulatedFleet
 from tanagerbend_emulator.instance import OK, make_request
-from tanagerbend_emulator.loads import Flood, KindLoad, Load, Restart
+from tanagerbend_emulator.loads import (
+    Crashed,
+    Flood,
+    KindLoad,
+    Load,
+    Restart,
+)
 from tanagerbend_emulator.policies import POLICIES
 from tanagerbend_emulator.virtual import run_virtual
 from tanagerbend_metrics.names import CAUSED_REPEATS
@@ -102,6 +108,13 @@
     caused, counted : int
         Calls of repeats that reached an instance, and those that the
         daemons have counted.
+    ended : dict of str to list of float
+        Seconds at which requests of a kind ended the instance that ran
+        them.
+    codes : Counter of tuple of str
+        Refusals that callers got, by kind and result code.
+    messages : int
+        That daemons sent about crashes.
     """
 
     whole: Share = attrs.field(factory=Share)
@@ -115,6 +128,9 @@
     beyond: dict[str, int] = attrs.field(factory=dict)
     caused: int = 0
     counted: int = 0
+    ended: dict[str, list[float]] = attrs.field(factory=dict)
+    codes: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+    messages: int = 0
 
     def add(self, kind: KindLoad, domain: str, sent: float, end: str) -> None:
         """Count a request in all groups."""
@@ -151,8 +167,16 @@
             group.create_task(callers.arrive(chance, group))
         for restart in load.restarts:
             group.create_task(_restart(fleet, restart))
+        for crashed in load.crashed:
+            group.create_task(_crash(fleet, crashed))
+        telling = [
+            asyncio.ensure_future(news.run()) for news in fleet.news.values()
+        ]
+        group.create_task(_end_telling(load.seconds, telling))
     verdict.beyond = fleet.arrivals.beyond(load.budget)
     verdict.caused = fleet.arrivals.caused
+    verdict.ended = fleet.ended
+    verdict.messages = fleet.messages
     verdict.counted = fleet.recorder.counters.total(CAUSED_REPEATS)
     verdict.carried = sum(link.carried for link in fleet.links.values())
     await asyncio.gather(*(link.close() for link in fleet.links.values()))
@@ -164,6 +188,21 @@
     fleet.restart(restart)
 
 
+async def _crash(fleet: EmulatedFleet, crashed: Crashed) -> None:
+    await asyncio.sleep(crashed.at)
+    fleet.crash(crashed)
+
+
+async def _end_telling(
+    seconds: float,
+    telling: list['asyncio.Future[None]'],
+) -> None:
+    await asyncio.sleep(seconds)
+    for each in telling:
+        each.cancel()
+    await asyncio.wait(telling)
+
+
 @attrs.define(eq=False)
 class Callers:
     """Callers of one kind of request."""
@@ -226,7 +265,8 @@
             if asked >= over:
                 break
             name = f'{self.kind.name}.{number}.{count}'
-            attempt = await self._attempt(entry, name, over)
+            body = b'%d' % number if self.kind.is_unique else b''
+            attempt = await self._attempt(entry, name, over, body)
             if attempt.end != REFUSED:
                 break
             held = max(held, loop.time() - asked)
@@ -246,6 +286,7 @@
         entry: EmulatedEntry,
         name: str,
         over: float,
+        body: bytes,
     ) -> Attempt:
         """Return how an attempt ended, and when to come back."""
         loop = asyncio.get_running_loop()
@@ -254,7 +295,7 @@
             async with asyncio.timeout_at(over):
                 await asyncio.sleep(delay)
                 left = over - loop.time()
-                request = make_request(name, self.kind.name, left)
+                request = make_request(name, self.kind.name, left, body)
                 end = await entry.handle(request)
                 wait = entry.retry_after(request)
                 if isinstance(end, Answer):
@@ -263,7 +304,8 @@
         except TimeoutError:
             return Attempt(FAILED)
         match end:
-            case Answer(status=status, body=body):
+            case Answer(status=status, body=whole):
                 is_good = status == OK
-                return Attempt(ON_TIME if is_good else FAILED, 0.0, len(body))
+                return Attempt(ON_TIME if is_good else FAILED, 0.0, len(whole))
+        self.verdict.codes[self.kind.name, end.code.name] += 1
         return Attempt(REFUSED if end.ran is Ran.NO else FAILED, wait)
--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -68,6 +68,7 @@
     LARGE_BYTES: 'end',
     'log_lines_left_out': 'event',
     'uploads_refused_early': 'code',
+    'instance_probes_failed': 'error',
 }
 # Exposed from the start, so that an alert on them never lacks a series.
 ALWAYS_EXPOSED: Final = (
--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -8,6 +8,7 @@
 
 from tanagerbend_admission import ObjectiveQueue
 from tanagerbend_metrics import Recorder
+from tanagerbend_proxy.crash_news import CrashNews, make_news, make_suspicions
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.delivery import DeliveryLog
 from tanagerbend_proxy.entry import Entry
@@ -20,8 +21,7 @@
 from tanagerbend_proxy.lifetime import Lifetime
 from tanagerbend_proxy.link_use import ANSWERS, PLACED, LinkUse
 from tanagerbend_proxy.owner import Owner
-from tanagerbend_proxy.peers import Peers
-from tanagerbend_proxy.sources import Sources
+from tanagerbend_proxy.peers import make_peers
 from tanagerbend_proxy.staleness import Staleness
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_proxy.uplink import Uplink
@@ -51,6 +51,7 @@
     peers: Endpoint
     link: LinkUse
     lifetime: Lifetime
+    news: CrashNews
     is_stopping: bool = False
 
     @property
@@ -82,6 +83,14 @@
     knowledge = Knowledge(recorder, log)
     link = LinkUse(recorder)
     uplink = Uplink(recorder.timer, terms.link)
+    session = make_session(PEER_KEEP_SECONDS, 0)
+    news = make_news(
+        terms,
+        make_suspicions(recorder, names, log),
+        knowledge.registry,
+        session,
+        chance,
+    )
     owner = Owner(
         terms.instance_address,
         make_session(INSTANCE_KEEP_SECONDS, 0),
@@ -91,8 +100,8 @@
         knowledge.registry,
         uplink,
         terms.budget,
+        news.suspicions,
     )
-    session = make_session(PEER_KEEP_SECONDS, 0)
     entry = Entry(
         terms,
         knowledge,
@@ -108,7 +117,7 @@
     follower = Follower(
         connect(recorder),
         knowledge,
-        Peers(terms, Sources(terms.instance_address, recorder), session),
+        make_peers(terms, recorder, session),
         recorder,
         chance,
         Staleness(knowledge, link, terms.apply_seconds),
@@ -122,7 +131,7 @@
         lifetime,
         DeliveryLog(ANSWERS, recorder, log),
     )
-    handler = PeerHandler(owner, follower, names)
+    handler = PeerHandler(owner, follower, names, news)
     peers = Endpoint(
         handler.handle,
         recorder,
@@ -145,4 +154,5 @@
         peers,
         link,
         lifetime,
+        news,
     )
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -26,6 +26,7 @@
 )
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.repeats import CERTAIN
+from tanagerbend_proxy.suspicions import Suspicions
 from tanagerbend_proxy.request_lines import RequestLines, RequestState
 from tanagerbend_proxy.terms import Terms
 from tanagerbend_proxy.uplink import Due
@@ -55,6 +56,10 @@
 LEAST_SPREAD: Final = 0.3
 # Time to come back where nothing is known of the request.
 UNKNOWN_RETURN_SECONDS: Final = 1.0
+# Refusals that tell nothing of what an instance can take.
+TELLS_NOTHING: Final = frozenset(
+    (ResultCode.RETRY_BUDGET_SPENT, ResultCode.REQUEST_CRASHES_BACKEND),
+)
 BUSY: Final = frozenset(
     (
         ResultCode.QUEUE_FULL,
@@ -95,9 +100,11 @@
     random: random.Random
     link: LinkUse
     lines: RequestLines = attrs.field(init=False)
+    suspicions: Suspicions = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         timer = self.recorder.timer
+        self.suspicions = self.owner.suspicions
         self.lines = RequestLines(self.log, self.knowledge, timer)
         self.placement.own_address = self.terms.instance_address
         self.placement.sending = self.owner.uplink.seconds_for
@@ -112,13 +119,16 @@
         state = self._state(request, route)
         state.caused = self.owner.repeats.requested(state.service, request)
         try:
-            end = self._refuse_behind(state)
+            end = self.suspicions.refuse(request) or self._refuse_behind(state)
             if end is None:
                 end = await self._try_instances(state)
         except asyncio.CancelledError:
             self.lines.add('request_left', state)
             self.lines.write('request_left', state)
             raise
+        finally:
+            if state.is_accused:
+                self.suspicions.pass_on(request)
         match end:
             case Refusal():
                 self._refused(state, end)
@@ -233,6 +243,7 @@
             state.on_time_until - now,
             left,
             CERTAIN if state.offered else state.caused,
+            self.suspicions.evidence(state.request),
         )
         self.placement.asked(instance, placed.route)
         load = self.placement.of(instance).of_rank(state.route.rank)
@@ -279,6 +290,8 @@
         headers[own_headers.PLACED] = placed.encode()
         if placed.repeated:
             headers[own_headers.REPEATED] = placed.encode_repeated()
+        if placed.evidence:
+            headers[own_headers.CRASHES] = placed.evidence
         self.owner.uplink.spend(len(request.body))
         address = f'{instance.host_address}:{self.terms.peer_port}'
         end = await send(
@@ -299,7 +312,8 @@
                 return Outcome(end, is_offered=end.ran is not Ran.NO)
         self.link.received(PLACED, len(end.body))
         told = end.headers.pop(own_headers.OUTCOME, '')
-        return Outcome.decode(told, end)
+        evidence = end.headers.pop(own_headers.CRASHES, '')
+        return Outcome.decode(told, end, evidence)
 
     def _learn(
         self,
@@ -310,6 +324,9 @@
         """Take what an outcome tells of the instance."""
         state.tried |= {instance.identity}
         state.offered += outcome.is_offered
+        if outcome.evidence:
+            state.is_accused = True
+            self.suspicions.take(outcome.evidence)
         if outcome.load is not None:
             rank = state.route.rank
             self.placement.reported(instance, rank, outcome.load)
@@ -317,6 +334,7 @@
         match outcome.end:
             case Answer(status=status, body=body):
                 state.last = outcome.end
+                self.suspicions.succeeded(state.request)
                 if status >= SERVER_ERROR:
                     self.placement.failed(instance)
                     return
@@ -352,8 +370,7 @@
             refusal.code is ResultCode.BACKEND_SHED_LOAD
         ):
             self.placement.failed(instance)
-        elif refusal.code is ResultCode.RETRY_BUDGET_SPENT:
-            # Tells nothing of what the instance can take.
+        elif refusal.code in TELLS_NOTHING:
             return
         elif refusal.code in BUSY:
             # A refusal of this daemon itself tells nothing of the instance.
@@ -481,6 +498,8 @@
     ''
     """
     match end:
+        case Refusal(code=ResultCode.REQUEST_CRASHES_BACKEND):
+            return 'it ends instances'
         case Answer(status=status) if status < SERVER_ERROR:
             return 'answered'
         case Answer() if repeat is not Repeat.FREELY:
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -14,6 +14,7 @@
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
 from tanagerbend_proxy.changes import PollRequest
+from tanagerbend_proxy.crash_news import CrashNews
 from tanagerbend_proxy.endpoint import DUE, IDENTIFIER, status_of
 from tanagerbend_proxy.entry import Entry, due_of
 from tanagerbend_proxy.exchange import without_connection
@@ -36,6 +37,8 @@
 # Bodies from this size on are refused before they are taken, if it is known
 # then that they can't be served.
 LARGE_BODY_BYTES: Final = 16384
+# All cases that one daemon tells, with their crashes.
+MOST_NEWS_BYTES: Final = 2097152
 # Set by the server itself, or meant for another connection.
 NOT_COPIED: Final = HOP_BY_HOP | {'content-length', 'date', 'server'}
 
@@ -147,6 +150,7 @@
         headers.popall(self.names.expected_instance, None)
         headers.popall(own_headers.PLACED, None)
         headers.popall(own_headers.REPEATED, None)
+        headers.popall(own_headers.CRASHES, None)
         return Request(
             http.headers.get(self.names.request_id, ''),
             http.method,
@@ -185,14 +189,30 @@
     owner: Owner
     follower: Follower
     names: HeaderNames
+    news: CrashNews
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of another daemon."""
         question = http.headers.get(own_headers.FOLLOW)
         if question is not None:
             return await self.tell(question)
+        if own_headers.CRASH_NEWS in http.headers:
+            return await self.take_news(http)
         return await self.run(http)
 
+    async def take_news(self, http: web.BaseRequest) -> web.Response:
+        """Take what another daemon knows of requests that end instances."""
+        text = await read_body(http, MOST_NEWS_BYTES)
+        reply = self.news.answer(text) if isinstance(text, bytes) else text
+        match reply:
+            case Refusal(reason=reason):
+                self.news.suspicions.log.write(
+                    'crashes_unreadable',
+                    reason=reason,
+                )
+                return web.Response(status=HTTPStatus.BAD_REQUEST, text=reason)
+        return web.Response(text=reply)
+
     async def tell(self, text: str) -> web.Response:
         """Tell the changes that another daemon asks for."""
         request = PollRequest.decode(text)
@@ -214,6 +234,7 @@
         placed = Placed.decode(
             http.headers.get(own_headers.PLACED, ''),
             http.headers.get(own_headers.REPEATED, ''),
+            http.headers.get(own_headers.CRASHES, ''),
         )
         identifier = http.headers.get(self.names.request_id, '')
         body = await http.content.read(-1)
@@ -227,6 +248,7 @@
         headers = without_connection(http.headers, NOT_COPIED)
         headers.popall(own_headers.PLACED, None)
         headers.popall(own_headers.REPEATED, None)
+        headers.popall(own_headers.CRASHES, None)
         request = Request(
             identifier,
             http.method,
@@ -258,6 +280,8 @@
                 response = web.Response(text=reason)
                 response.headers[self.names.request_id] = identifier
         response.headers[own_headers.OUTCOME] = outcome.encode()
+        if outcome.evidence:
+            response.headers[own_headers.CRASHES] = outcome.evidence
         return response
 
 
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -107,6 +107,8 @@
         Seconds left for any answer.
     repeated : float
         Share of the request that repeats earlier work, from 0 to 1.
+    evidence : str
+        What is known against the request, as `crash_messages` tells it.
     """
 
     instance: str
@@ -116,6 +118,7 @@
     on_time: float
     time_left: float
     repeated: float = 0.0
+    evidence: str = ''
 
     def after(self, passed: float) -> 'Placed':
         """Return the placement when some seconds have passed."""
@@ -146,7 +149,12 @@
         return f'{self.repeated:.3f}' if self.repeated else ''
 
     @classmethod
-    def decode(cls, text: str, repeated: str = '') -> 'Placed | Refusal':
+    def decode(
+        cls,
+        text: str,
+        repeated: str = '',
+        evidence: str = '',
+    ) -> 'Placed | Refusal':
         """Read the headers of another daemon."""
         try:
             told = dict(zip(PLACED_FIELDS, json.loads(text), strict=True))
@@ -158,6 +166,7 @@
                 finite(told['on_time_ms']) / MILLISECONDS,
                 finite(told['left_ms']) / MILLISECONDS,
                 min(max(finite(repeated or 0), 0.0), 1.0),
+                evidence,
             )
         except UNFIT as error:
             reason = f'placement of another daemon: {error}'
@@ -198,11 +207,14 @@
     load : LoadReport or None
     is_offered : bool
         Whether the request was sent to the instance.
+    evidence : str
+        What is known against the request, if its instance ended.
     """
 
     end: Answer | Refusal
     load: LoadReport | None = None
     is_offered: bool = False
+    evidence: str = ''
 
     def encode(self) -> str:
         """Return the text of the header between daemons."""
@@ -223,7 +235,12 @@
         )
 
     @classmethod
-    def decode(cls, text: str, answer: Answer) -> 'Outcome':
+    def decode(
+        cls,
+        text: str,
+        answer: Answer,
+        evidence: str = '',
+    ) -> 'Outcome':
         """Read the header of another daemon, with the answer it came on."""
         try:
             told = dict(zip(OUTCOME_FIELDS, json.loads(text), strict=True))
@@ -242,7 +259,7 @@
                 finite(told['per_kilobyte']),
                 finite(told['behind']),
             )
-            return cls(end, load, bool(told['offered']))
+            return cls(end, load, bool(told['offered']), evidence)
         except UNFIT:
             reason = 'answer that is not from a daemon'
             return cls(
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -1,6 +1,8 @@
 """Owner side: hands a request to the instance on this host."""
 
+import asyncio
 import math
+import socket
 from typing import Final
 
 import aiohttp
@@ -11,7 +13,8 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_metrics.names import BACKEND_TIME, QUEUE_TIME
 from tanagerbend_model import Ran, Refusal, ResultCode
-from tanagerbend_proxy.exchange import Outgoing, send
+from tanagerbend_proxy.exchange import Outgoing, make_socket, send
+from tanagerbend_proxy.guard import LOST, InstanceGuard
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.loop_delay import LoopDelay
 from tanagerbend_proxy.messages import (
@@ -22,6 +25,7 @@
     Request,
 )
 from tanagerbend_proxy.repeats import Repeats
+from tanagerbend_proxy.suspicions import Suspicions
 from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_routing import (
     BudgetTerms,
@@ -39,6 +43,19 @@
 # Kept back from the time of the instance, so that its answer, or the news
 # that there is none, reaches the caller in time.
 RETURN_SECONDS: Final = 0.01
+# A process that lives on this host takes a connection within this time.
+PROBE_SECONDS: Final = 0.25
+
+
+# Refusals of requests that were not sent to the instance.
+NOT_OFFERED: Final = frozenset(
+    (
+        ResultCode.INSTANCE_UNREACHABLE,
+        ResultCode.REQUEST_CRASHES_BACKEND,
+    ),
+)
+# Ends with which the entry daemon hears what is known against a request.
+ACCUSED: Final = LOST | {ResultCode.REQUEST_CRASHES_BACKEND}
 
 
 @attrs.define
@@ -59,6 +76,8 @@
         Over which the answers leave this host.
     budget : BudgetTerms
         Of the repeats that this daemon sends, and causes.
+    suspicions : Suspicions
+        Requests that end instances.
     is_leaving : bool
         Whether requests of other hosts are refused.
     sizes : ServiceTimes
@@ -75,12 +94,15 @@
     registry: InstanceRegistry
     uplink: Uplink
     budget: BudgetTerms
+    suspicions: Suspicions
     is_leaving: bool = False
     sizes: ServiceTimes = attrs.field(factory=ServiceTimes)
     delay: LoopDelay = attrs.field(init=False)
     repeats: Repeats = attrs.field(init=False)
+    guard: InstanceGuard = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.guard = InstanceGuard(self.suspicions, self.is_instance_down)
         self.delay = LoopDelay(self.recorder.timer)
         self.queue.departures.link = self.uplink
         self.forget_repeats()
@@ -103,6 +125,10 @@
             self.sizes.mean(placed.route),
             self.sizes.deviation(placed.route),
         )
+        self.suspicions.take(placed.evidence)
+        refusal = self.suspicions.refuse(request)
+        if refusal is not None:
+            return self._told(request, Outcome(refusal))
         refusal = self.repeats.refuse(placed)
         if refusal is None:
             refusal = await self.queue.enter(work)
@@ -118,18 +144,46 @@
         run = Run(placed.route, deadline, placed.repeated)
         try:
             with self.repeats.runs.hold(run, self.recorder.timer):
-                end = await self._send(request, placed, deadline - started)
+                end = await self.guard.run(
+                    request,
+                    placed,
+                    deadline,
+                    lambda left: self._send(request, placed, left),
+                )
             is_whole = isinstance(end, Answer) and end.status < MISDIRECTED
         finally:
             seconds = self.recorder.timer.now() - started
             self.queue.leave(work, seconds, is_whole=is_whole)
         self._record(BACKEND_TIME, placed, seconds)
         self._learn_size(placed.route, end)
-        is_offered = not (
-            isinstance(end, Refusal)
-            and end.code is ResultCode.INSTANCE_UNREACHABLE
-        )
-        return Outcome(end, self.report(placed.rank, seconds), is_offered)
+        is_offered = not (isinstance(end, Refusal) and end.code in NOT_OFFERED)
+        report = self.report(placed.rank, seconds)
+        return self._told(request, Outcome(end, report, is_offered))
+
+    def _told(self, request: Request, outcome: Outcome) -> Outcome:
+        """Add what is known against a request that ended an instance."""
+        match outcome.end:
+            case Refusal(code=code) if code in ACCUSED:
+                evidence = self.suspicions.evidence(request)
+                return attrs.evolve(outcome, evidence=evidence)
+        return outcome
+
+    async def is_instance_down(self) -> bool:
+        """Return whether the instance refuses a connection."""
+        host, _, port = self.address.rpartition(':')
+        probe = make_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
+        try:
+            async with asyncio.timeout(PROBE_SECONDS):
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(probe, (host, int(port)))
+        except ConnectionRefusedError:
+            return True
+        except OSError as error:
+            # Tells neither that it lives nor that it ended.
+            self.recorder.count('instance_probes_failed', type(error).__name__)
+        finally:
+            probe.close()
+        return False
 
     def _learn_size(self, route: str, end: Answer | Refusal) -> None:
         match end:
--- a/packages/proxy/tanagerbend_proxy/peers.py
+++ b/packages/proxy/tanagerbend_proxy/peers.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal
 from tanagerbend_proxy.changes import PollReply, PollRequest
 from tanagerbend_proxy.relaying import poll_peer
@@ -84,3 +85,12 @@
             PEER_SECONDS,
             PEER_CONNECT_SECONDS,
         )
+
+
+def make_peers(
+    terms: Terms,
+    recorder: Recorder,
+    session: aiohttp.ClientSession,
+) -> Peers:
+    """Return the peers of a daemon."""
+    return Peers(terms, Sources(terms.instance_address, recorder), session)
--- a/packages/proxy/tanagerbend_proxy/request_lines.py
+++ b/packages/proxy/tanagerbend_proxy/request_lines.py
@@ -43,6 +43,8 @@
         Why the request was not sent once more.
     caused : float
         Share of it that is a call of a run that is a repeat.
+    is_accused : bool
+        Whether an instance ended while it ran the request.
     lines : list of dict
         Log lines so far.
     """
@@ -61,6 +63,7 @@
     served: float = 0.0
     stopped_by: str = ''
     caused: float = 0.0
+    is_accused: bool = False
     lines: list[dict[str, Any]] = attrs.field(factory=list)
 
 
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -110,6 +110,11 @@
         """Follow the platform's service."""
         await self.parts.follower.run()
 
+    @Service.task
+    async def tell_crashes(self) -> None:
+        """Tell other daemons of requests that end instances."""
+        await self.parts.news.run()
+
     async def answer_ready(self, _request: web.BaseRequest) -> web.Response:
         """Tell the platform whether this daemon takes requests."""
         if self.parts.is_ready:
@@ -125,6 +130,8 @@
             ('busy', ''): {'': parts.owner.queue.busy},
             ('version_age', ''): {'': parts.follower.staleness.seconds},
             ('entries_age', ''): {'': parts.follower.staleness.seconds},
+            ('suspects', ''): {'': len(parts.news.cases.suspects)},
+            ('convicts', ''): {'': len(parts.news.cases.convicts)},
             ('unsent_bytes', ''): {'': parts.link.count_unsent()},
             ('link_unused_bytes', ''): {'': int(parts.owner.uplink.unused)},
         }
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/tests/test_guard.py
@@ -0,0 +1,200 @@
+"""What counts as the end of an instance, and what a suspect may meet."""
+
+import asyncio
+
+import attrs
+import pytest
+from multidict import CIMultiDict
+
+from tanagerbend_metrics import Recorder
+from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_proxy.crash_news import make_suspicions
+from tanagerbend_proxy.decisions import DecisionLog
+from tanagerbend_proxy.guard import InstanceGuard
+from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.messages import Answer, Placed, Request
+from tanagerbend_quarantine import Crash, Verdict
+from tanagerbend_routing import Repeat
+from tanagerbend_timer import SystemTimer
+
+NAMES = HeaderNames(**{name: name for name in attrs.fields_dict(HeaderNames)})
+PLACED = Placed('i-1', 'browse', 0, Repeat.FREELY, 30.0, 30.0)
+LOST = Refusal(ResultCode.CONNECTION_LOST, 'reset', Ran.UNKNOWN)
+SILENT = Refusal(ResultCode.OUTCOME_UNKNOWN, 'silent', Ran.UNKNOWN)
+UNSENT = Refusal(ResultCode.INSTANCE_UNREACHABLE, 'refused')
+
+
+class Instance:
+    """Instance of a guard, whose requests end as a test says."""
+
+    def __init__(self):
+        self.is_down = False
+        self.probes = 0
+        self.running = {}
+        recorder = Recorder(SystemTimer())
+        log = DecisionLog('host-1', recorder)
+        self.suspicions = make_suspicions(recorder, NAMES, log)
+        self.cases = self.suspicions.cases
+        self.guard = InstanceGuard(self.suspicions, self.probe)
+
+    async def probe(self):
+        """Return whether a connection is refused."""
+        self.probes += 1
+        return self.is_down
+
+    def request(self, path, caller='shop'):
+        """Return a request of a caller."""
+        headers = CIMultiDict({NAMES.caller_service: caller})
+        return Request('1', 'GET', 'h', path, headers, b'', 30.0, 0.0)
+
+    def name(self, path):
+        """Return the fingerprint of a request."""
+        return self.suspicions.name(self.request(path))
+
+    def verdict(self, path):
+        """Return what is known of a request."""
+        return self.cases.verdict(self.name(path))
+
+    async def begin(self, path):
+        """Send a request; return its task once it runs or waits."""
+        loop = asyncio.get_running_loop()
+
+        async def send(_left):
+            self.running[path] = loop.create_future()
+            return await self.running[path]
+
+        task = asyncio.ensure_future(
+            self.guard.run(
+                self.request(path),
+                PLACED,
+                self.cases.timer.now() + 30.0,
+                send,
+            ),
+        )
+        for _ in range(5):
+            await asyncio.sleep(0)
+        return task
+
+    def end(self, path, end):
+        """End a request that runs."""
+        self.running.pop(path).set_result(end)
+
+
+@pytest.fixture
+def instance():
+    return Instance()
+
+
+async def test_requests_lost_with_their_instance_are_suspects(instance):
+    """Guards against a crash that nobody remembers."""
+    tasks = [await instance.begin(path) for path in ('/a', '/b')]
+    instance.is_down = True
+    for path in ('/a', '/b'):
+        instance.end(path, LOST)
+    assert await asyncio.gather(*tasks) == [LOST, LOST]
+    assert instance.verdict('/a') is instance.verdict('/b') is Verdict.SUSPECT
+    assert len(instance.cases.case(instance.name('/a')).crashes) == 1
+    assert instance.probes == 1
+
+
+async def test_reset_of_a_connection_is_no_crash(instance):
+    """Guards against suspects where only a connection was lost."""
+    task = await instance.begin('/a')
+    instance.end('/a', LOST)
+    await task
+    assert instance.verdict('/a') is Verdict.CLEAR
+
+
+async def test_instance_that_runs_others_has_not_ended(instance):
+    """Guards against a connection to an instance that is known to live."""
+    lost, other = await instance.begin('/a'), await instance.begin('/b')
+    instance.is_down = True
+    instance.end('/a', LOST)
+    await lost
+    instance.end('/b', Answer(200, CIMultiDict(), b''))
+    await other
+    assert not instance.probes
+    assert instance.verdict('/a') is Verdict.CLEAR
+
+
+@pytest.mark.parametrize('end', [SILENT, UNSENT])
+async def test_silence_and_refusals_are_no_crash(instance, end):
+    """Guards against suspects where nothing tells of a crash."""
+    instance.is_down = True
+    task = await instance.begin('/a')
+    instance.end('/a', end)
+    assert await task == end
+    assert instance.verdict('/a') is Verdict.CLEAR
+
+
+async def test_request_whose_caller_left_is_charged_too(instance):
+    """Guards against a crash charged to its neighbours only."""
+    left, other = await instance.begin('/a'), await instance.begin('/b')
+    left.cancel()
+    await asyncio.wait((left,))
+    instance.is_down = True
+    instance.end('/b', LOST)
+    await other
+    assert instance.verdict('/a') is instance.verdict('/b') is Verdict.SUSPECT
+
+
+async def test_caller_is_part_of_a_request(instance):
+    """Guards against refusals of another service's requests."""
+    names = {
+        instance.suspicions.name(instance.request('/a', caller))
+        for caller in ('shop', 'docs')
+    }
+    assert len(names) == 2
+
+
+async def test_convicted_request_does_not_reach_the_instance(instance):
+    """Guards against an owner that trusts its entry daemons."""
+    name = instance.name('/a')
+    crash = Crash('i-0', 1.0, is_alone=True)
+    instance.cases.crashed([name], crash)
+    outcome = await (await instance.begin('/a'))
+    assert outcome.code is ResultCode.REQUEST_CRASHES_BACKEND
+    assert outcome.ran is Ran.NO
+    assert not instance.running
+
+
+async def test_suspect_of_two_crashes_runs_alone(instance):
+    """Guards against neighbours that a third crash takes along."""
+    name = instance.name('/a')
+    for number in range(2):
+        instance.cases.crashed([name], Crash(f'i-{number}', float(number)))
+    first = await instance.begin('/b')
+    suspect = await instance.begin('/a')
+    behind = await instance.begin('/c')
+    assert set(instance.running) == {'/b'}
+    instance.end('/b', Answer(200, CIMultiDict(), b''))
+    await first
+    await asyncio.sleep(0)
+    assert set(instance.running) == {'/a'}
+    instance.is_down = True
+    instance.end('/a', LOST)
+    await suspect
+    assert instance.verdict('/a') is Verdict.CONVICTED
+    assert instance.verdict('/b') is Verdict.CLEAR
+    await asyncio.sleep(0)
+    assert set(instance.running) == {'/c'}
+    instance.end('/c', Answer(200, CIMultiDict(), b''))
+    await behind
+
+
+async def test_request_that_waits_too_long_has_not_run(instance):
+    """Guards against a request held at the gate beyond its deadline."""
+    name = instance.name('/a')
+    for number in range(2):
+        instance.cases.crashed([name], Crash(f'i-{number}', float(number)))
+    first = await instance.begin('/b')
+    outcome = await instance.guard.run(
+        instance.request('/a'),
+        PLACED,
+        instance.cases.timer.now() + 0.01,
+        None,
+    )
+    assert outcome.code is ResultCode.DEADLINE_PASSED
+    assert outcome.ran is Ran.NO
+    instance.end('/b', Answer(200, CIMultiDict(), b''))
+    await first
--- a/packages/proxy/tanagerbend_proxy/tests/test_late_refusals.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_late_refusals.py
@@ -10,9 +10,11 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, ResultCode
 from tanagerbend_proxy.exchange import make_session
+from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.messages import Answer, Placed, Request
 from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.crash_news import make_suspicions
 from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_routing import (
     BudgetTerms,
@@ -101,6 +103,7 @@
             registry,
             Uplink(recorder.timer),
             BUDGET,
+            make_suspicions(recorder, NAMES, DecisionLog('host', recorder)),
         )
         placed = Placed('i-1', 'order', 0, Repeat.NEVER, 2.0, 2.0)
         ends = []
--- a/packages/proxy/tanagerbend_proxy/tests/test_owner.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_owner.py
@@ -9,9 +9,11 @@
 from tanagerbend_admission import ObjectiveQueue, Work
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, ResultCode
+from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.messages import Placed, Request
 from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.crash_news import make_suspicions
 from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_routing import (
     BudgetTerms,
@@ -43,6 +45,7 @@
         registry,
         Uplink(recorder.timer),
         BUDGET,
+        make_suspicions(recorder, NAMES, DecisionLog('host', recorder)),
     )
 
 
--- a/packages/quarantine/tanagerbend_quarantine/cases.py
+++ b/packages/quarantine/tanagerbend_quarantine/cases.py
@@ -10,7 +10,7 @@
 import enum
 import hashlib
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Final
 
 import attrs
@@ -20,9 +20,13 @@
 
 QUARANTINE_SECONDS: Final = 600.0
 MAX_FINGERPRINTS: Final = 10_000
-# Crashes without a success after which a request is refused, if it had
+# Crashes without a success after which a request is refused although it had
 # company in all of them: users grant a request three.
-CRASHES_TO_CONVICT: Final = 3
+CRASHES_IN_COMPANY: Final = 3
+# For this time after its start a daemon has seen too few successes for their
+# lack to say anything, in seconds; below the three seconds after which a host
+# counts as in touch.
+WARM_UP_SECONDS: Final = 2.0
 # Crashes and successes of one request that are remembered.
 MOST_REMEMBERED: Final = 8
 # A request that ran to its end this long ago, in seconds, does not end
@@ -95,14 +99,17 @@
         """Crashes that no success has proved wrong."""
         return self.crashes - self.struck
 
+    @property
+    def is_proved(self) -> bool:
+        """Whether an instance ended that ran nothing else."""
+        return any(crash.is_alone for crash in self.counted)
+
     @property
     def verdict(self) -> Verdict:
         """What the crashes say."""
-        counted = self.counted
-        is_alone = any(crash.is_alone for crash in counted)
-        if is_alone or len(counted) >= CRASHES_TO_CONVICT:
+        if self.is_proved or len(self.counted) >= CRASHES_IN_COMPANY:
             return Verdict.CONVICTED
-        return Verdict.SUSPECT if counted else Verdict.CLEAR
+        return Verdict.SUSPECT if self.counted else Verdict.CLEAR
 
     def joined(self, other: 'Case') -> 'Case':
         """Return what two daemons know together."""
@@ -150,6 +157,10 @@
     ends: float
 
 
+def say_nothing(_fingerprint: bytes, _case: Case) -> None:
+    """Take a conviction without telling anyone."""
+
+
 class Cases:
     """Suspects and convictions of one daemon.
 
@@ -176,6 +187,16 @@
     solo_from : int
         Crashes from which a suspect runs alone; below, it only doesn't
         run beside another suspect.
+
+    warm_up : float
+        Seconds from now in which only a proved case convicts.
+
+    Attributes
+    ==========
+
+    on_convicted, on_acquitted : callable
+        Are told when a request is refused, or not any more: fingerprint,
+        case.
     """
 
     def __init__(
@@ -184,17 +205,21 @@
         seconds: float = QUARANTINE_SECONDS,
         limit: int = MAX_FINGERPRINTS,
         solo_from: int = 1,
+        warm_up: float = 0.0,
     ) -> None:
         self.recorder = recorder
         self.timer = recorder.timer
         self.seconds = seconds
         self.limit = limit
         self.solo_from = solo_from
+        self.on_convicted: Callable[[bytes, Case], None] = say_nothing
+        self.on_acquitted: Callable[[bytes, Case], None] = say_nothing
         # Oldest first; a case is in one of them.
         self.suspects: OrderedDict[bytes, Held] = OrderedDict()
         self.convicts: OrderedDict[bytes, Held] = OrderedDict()
         self.cleared: OrderedDict[bytes, Held] = OrderedDict()
         self.successes: OrderedDict[bytes, float] = OrderedDict()
+        self.warm_from = self.timer.now() + warm_up
 
     @property
     def is_empty(self) -> bool:
@@ -211,7 +236,11 @@
         if self.is_empty:
             return Verdict.CLEAR
         self.expire()
-        return self.case(fingerprint).verdict
+        case = self.case(fingerprint)
+        is_cold = self.timer.now() < self.warm_from
+        if is_cold and case.counted and not case.is_proved:
+            return Verdict.SUSPECT
+        return case.verdict
 
     def company(self, fingerprint: bytes) -> Company:
         """Return which requests may run beside a request."""
@@ -243,14 +272,15 @@
     def succeeded(self, fingerprint: bytes) -> bool:
         """Note that a request ran to its end; True if that is news.
 
-        A conviction stays: a success may be one of an earlier run.
+        A success may be one of a run that began before the crashes, so a
+        conviction that is proved stays.
         """
         self.successes.pop(fingerprint, None)
         self.successes[fingerprint] = self.timer.now()
         if len(self.successes) > self.limit:
             self.successes.popitem(last=False)
-        held = self.suspects.get(fingerprint)
-        if held is None:
+        held = self._held(fingerprint)
+        if held is None or held.case.is_proved:
             return False
         return self._join(fingerprint, held.case.cleared(), held.ends)
 
@@ -273,9 +303,8 @@
 
     def _take(self, told: Told, ends: float) -> bool:
         case = told.case
-        if case.verdict is not Verdict.CONVICTED:
-            if self._has_succeeded(told.fingerprint):
-                case = case.cleared()
+        if not case.is_proved and self._has_succeeded(told.fingerprint):
+            case = case.cleared()
         return self._join(told.fingerprint, case, ends)
 
     def told(self, fingerprints: Iterable[bytes] | None = None) -> list[Told]:
@@ -340,11 +369,19 @@
         if len(table) > self.limit:
             table.popitem(last=False)
             self.recorder.count('quarantine_overflow')
-        is_convicted = joined.verdict is Verdict.CONVICTED
-        if is_convicted and before is not Verdict.CONVICTED:
-            self.recorder.note(Event.REQUEST_CONVICTED, fingerprint.hex())
+        self._judged(fingerprint, before, joined)
         return True
 
+    def _judged(self, fingerprint: bytes, before: Verdict, case: Case) -> None:
+        """Tell whoever has to know that a verdict has changed."""
+        was_convicted = before is Verdict.CONVICTED
+        is_convicted = case.verdict is Verdict.CONVICTED
+        if is_convicted and not was_convicted:
+            self.recorder.note(Event.REQUEST_CONVICTED, fingerprint.hex())
+            self.on_convicted(fingerprint, case)
+        elif was_convicted and not is_convicted:
+            self.on_acquitted(fingerprint, case)
+
     def _table(self, verdict: Verdict) -> OrderedDict[bytes, Held]:
         match verdict:
             case Verdict.CONVICTED:
--- a/packages/quarantine/tanagerbend_quarantine/tests/test_quarantine.py
+++ b/packages/quarantine/tanagerbend_quarantine/tests/test_quarantine.py
@@ -16,6 +16,7 @@
     Verdict,
     fingerprint,
 )
+from tanagerbend_quarantine.cases import CRASHES_IN_COMPANY
 from tanagerbend_timer import ManualTimer
 
 
@@ -119,15 +120,38 @@
     return Cases(Recorder(timer), solo_from=2)
 
 
-def test_three_crashes_without_a_success_convict(cases):
+def test_crashes_without_a_success_convict(cases):
     """Guards against a request that ends instances beside others for ever."""
-    for number in range(3):
+    for number in range(CRASHES_IN_COMPANY):
         assert cases.verdict(b'a') is not Verdict.CONVICTED
         cases.crashed([b'a', b'%d' % number], crash(number))
     assert cases.verdict(b'a') is Verdict.CONVICTED
     assert cases.verdict(b'0') is Verdict.SUSPECT
 
 
+async def test_lack_of_successes_says_nothing_after_a_start(timer):
+    """Guards against popular paths that are refused after a cold start."""
+    cases = Cases(Recorder(timer), solo_from=2, warm_up=2.0)
+    for number in range(CRASHES_IN_COMPANY):
+        cases.crashed([b'page', b'killer'], crash(number))
+    cases.crashed([b'killer'], crash(-1, is_alone=True))
+    assert cases.verdict(b'killer') is Verdict.CONVICTED
+    assert cases.verdict(b'page') is Verdict.SUSPECT
+    assert cases.company(b'page') is Company.NOBODY
+    await timer.advance(2.0)
+    assert cases.verdict(b'page') is Verdict.CONVICTED
+
+
+def test_crash_convicts_a_request_that_was_alone(cases):
+    """Guards against a strong suspect that is tried again and again."""
+    for number in range(2):
+        cases.crashed([b'a', b'b'], crash(number))
+    assert cases.company(b'a') is Company.NOBODY
+    cases.crashed([b'a'], crash(2, is_alone=True))
+    assert cases.verdict(b'a') is Verdict.CONVICTED
+    assert cases.verdict(b'b') is Verdict.SUSPECT
+
+
 def test_one_crash_told_many_times_counts_once(cases):
     """Guards against a conviction by copies of one notice."""
     for _ in range(5):
@@ -152,7 +176,7 @@
     """Guards against an old success that excuses a request for ever."""
     cases.succeeded(b'a')
     await timer.advance(10.0)
-    for number in range(3):
+    for number in range(CRASHES_IN_COMPANY):
         cases.crashed([b'a'], crash(number))
     assert cases.verdict(b'a') is Verdict.CONVICTED
 
@@ -189,7 +213,7 @@
 
 def test_lifted_conviction_stays_lifted_when_it_is_told_again(cases):
     """Guards against an operator's decision that other daemons undo."""
-    for number in range(3):
+    for number in range(CRASHES_IN_COMPANY):
         cases.crashed([b'a'], crash(number))
     told = cases.told()
     assert cases.lift(b'a')
@@ -208,6 +232,20 @@
     assert cases.verdict(b'a') is other.verdict(b'a') is Verdict.CLEAR
 
 
+def test_success_acquits_a_request_that_only_had_company(cases):
+    """Guards against a popular path that is refused after a cold start."""
+    for number in range(CRASHES_IN_COMPANY):
+        cases.crashed([b'page', b'killer'], crash(number))
+    cases.crashed([b'killer'], crash(-1, is_alone=True))
+    assert cases.verdict(b'page') is Verdict.CONVICTED
+    told = cases.told()
+    assert cases.succeeded(b'page')
+    assert not cases.succeeded(b'killer')
+    cases.join(told)
+    assert cases.verdict(b'page') is Verdict.CLEAR
+    assert cases.verdict(b'killer') is Verdict.CONVICTED
+
+
 def test_suspects_keep_apart_before_they_run_alone(cases):
     """Guards against a neighbour in two crashes of one request."""
     cases.crashed([b'a', b'b'], crash(0))
