Leave out a host that can't be read, not the whole host list

What callers saw: nothing yet. With one odd entry among those of the host list (own interface), daemons kept the list they had for as long as the entry stood there, so new hosts got no work and hosts that left were asked.

Cause: the list was refused as a whole if one entry lacked a field or was no object.

Change: such an entry counts as one that the roster refuses (hosts_refused, invalid), like entries with a port out of range before.

--- a/packages/daemon/tanagerbend_daemon/platform_client.py
+++ b/packages/daemon/tanagerbend_daemon/platform_client.py
@@ -24,6 +24,8 @@
     AttributeError,
     RecursionError,
 )
+# Stands for an entry that can't be read; the roster refuses and counts it.
+UNREADABLE: Final = Host('', '', '', '', '', '')
 READ_SECONDS: Final = 5.0
 MAX_VALUE_BYTES: Final = 1024 * 1024
 
@@ -97,7 +99,8 @@
     ===========
 
     The value is a JSON object with a list ``hosts`` of objects that have
-    the fields of ``Host``.  A malformed list is refused as a whole.
+    the fields of ``Host``.  A malformed list is refused as a whole, of a
+    malformed entry nothing but that it was there.
     """
 
     def __init__(self, service: HttpConfigurationService, key: str) -> None:
@@ -138,6 +141,13 @@
 
 
 def _host(entry: Mapping[str, Any]) -> Host:
+    try:
+        return _read_host(entry)
+    except MALFORMED:
+        return UNREADABLE
+
+
+def _read_host(entry: Mapping[str, Any]) -> Host:
     return Host(
         host=str(entry['host']),
         service=str(entry['service']),
