Refuse values out of their range where they are read

Cause: the decoder looked at types only.

Change: proxy.ranges holds each bound once, with its reason; addresses and names are checked by those of the membership package.

--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -7,7 +7,9 @@
 import attrs
 
 from tanagerbend_model import Refusal, ResultCode
-from tanagerbend_proxy.messages import MILLISECONDS
+from tanagerbend_membership.records import MAX_NUMBER
+from tanagerbend_proxy.messages import MILLISECONDS, UNFIT, finite, whole
+from tanagerbend_proxy.ranges import fault_of
 from tanagerbend_routing import (
     CallerLimits,
     ListedInstance,
@@ -21,7 +23,9 @@
 # Largest answer of a peer after decompression, in bytes; a configuration
 # of 10,000 routes takes about a fifth of it.
 MOST_BYTES: Final = 8388608
-MALFORMED: Final = (ValueError, LookupError, TypeError, zlib.error)
+# Characters of the identity of an instance.
+MOST_IDENTITY: Final = 200
+MALFORMED: Final = (*UNFIT, LookupError, AttributeError, zlib.error)
 
 
 @attrs.frozen
@@ -126,12 +130,14 @@
         try:
             fields = attrs.fields_dict(cls)
             sent = dict(zip(fields, json.loads(text), strict=True))
+            if len(sent['host']) > MOST_IDENTITY:
+                raise ValueError('identity out of range')
             return cls(
-                int(sent['revision']),
-                int(sent['version']),
-                float(sent['wait']),
+                whole(sent['revision'], MAX_NUMBER),
+                whole(sent['version'], MAX_NUMBER),
+                finite(sent['wait']),
                 str(sent['host']),
-                float(sent['speed']),
+                finite(sent['speed']),
                 bool(sent['is_reader']),
             )
         except MALFORMED as error:
@@ -246,6 +252,9 @@
     for fields in document['instances']:
         fields['cold_until'] += now
         instance = ListedInstance(**fields)
+        fault = fault_of(instance, now)
+        if fault:
+            raise ValueError(f'{fault} of {instance.identity!r}')
         items.append(Item(instance.identity, instance))
     if document['routes'] is not None:
         difference = _decode_difference(document['routes'])
@@ -256,10 +265,10 @@
         made = RoutingConfiguration.changed_by(difference, base)
         items.append(Item('', made))
     return PollReply(
-        Batch(tuple(items), int(document['revision']), size),
-        document['age_ms'] / MILLISECONDS,
+        Batch(tuple(items), whole(document['revision'], MAX_NUMBER), size),
+        finite(document['age_ms']) / MILLISECONDS,
         str(document['reader']),
-        document['settled_ms'] / MILLISECONDS,
+        finite(document['settled_ms']) / MILLISECONDS,
     )
 
 
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 
 from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_proxy.ranges import MOST_BUSY, MOST_RANK, is_whole
 from tanagerbend_routing import LoadReport, Repeat
 
 MILLISECONDS: Final = 1000.0
@@ -54,6 +55,20 @@
     return number
 
 
+def whole(found: Any, most: int) -> int:
+    """Return a whole number of another daemon, from 0 to ``most``.
+
+    Raises
+    ======
+
+    ValueError
+        If it is none.
+    """
+    if not is_whole(found, 0, most):
+        raise ValueError('number out of range')
+    return found
+
+
 @attrs.frozen
 class Request:
     """A request as a caller sent it, without headers of one connection.
@@ -161,7 +176,7 @@
             return cls(
                 str(told['instance']),
                 str(told['route']),
-                int(told['rank']),
+                whole(told['rank'], MOST_RANK),
                 Repeat(told['repeat']),
                 finite(told['on_time_ms']) / MILLISECONDS,
                 finite(told['left_ms']) / MILLISECONDS,
@@ -252,8 +267,8 @@
                     Ran(told['ran']),
                 )
             load = LoadReport(
-                int(told['busy']),
-                int(told['slots']),
+                whole(told['busy'], MOST_BUSY),
+                whole(told['slots'], MOST_BUSY),
                 finite(told['served']),
                 finite(told['sending']),
                 finite(told['per_kilobyte']),
