--- a/packages/operator/tanagerbend_operator/command.py
+++ b/packages/operator/tanagerbend_operator/command.py
@@ -11,6 +11,7 @@
 from tanagerbend_operator.experiment import experiment
 from tanagerbend_operator.explain import explain
 from tanagerbend_operator.histograms import histograms
+from tanagerbend_operator.quarantine import quarantine
 from tanagerbend_operator.replaying import replay
 from tanagerbend_operator.report import report
 from tanagerbend_operator.status import status
@@ -27,6 +28,7 @@
     'replay': replay,
     'experiment': experiment,
     'report': report,
+    'quarantine': quarantine,
 }
 
 
--- a/packages/operator/tanagerbend_operator/request_story.py
+++ b/packages/operator/tanagerbend_operator/request_story.py
@@ -27,6 +27,8 @@
     """Kinds of causes, each with what an operator can do."""
 
     OVERLOAD = 'more work than the instances could do in time'
+    ENDS_INSTANCES = 'the request ends the instances that run it'
+    INSTANCE_ENDED = 'the instance ended while it ran the request'
     REPEATS_SPENT = 'no repeats were left at a service that it calls'
     NO_INSTANCE = 'no instance could be reached'
     HOST_LOST = 'the daemon beside the instance restarted or was lost'
@@ -48,6 +50,7 @@
     'DEADLINE_PASSED': Cause.OVERLOAD,
     'BACKEND_SHED_LOAD': Cause.OVERLOAD,
     'RETRY_BUDGET_SPENT': Cause.REPEATS_SPENT,
+    'REQUEST_CRASHES_BACKEND': Cause.ENDS_INSTANCES,
     'NO_INSTANCE': Cause.NO_INSTANCE,
     'INSTANCE_UNREACHABLE': Cause.NO_INSTANCE,
     'CONNECTION_LOST': Cause.NO_ANSWER,
@@ -149,8 +152,11 @@
     has_restart = any(
         line.event in RESTARTS and line.host != end.host for line in around
     )
-    is_lost = cause is Cause.NO_ANSWER and has_restart
-    return Cause.HOST_LOST if is_lost else cause
+    if cause is not Cause.NO_ANSWER:
+        return cause
+    if any(line.event == 'instance_crashed' for line in around):
+        return Cause.INSTANCE_ENDED
+    return Cause.HOST_LOST if has_restart else cause
 
 
 def _filled_link(line: LogLine, end: LogLine) -> bool:
--- a/packages/operator/tanagerbend_operator/tests/test_explain_request.py
+++ b/packages/operator/tanagerbend_operator/tests/test_explain_request.py
@@ -166,3 +166,28 @@
 def test_neither_subject_nor_logs(run):
     """Guards against a search for nothing."""
     assert run('explain')[0] == 2
+
+
+CONVICTED = {
+    'code': 'REQUEST_CRASHES_BACKEND',
+    'ran': 'no',
+    'reason': 'request 7f ended the instances i-2, i-3, i-4',
+}
+
+
+def test_refused_request_names_the_instances_that_it_ended(explained):
+    """Guards against a refusal whose reason nobody finds."""
+    told = {**REQUEST, **CONVICTED}
+    _code, found = explained(line(10.0, 'host-1', 'request_refused', **told))
+    assert 'i-2, i-3, i-4' in found['text']
+    assert found['cause'] == 'ends_instances'
+
+
+def test_neighbour_of_a_crash_is_told_from_other_losses(explained):
+    """Guards against a crash that looks like a lost connection."""
+    _code, found = explained(
+        line(9.0, 'host-2', 'daemon_started', address='10.0.0.2:1'),
+        line(10.0, 'host-1', 'request_refused', **REQUEST, **LOST),
+        line(10.0, 'host-2', 'instance_crashed', instance='i-2'),
+    )
+    assert found['cause'] == 'instance_ended'
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -56,6 +56,7 @@
 LEAST_SPREAD: Final = 0.3
 # Time to come back where nothing is known of the request.
 UNKNOWN_RETURN_SECONDS: Final = 1.0
+ENDS_INSTANCES: Final = 'it ends the instances that run it'
 # Refusals that tell nothing of what an instance can take.
 TELLS_NOTHING: Final = frozenset(
     (ResultCode.RETRY_BUDGET_SPENT, ResultCode.REQUEST_CRASHES_BACKEND),
@@ -119,7 +120,10 @@
         state = self._state(request, route)
         state.caused = self.owner.repeats.requested(state.service, request)
         try:
-            end = self.suspicions.refuse(request) or self._refuse_behind(state)
+            end = self.suspicions.refuse(request)
+            if end is not None:
+                state.stopped_by = ENDS_INSTANCES
+            end = end or self._refuse_behind(state)
             if end is None:
                 end = await self._try_instances(state)
         except asyncio.CancelledError:
@@ -499,7 +503,7 @@
     """
     match end:
         case Refusal(code=ResultCode.REQUEST_CRASHES_BACKEND):
-            return 'it ends instances'
+            return ENDS_INSTANCES
         case Answer(status=status) if status < SERVER_ERROR:
             return 'answered'
         case Answer() if repeat is not Repeat.FREELY:
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -13,6 +13,7 @@
 from tanagerbend_proxy.assembly import Parts
 from tanagerbend_proxy.following import EXPIRY_SECONDS
 from tanagerbend_proxy.endpoint import Endpoint
+from tanagerbend_proxy.quarantine_view import PATH, QuarantineView
 from tanagerbend_timer import Timer, together
 
 # How often the delay of the event loop, entries that were kept, the age of
@@ -121,9 +122,12 @@
             return web.Response()
         return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
 
-    async def answer_metrics(self, _request: web.BaseRequest) -> web.Response:
-        """Return counters and histograms as text."""
+    async def answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        """Return counters and histograms as text, or what is refused."""
         parts = self.parts
+        if request.path == PATH:
+            view = QuarantineView(parts.news.suspicions)
+            return await view.answer(request)
         gauges = {
             ('ready', ''): {'': int(parts.is_ready)},
             ('version', ''): {'': parts.knowledge.version},
