Compare host names of suspects as routes do

The entry daemon takes the host name without its port and in small letters, its peer takes what the caller wrote, so that evidence of one did not fit the other. test_host_name_is_compared_as_routes_are fails before.

--- a/packages/proxy/tanagerbend_proxy/suspicions.py
+++ b/packages/proxy/tanagerbend_proxy/suspicions.py
@@ -47,7 +47,8 @@
     def name(self, request: Request) -> bytes:
         """Return what all sendings of a request have in common."""
         return fingerprint(
-            request.host,
+            # As the route is chosen; peers see what the caller wrote.
+            request.host.partition(':')[0].lower(),
             request.method,
             request.path,
             request.body,
--- a/packages/proxy/tanagerbend_proxy/tests/test_guard.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_guard.py
@@ -147,6 +147,13 @@
     assert len(names) == 2
 
 
+async def test_host_name_is_compared_as_routes_are(instance):
+    """Guards against two names of one request at its two daemons."""
+    request = instance.request('/a')
+    same = attrs.evolve(request, host='H:8141')
+    assert instance.suspicions.name(same) == instance.suspicions.name(request)
+
+
 async def test_convicted_request_does_not_reach_the_instance(instance):
     """Guards against an owner that trusts its entry daemons."""
     name = instance.name('/a')
