--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -18,7 +18,8 @@
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy import HeaderNames, Listening, StopTerms, Terms
 from tanagerbend_proxy.crash_news import CrashNews, make_suspicions
-from tanagerbend_proxy.entry import Entry, due_of
+from tanagerbend_proxy.ends import due_of
+from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.knowledge import Knowledge
 from tanagerbend_proxy.link_use import LinkUse
 from tanagerbend_proxy.messages import Answer, Outcome, Placed, Request
--- a/packages/emulator/tanagerbend_emulator/tests/test_deliveries.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_deliveries.py
@@ -6,7 +6,7 @@
 from multidict import CIMultiDict
 
 from tanagerbend_emulator.virtual import LoopTimer, run_virtual
-from tanagerbend_proxy.entry import due_of
+from tanagerbend_proxy.ends import due_of
 from tanagerbend_proxy.endpoint import Endpoint
 from tanagerbend_proxy.lifetime import ANSWER_SECONDS, Lifetime
 from tanagerbend_proxy.messages import Request
--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -7,7 +7,7 @@
 import attrs
 
 from tanagerbend_model import Refusal, ResultCode
-from tanagerbend_membership.records import MAX_NUMBER
+from tanagerbend_model.addresses import MAX_NUMBER
 from tanagerbend_proxy.messages import MILLISECONDS, UNFIT, finite, whole
 from tanagerbend_proxy.ranges import fault_of
 from tanagerbend_routing import (
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -14,6 +14,13 @@
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
 from tanagerbend_proxy.decisions import DecisionLog
+from tanagerbend_proxy.ends import (
+    ENDS_INSTANCES,
+    SERVER_ERROR,
+    final_end,
+    forbidden,
+    no_place,
+)
 from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.knowledge import Knowledge
@@ -29,17 +36,13 @@
 from tanagerbend_proxy.suspicions import Suspicions
 from tanagerbend_proxy.request_lines import RequestLines, RequestState
 from tanagerbend_proxy.terms import Terms
-from tanagerbend_proxy.uplink import Due
 from tanagerbend_routing import (
-    InstanceRegistry,
     ListedInstance,
     Placement,
     PrefixRoute,
-    Repeat,
 )
 
 KILOBYTE: Final = 1024
-SERVER_ERROR: Final = 500
 # Owners that are asked for a request; a refusal of an owner costs one
 # round trip and no work of an instance.
 MOST_PLACEMENTS: Final = 3
@@ -56,7 +59,6 @@
 LEAST_SPREAD: Final = 0.3
 # Time to come back where nothing is known of the request.
 UNKNOWN_RETURN_SECONDS: Final = 1.0
-ENDS_INSTANCES: Final = 'it ends the instances that run it'
 # Refusals that tell nothing of what an instance can take.
 TELLS_NOTHING: Final = frozenset(
     (ResultCode.RETRY_BUDGET_SPENT, ResultCode.REQUEST_CRASHES_BACKEND),
@@ -456,60 +458,3 @@
         work = self.placement.work_of(route.name)
         passed = self.recorder.timer.now() - request.arrived
         return max(route.objective - passed - 2 * work.seconds, 0.0)
-
-
-def final_end(
-    state: RequestState,
-    registry: InstanceRegistry,
-) -> Answer | Refusal:
-    """Return how a request ends that is not sent again."""
-    match state.last:
-        case None:
-            return no_place(registry, state.service)
-        case Refusal(ran=Ran.NO) as last if state.has_run:
-            # An earlier send may have run, so nothing is promised.
-            return attrs.evolve(last, ran=Ran.UNKNOWN)
-    return state.last
-
-
-def no_place(registry: InstanceRegistry, service: str) -> Refusal:
-    """Return why no owner of an instance of a service was asked."""
-    if registry.usable(service):
-        reason = f'all instances of {service!r} refused work just now'
-        return Refusal(ResultCode.QUEUE_FULL, reason)
-    reason = f'no instance of {service!r} is known'
-    return Refusal(ResultCode.NO_INSTANCE, reason)
-
-
-def due_of(request: Request, route: PrefixRoute | None) -> Due:
-    """Return until when the answer to a request is of use."""
-    if route is None:
-        return Due(deadline=request.deadline)
-    ends = min(request.arrived + route.timeout, request.deadline)
-    return Due(route.rank, request.arrived + route.objective, ends, ends)
-
-
-def forbidden(end: Answer | Refusal, repeat: Repeat) -> str:
-    """Return why a request must not be sent again, empty if it may.
-
-    Examples
-    ========
-
-    >>> lost = Refusal(ResultCode.CONNECTION_LOST, '', Ran.UNKNOWN)
-    >>> forbidden(lost, Repeat.NEVER)
-    'it may have run and must not run twice'
-    >>> forbidden(lost, Repeat.FREELY)
-    ''
-    """
-    match end:
-        case Refusal(code=ResultCode.REQUEST_CRASHES_BACKEND):
-            return ENDS_INSTANCES
-        case Answer(status=status) if status < SERVER_ERROR:
-            return 'answered'
-        case Answer() if repeat is not Repeat.FREELY:
-            return 'it has run and must not run twice'
-        case Refusal(ran=ran) if (
-            ran is not Ran.NO and repeat is not Repeat.FREELY
-        ):
-            return 'it may have run and must not run twice'
-    return ''
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -16,7 +16,8 @@
 from tanagerbend_proxy.changes import PollRequest
 from tanagerbend_proxy.crash_news import CrashNews
 from tanagerbend_proxy.endpoint import DUE, IDENTIFIER, status_of
-from tanagerbend_proxy.entry import Entry, due_of
+from tanagerbend_proxy.ends import due_of
+from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.exchange import without_connection
 from tanagerbend_proxy.following import Follower
 from tanagerbend_proxy.headers import HeaderNames
--- a/packages/proxy/tanagerbend_proxy/ranges.py
+++ b/packages/proxy/tanagerbend_proxy/ranges.py
@@ -6,7 +6,7 @@
 
 from typing import Any, Final
 
-from tanagerbend_membership.records import MAX_NUMBER, is_address, is_name
+from tanagerbend_model.addresses import MAX_NUMBER, is_address, is_name
 from tanagerbend_routing import ListedInstance
 
 # Each running request takes two of the descriptors of a daemon, of which
--- a/packages/quarantine/tanagerbend_quarantine/__init__.py
+++ b/packages/quarantine/tanagerbend_quarantine/__init__.py
@@ -1,6 +1,7 @@
 """Fingerprints of requests that crash backend servers."""
 
-from tanagerbend_quarantine.cases import Case, Cases, Crash, Told, Verdict
+from tanagerbend_quarantine.case import Case, Crash, Told, Verdict
+from tanagerbend_quarantine.cases import Cases
 from tanagerbend_quarantine.fingerprint import fingerprint
 from tanagerbend_quarantine.flights import Flight, Flights
 from tanagerbend_quarantine.gate import Company, SoloGate
--- a/packages/quarantine/tanagerbend_quarantine/quarantine.py
+++ b/packages/quarantine/tanagerbend_quarantine/quarantine.py
@@ -6,12 +6,11 @@
 import attrs
 
 from tanagerbend_metrics import Recorder
+from tanagerbend_quarantine.case import Crash, Verdict
 from tanagerbend_quarantine.cases import (
     MAX_FINGERPRINTS,
     QUARANTINE_SECONDS,
     Cases,
-    Crash,
-    Verdict,
 )
 from tanagerbend_quarantine.gate import Company
 
--- a/packages/quarantine/tanagerbend_quarantine/tests/test_quarantine.py
+++ b/packages/quarantine/tanagerbend_quarantine/tests/test_quarantine.py
@@ -16,7 +16,7 @@
     Verdict,
     fingerprint,
 )
-from tanagerbend_quarantine.cases import CRASHES_IN_COMPANY
+from tanagerbend_quarantine.case import CRASHES_IN_COMPANY
 from tanagerbend_timer import ManualTimer
 
 
