Charge a crash beside a strong suspect to the suspect alone

Found while reading the change: requests that were given up and may run on were convicted together with a suspect that ran alone, and one that was lost after its end had been noticed was counted as one more crash. test_crash_of_a_strong_suspect_does_not_convict_what_was_given_up and test_loss_that_is_noticed_late_is_no_second_crash fail before.

--- a/packages/proxy/tanagerbend_proxy/guard.py
+++ b/packages/proxy/tanagerbend_proxy/guard.py
@@ -128,6 +128,9 @@
 
     async def _check(self, flight: Flight, instance: str) -> None:
         """Find out whether a request was lost with the instance."""
+        if flight not in self.flights.flying:
+            # Charged already with the others of the same end.
+            return
         self.lost.add(flight)
         if self.checking is None:
             self.checking = asyncio.create_task(self._find_crash(instance))
@@ -147,17 +150,23 @@
 
     def _crashed(self, instance: str) -> None:
         cases = self.suspicions.cases
-        is_alone = any(flight.is_alone for flight in self.flights.flying)
+        crash = Crash(instance, cases.timer.wall())
+        alone = [
+            flight.fingerprint
+            for flight in self.flights.flying
+            if flight.is_alone
+        ]
         names = self.flights.crashed()
-        crash = Crash(instance, cases.timer.wall(), is_alone)
-        changed = cases.crashed(names, crash)
+        changed = cases.crashed(alone, attrs.evolve(crash, is_alone=True))
+        others = [name for name in names if name not in alone]
+        changed += cases.crashed(others, crash)
         cases.recorder.count('instance_crashes')
         self.suspicions.log.write(
             'instance_crashed',
             instance=instance,
             in_flight=len(names),
             suspects=[name.hex() for name in changed],
-            is_alone=is_alone,
+            is_alone=bool(alone),
         )
         # Others hear of a suspect when its entry daemon gives it up.
         known = [
--- a/packages/proxy/tanagerbend_proxy/tests/test_guard.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_guard.py
@@ -138,6 +138,37 @@
     assert instance.verdict('/a') is instance.verdict('/b') is Verdict.SUSPECT
 
 
+async def test_crash_of_a_strong_suspect_does_not_convict_what_was_given_up(
+    instance,
+):
+    """Guards against a neighbour that one crash of another convicts."""
+    name = instance.name('/a')
+    for number in range(2):
+        instance.cases.crashed([name], Crash(f'i-{number}', float(number)))
+    left = await instance.begin('/b')
+    left.cancel()
+    await asyncio.wait((left,))
+    suspect = await instance.begin('/a')
+    instance.is_down = True
+    instance.end('/a', LOST)
+    await suspect
+    assert instance.verdict('/a') is Verdict.CONVICTED
+    assert instance.verdict('/b') is Verdict.SUSPECT
+
+
+async def test_loss_that_is_noticed_late_is_no_second_crash(instance):
+    """Guards against one crash that is counted for each lost request."""
+    first, late = await instance.begin('/a'), await instance.begin('/b')
+    instance.is_down = True
+    instance.end('/a', LOST)
+    instance.guard.lost.update(instance.guard.flights.flying)
+    await first
+    instance.end('/b', LOST)
+    await late
+    recorder = instance.cases.recorder
+    assert recorder.counters.get('instance_crashes') == 1
+
+
 async def test_caller_is_part_of_a_request(instance):
     """Guards against refusals of another service's requests."""
     names = {
