Go on telling crashes after an unexpected error of our own

An error in the task that tells them would have ended the daemon. Found while reading the change; test_news_go_on_after_an_unexpected_error fails before (KeyError out of the task).

--- a/packages/emulator/tanagerbend_emulator/tests/test_crash_news.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_crash_news.py
@@ -166,6 +166,31 @@
     assert in_ring(scenario, 13).messages == 0
 
 
+def test_news_go_on_after_an_unexpected_error():
+    """Guards against an error of our own that ends a daemon, or its news."""
+
+    async def scenario(ring):
+        first = next(iter(ring.daemons.values()))
+        told = first.cases.told
+        errors = [KeyError('once'), KeyError('twice')]
+
+        def fail(*names):
+            if errors:
+                raise errors.pop()
+            return told(*names)
+
+        first.cases.told = fail
+        for number in (0, 1, 2):
+            ring.crash(number, is_alone=number == 2)
+            await asyncio.sleep(1)
+        await asyncio.sleep(CONTACT_SECONDS)
+        assert not errors
+        assert ring.verdicts() == {Verdict.CONVICTED}
+        assert ring.recorder.counters.get('crash_news_failed') == 2
+
+    in_ring(scenario, 3)
+
+
 def test_odd_news_change_nothing():
     """Guards against a daemon that one malformed message ends."""
 
--- a/packages/proxy/tanagerbend_proxy/crash_news.py
+++ b/packages/proxy/tanagerbend_proxy/crash_news.py
@@ -53,6 +53,8 @@
 REMEMBERED_SECONDS: Final = 60.0
 # A daemon that doesn't answer by then is told by others.
 ASK_SECONDS: Final = 1.0
+# Characters of an error that are logged.
+MOST_REASON: Final = 200
 NEWS_PATH: Final = '/crashes'
 # A suspect of one crash may have been a neighbour; one of two runs alone.
 SOLO_FROM: Final = 2
@@ -152,12 +154,25 @@
         """Tell and compare until cancelled."""
         try:
             while True:
-                await self._tell_until(self.timer.now() + self._pause())
-                self._compare_with_one()
+                await self._run_once()
         finally:
             for task in self.tasks:
                 task.cancel()
 
+    async def _run_once(self) -> None:
+        """Tell for a while and compare once; an error must not end it."""
+        try:
+            await self._tell_until(self.timer.now() + self._pause())
+            self._compare_with_one()
+        except Exception as error:  # noqa: BLE001
+            self._log_unexpected(error)
+            await self.timer.sleep(START_SECONDS)
+
+    def _log_unexpected(self, error: BaseException) -> None:
+        self.cases.recorder.count('crash_news_failed')
+        reason = f'{type(error).__name__}: {error}'[:MOST_REASON]
+        self.suspicions.log.write('crash_news_failed', reason=reason)
+
     def _pause(self) -> float:
         if self.left_to_ask:
             return START_SECONDS
@@ -202,7 +217,13 @@
     def _start(self, work: Awaitable[None]) -> None:
         task = asyncio.ensure_future(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: 'asyncio.Future[None]') -> None:
+        self.tasks.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self._log_unexpected(error)
 
     def hosts(self) -> list[str]:
         """Return the addresses of the hosts that may have a daemon."""
