Let emulated instances be full at once, and draw as before news

A request ends now by the time limit of its own scope, so nothing begins later than before.

Two tests of large answers failed too: news drew from the generator of the load, and timers of the gate and of news changed the order of equal times.

--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -226,7 +226,8 @@
             registry,
             own_host,
             ask,
-            self.random,
+            # What instances and callers draw does not depend on news.
+            random.Random(own_host),
         )
 
     def ended_by(self, kind: str) -> None:
--- a/packages/emulator/tanagerbend_emulator/instance.py
+++ b/packages/emulator/tanagerbend_emulator/instance.py
@@ -57,7 +57,9 @@
     runs: int = 0
     calls: int = 0
     down_until: float = 0.0
-    running: 'set[asyncio.Task[Answer]]' = attrs.field(factory=set)
+    running: set[asyncio.Timeout] = attrs.field(factory=set)
+    # Those of requests that were lost with the instance.
+    ended: set[asyncio.Timeout] = attrs.field(factory=set)
     slots: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -82,22 +84,22 @@
                 return Refusal(ResultCode.OUTCOME_UNKNOWN, reason, Ran.UNKNOWN)
             return Refusal(ResultCode.BACKEND_SHED_LOAD, 'queue is full')
         kind = self.load.kind(request.path.strip('/'))
-        task = asyncio.ensure_future(
-            self._work(kind, now + limit, is_repeat=is_repeat),
-        )
-        self.running.add(task)
         try:
-            await asyncio.wait((task,), timeout=limit)
-            is_over = not task.done()
+            async with asyncio.timeout(limit) as scope:
+                self.running.add(scope)
+                return await self._work(kind, now + limit, is_repeat=is_repeat)
+        except TimeoutError:
+            return self._broken_off(scope)
         finally:
-            self.running.discard(task)
-            task.cancel()
-        if is_over:
-            return Answer(OVER, CIMultiDict(), b'')
-        if task.cancelled():
+            self.running.discard(scope)
+            self.ended.discard(scope)
+
+    def _broken_off(self, scope: asyncio.Timeout) -> Answer | Refusal:
+        """Return the end of a request that was not finished."""
+        if scope in self.ended:
             reason = 'the instance ended'
             return Refusal(ResultCode.CONNECTION_LOST, reason, Ran.UNKNOWN)
-        return task.result()
+        return Answer(OVER, CIMultiDict(), b'')
 
     @property
     def is_down(self) -> bool:
@@ -108,8 +110,10 @@
         """End, with all requests that run or wait."""
         now = asyncio.get_running_loop().time()
         self.down_until = now + self.service.down
-        for task in self.running:
-            task.cancel()
+        for scope in self.running:
+            if not scope.expired():
+                self.ended.add(scope)
+                scope.reschedule(now)
 
     async def _work(
         self,
--- a/packages/emulator/tanagerbend_emulator/loads.py
+++ b/packages/emulator/tanagerbend_emulator/loads.py
@@ -225,6 +225,12 @@
     shares: tuple[float, ...] = ()
     wake_delay: float = 0.0
 
+    @property
+    def has_crashes(self) -> bool:
+        """Whether instances end, so that daemons have news."""
+        is_crashing = any(kind.is_crashing for kind in self.kinds)
+        return is_crashing or bool(self.crashed)
+
     def draw_domain(self, chance: random.Random) -> str:
         """Return the failure domain in which a request enters."""
         if self.shares:
--- a/packages/proxy/tanagerbend_proxy/guard.py
+++ b/packages/proxy/tanagerbend_proxy/guard.py
@@ -96,6 +96,8 @@
 
     async def _enter(self, company: Company, seconds: float) -> bool:
         """Wait for the gate; return whether the request is inside."""
+        if self.gate.enter_at_once(company):
+            return True
         try:
             async with asyncio.timeout(seconds):
                 await self.gate.enter(company)
--- a/packages/quarantine/tanagerbend_quarantine/gate.py
+++ b/packages/quarantine/tanagerbend_quarantine/gate.py
@@ -56,10 +56,16 @@
         self.has_suspect = False
         self.waiting: deque[Waiting] = deque()
 
+    def enter_at_once(self, company: Company) -> bool:
+        """Let a request pass if it need not wait; tell whether it did."""
+        is_open = not self._is_held_up(company) and self._fits(company)
+        if is_open:
+            self._admit(company)
+        return is_open
+
     async def enter(self, company: Company) -> None:
         """Wait until the request may pass; ``leave`` must follow."""
-        if not self._is_held_up(company) and self._fits(company):
-            self._admit(company)
+        if self.enter_at_once(company):
             return
         own = Waiting(company, asyncio.get_running_loop().create_future())
         self.waiting.append(own)
