--- a/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_uplink.py
@@ -7,13 +7,14 @@
 from multidict import CIMultiDict
 
 from tanagerbend_admission import ObjectiveQueue
-from tanagerbend_emulator.fleet import NAMES
+from tanagerbend_emulator.fleet import NAMES, SilentLog
 from tanagerbend_emulator.links import HostLink
 from tanagerbend_emulator.virtual import LateTimer, LoopTimer, run_virtual
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal
 from tanagerbend_proxy.exchange import CONNECT_SECONDS
 from tanagerbend_proxy.messages import Answer, Placed, Request
+from tanagerbend_proxy.crash_news import make_suspicions
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.uplink import (
     BODY_SHARE,
@@ -165,6 +166,7 @@
             InstanceRegistry(recorder),
             Uplink(recorder.timer, LINK),
             BudgetTerms(ratio=0.2, window=10.0, extra=20.0),
+            make_suspicions(recorder, NAMES, SilentLog()),
         )
         ends = await asyncio.gather(*(ask(owner, each) for each in range(200)))
         await owner.uplink.close()
