Keep one copy of what the last read found twice

The length of an identity stood in two modules, the order of crashes in two functions, and the set-up of a guard in two fixtures. No behaviour changes.

--- a/packages/daemon/tanagerbend_daemon/tests/test_containment.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_containment.py
@@ -72,8 +72,8 @@
     return server
 
 
-@pytest.fixture
-async def guarded(loopback, backend):
+def guard_of(server, drop_kept):
+    """Return the guard of a backend server, without other daemons."""
     recorder = Recorder(SystemTimer())
     quarantine = Quarantine(recorder)
     notices = SuspectNotices(
@@ -81,14 +81,13 @@
         Roster(member('host-1'), recorder),
         NoPeers(),
     )
+    return GuardedBackend(server, 'artwork', quarantine, notices, drop_kept)
+
+
+@pytest.fixture
+async def guarded(loopback, backend):
     server = loopback.http(backend.address)
-    return GuardedBackend(
-        server,
-        'artwork',
-        quarantine,
-        notices,
-        server.drop_kept,
-    )
+    return guard_of(server, server.drop_kept)
 
 
 async def send(guarded, path):
@@ -211,20 +210,7 @@
 
 @pytest.fixture
 def crashing():
-    recorder = Recorder(SystemTimer())
-    quarantine = Quarantine(recorder)
-    notices = SuspectNotices(
-        quarantine,
-        Roster(member('host-1'), recorder),
-        NoPeers(),
-    )
-    return GuardedBackend(
-        CrashingServer(),
-        'artwork',
-        quarantine,
-        notices,
-        lambda: None,
-    )
+    return guard_of(CrashingServer(), lambda: None)
 
 
 async def test_crash_with_many_in_flight_is_one_crash(crashing):
--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -9,7 +9,7 @@
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_model.addresses import MAX_NUMBER
 from tanagerbend_proxy.messages import MILLISECONDS, UNFIT, finite, whole
-from tanagerbend_proxy.ranges import fault_of
+from tanagerbend_proxy.ranges import MOST_IDENTITY, fault_of
 from tanagerbend_routing import (
     CallerLimits,
     ListedInstance,
@@ -23,8 +23,6 @@
 # Largest answer of a peer after decompression, in bytes; a configuration
 # of 10,000 routes takes about a fifth of it.
 MOST_BYTES: Final = 8388608
-# Characters of the identity of an instance.
-MOST_IDENTITY: Final = 200
 MALFORMED: Final = (*UNFIT, LookupError, AttributeError, zlib.error)
 
 
--- a/packages/proxy/tanagerbend_proxy/crash_messages.py
+++ b/packages/proxy/tanagerbend_proxy/crash_messages.py
@@ -8,12 +8,13 @@
 
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy.messages import UNFIT, finite
+from tanagerbend_proxy.ranges import MOST_IDENTITY
 from tanagerbend_quarantine import Case, Crash, Told
 
 # Cases of one message; daemons that know more tell the newest.
 MOST_TOLD: Final = 1000
-# Characters of the identity of an instance.
-MOST_IDENTITY: Final = 200
+# Characters of the reason of a refusal.
+MOST_REASON: Final = 200
 # Raised by messages of other daemons that can't be read.
 UNREADABLE: Final = (*UNFIT, LookupError, AttributeError)
 Row = tuple[Any, ...]
@@ -66,7 +67,7 @@
 
 def _refuse(error: Exception) -> Refusal:
     reason = f'crashes by another daemon: {type(error).__name__}: {error}'
-    return Refusal(ResultCode.HEADER_INVALID, reason[:MOST_IDENTITY])
+    return Refusal(ResultCode.HEADER_INVALID, reason[:MOST_REASON])
 
 
 def _row(told: Told) -> Row:
--- a/packages/proxy/tanagerbend_proxy/ranges.py
+++ b/packages/proxy/tanagerbend_proxy/ranges.py
@@ -18,6 +18,8 @@
 MOST_COLD_SECONDS: Final = 3600.0
 # Longest time that a request may take: a day.
 MOST_SECONDS: Final = 86_400.0
+# Characters of the identity of an instance.
+MOST_IDENTITY: Final = 200
 MOST_RANK: Final = 1000
 MOST_ATTEMPTS: Final = 1000
 MOST_WEIGHT: Final = 1_000_000.0
--- a/packages/proxy/tanagerbend_proxy/suspicions.py
+++ b/packages/proxy/tanagerbend_proxy/suspicions.py
@@ -1,12 +1,12 @@
 """Which requests one daemon takes to end instances."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy.crash_messages import decode_told, encode_told
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.messages import Request
-from tanagerbend_quarantine import Case, Cases, Verdict, fingerprint
+from tanagerbend_quarantine import Case, Cases, Crash, Verdict, fingerprint
 
 
 def tell_nobody(_names: list[bytes]) -> None:
@@ -113,20 +113,19 @@
 
 def listed(case: Case) -> list[list[object]]:
     """Return the crashes that count, oldest first: instance, time, alone."""
-    ordered = sorted(case.counted, key=lambda crash: crash.at)
     return [
         [crash.instance, round(crash.at, 3), crash.is_alone]
-        for crash in ordered
+        for crash in sorted(case.counted, key=_time_of)
     ]
 
 
 def convicted(name: bytes, case: Case) -> Refusal:
     """Return the refusal of a request that ends instances."""
-    instances = ', '.join(_instances(case))
+    ordered = sorted(case.counted, key=_time_of)
+    instances = ', '.join(crash.instance for crash in ordered)
     reason = f'request {name.hex()} ended the instances {instances}'
     return Refusal(ResultCode.REQUEST_CRASHES_BACKEND, reason)
 
 
-def _instances(case: Case) -> Iterable[str]:
-    ordered = sorted(case.counted, key=lambda crash: crash.at)
-    return [crash.instance for crash in ordered]
+def _time_of(crash: Crash) -> float:
+    return crash.at
