--- a/packages/emulator/tanagerbend_emulator/tests/test_crash_news.py
+++ b/packages/emulator/tanagerbend_emulator/tests/test_crash_news.py
@@ -9,7 +9,7 @@
 from tanagerbend_emulator.virtual import LoopTimer, run_virtual
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
-from tanagerbend_proxy.crash_messages import News
+from tanagerbend_proxy.crash_messages import MOST_TOLD, News
 from tanagerbend_proxy.crash_news import (
     CrashNews,
     make_suspicions,
@@ -191,6 +191,22 @@
     in_ring(scenario, 3)
 
 
+def test_flood_of_suspects_does_not_keep_a_conviction_from_others():
+    """Guards against a message that is too short for what matters most."""
+
+    async def scenario(ring):
+        first = next(iter(ring.daemons.values()))
+        crash = Crash('i-1', 1.0)
+        names = [b'%d' % number for number in range(MOST_TOLD)]
+        first.cases.crashed(names, crash)
+        ring.crash(0, is_alone=True)
+        first.untold.clear()
+        await asyncio.sleep(2 * CONTACT_SECONDS)
+        assert ring.verdicts() == {Verdict.CONVICTED}
+
+    in_ring(scenario, 2)
+
+
 def test_odd_news_change_nothing():
     """Guards against a daemon that one malformed message ends."""
 
--- a/packages/proxy/tanagerbend_proxy/crash_messages.py
+++ b/packages/proxy/tanagerbend_proxy/crash_messages.py
@@ -11,7 +11,7 @@
 from tanagerbend_proxy.ranges import MOST_IDENTITY
 from tanagerbend_quarantine import Case, Crash, Told
 
-# Cases of one message; daemons that know more tell the newest.
+# Cases of one message; convictions go first, in the order of `Cases.told`.
 MOST_TOLD: Final = 1000
 # Characters of the reason of a refusal.
 MOST_REASON: Final = 200
@@ -38,7 +38,7 @@
 
     def encode(self) -> str:
         """Return the text of a message."""
-        rows = [_row(each) for each in self.told[-MOST_TOLD:]]
+        rows = [_row(each) for each in self.told[:MOST_TOLD]]
         return json.dumps({'told': rows, 'digest': self.digest})
 
     @classmethod
