--- a/review/3/case.py
+++ b/review/3/case.py
@@ -20,9 +20,10 @@
 
 ZONES = ('north', 'south', 'east', 'west')
 MACHINES = 8
-# One instance of eight fails 45 in 100 of its requests for 6.5 s.
-GREY_SHARE = 0.45
-GREY_SECONDS = 6.5
+# One instance of eight fails 3 in 10 of its requests for 6 s; 45 in 100 for
+# 6.5 s are allowed, and the share of a run varies.
+GREY_SHARE = 0.3
+GREY_SECONDS = 6.0
 PER_SECOND = 4.0
 PROMISES = (408, 421, 429, 503)
 
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,4 +1,28 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
-cd "$(dirname "$0")"
-exec python3 case.py
+cd "$(dirname "$0")" || exit 2
+REVIEW_PROCESSES=$(mktemp) || exit 2
+export REVIEW_PROCESSES
+case_process=
+finish() {
+    [ -z "$case_process" ] || kill "$case_process" 2>/dev/null
+    [ -z "$case_process" ] || wait "$case_process" 2>/dev/null
+    # Only if the script itself was killed is a daemon left. A number may have
+    # been used again, so the settings of the process must match.
+    while read -r process settings; do
+        if tr '\0' '\n' <"/proc/$process/environ" 2>/dev/null |
+            grep -qxF "TANAGERBEND_NODE_FILE=$settings"; then
+            kill -9 "$process"
+        fi
+    done <"$REVIEW_PROCESSES" 2>/dev/null
+    rm -f "$REVIEW_PROCESSES"
+}
+trap 'finish; exit 2' TERM INT HUP
+python3 case.py &
+case_process=$!
+wait "$case_process"
+code=$?
+case_process=
+finish
+case $code in 0 | 1) exit $code ;; esac
+exit 2
