Notice crashes under requests that nobody waits for

Cause: that an instance ended was noticed only by a request that was still waited for and lost its own connection. The same holds after a deadline, a time limit of a route, the end of an entry daemon or a cancelled call, on both call paths; and a request was forgotten at its deadline, though an instance may work past it.

Change: while an instance may still work on an abandoned request (0.5 s after its connection closed), the daemon watches an idle connection to it, and checks for a crash when that ends. A request that the instance outlives has one crash struck from its case, since it may never get an answer that could clear it. The daemon beside the instance spreads what nobody else will. The own interface uses the same watch. The owner's probe moved to the connection.

Why it works: the connection ends with the process, whoever waits, and the refused connection that follows tells a crash from a reset connection.

--- a/packages/daemon/tanagerbend_daemon/assembly.py
+++ b/packages/daemon/tanagerbend_daemon/assembly.py
@@ -14,7 +14,7 @@
     make_drain,
     make_orders,
 )
-from tanagerbend_daemon.containment import QuarantineOwner
+from tanagerbend_daemon.containment import GuardedBackend, QuarantineOwner
 from tanagerbend_daemon.control import ControlHandler
 from tanagerbend_daemon.drain import Drain
 from tanagerbend_daemon.entry import CallHandler
@@ -71,6 +71,7 @@
     sessions: list[aiohttp.ClientSession]
     guard: PauseGuard
     catch_up: CatchUp
+    backend: GuardedBackend
     is_rebuild_scheduled: bool = False
 
     def configure_floors(self, in_force: InForce) -> None:
@@ -181,6 +182,7 @@
         sessions,
         guard,
         calls.catch_up,
+        backend_chain.backend,
     )
     store.listeners.append(parts.configure_floors)
     store.listeners.append(parts.rebuild_routes)
--- a/packages/daemon/tanagerbend_daemon/backend_chain.py
+++ b/packages/daemon/tanagerbend_daemon/backend_chain.py
@@ -11,6 +11,7 @@
 from tanagerbend_daemon.order_owner import OrderGate, OrderOwner
 from tanagerbend_daemon.order_path import OrderPath
 from tanagerbend_daemon.outbound import HttpServer
+from tanagerbend_daemon.process_connection import ProcessConnection
 from tanagerbend_daemon.repeated_orders import RepeatedOrderCounter
 from tanagerbend_daemon.stalls import StallDetector
 from tanagerbend_daemon.suspect_notices import SuspectNotices
@@ -81,6 +82,7 @@
         quarantine,
         notices,
         server.close_idle_connections,
+        ProcessConnection(settings.addresses.backend, recorder),
     )
     hints = LeavingHints(roster, transport)
     return BackendChain(gate, notices, guarded, hints)
--- a/packages/daemon/tanagerbend_daemon/containment.py
+++ b/packages/daemon/tanagerbend_daemon/containment.py
@@ -18,10 +18,13 @@
     Member,
 )
 from tanagerbend_membership.readers import rendezvous_weight
+from tanagerbend_metrics import Event
 from tanagerbend_model import Ran, Refusal, ResultCode, WorkClass
 from tanagerbend_quarantine import (
+    AbandonedWatch,
     InFlightRequest,
     InFlightRequests,
+    InstanceProcess,
     Isolation,
     IsolationGate,
     Quarantine,
@@ -63,6 +66,7 @@
     notices : SuspectNotices
     close_idle_connections : callable
         Closes the idle connections to the backend server.
+    process : InstanceProcess
     """
 
     backend: BackendServer
@@ -70,11 +74,20 @@
     quarantine: Quarantine
     notices: SuspectNotices
     close_idle_connections: Callable[[], None]
+    process: InstanceProcess
     gate: IsolationGate = attrs.field(factory=IsolationGate)
     flights: InFlightRequests = attrs.field(init=False)
+    watch: AbandonedWatch = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.flights = InFlightRequests(self.quarantine.timer)
+        self.watch = AbandonedWatch(
+            self.flights,
+            self.process,
+            self._check_for_crash,
+            self._record_survival,
+            self._record_watch_error,
+        )
 
     async def exchange(
         self,
@@ -152,6 +165,7 @@
                 self.notices.send(notice)
         if end is RequestEnd.ABANDONED:
             self.flights.abandon(in_flight)
+            self.watch.begin()
         else:
             self.flights.end(in_flight)
         self.gate.leave(isolation)
@@ -160,12 +174,37 @@
         self.quarantine.recorder.count('backend_connections_broken')
         if in_flight not in self.flights.active:
             return
+        self._record_crash_of(
+            self.flights.remove_all_at_crash(), is_alone=in_flight.is_alone
+        )
+
+    async def _check_for_crash(self) -> None:
+        """Record a crash that no active request has noticed."""
+        if self.flights.active or not await self.process.is_down():
+            return
+        suspects = self.flights.remove_all_at_crash()
+        is_alone = len(suspects) == 1 and suspects[0].is_alone
+        self._record_crash_of(suspects, is_alone=is_alone)
+
+    def _record_crash_of(
+        self, suspects: list[InFlightRequest], *, is_alone: bool
+    ) -> None:
         notice = self.quarantine.record_crash(
-            self.flights.remove_all_at_crash(),
-            is_alone=in_flight.is_alone,
+            [suspect.fingerprint for suspect in suspects], is_alone=is_alone
         )
         self.notices.send(notice)
 
+    def _record_survival(self, survived: list[InFlightRequest]) -> None:
+        for in_flight in survived:
+            self.notices.send(
+                self.quarantine.record_survival(in_flight.fingerprint)
+            )
+
+    def _record_watch_error(self, error: BaseException) -> None:
+        self.quarantine.recorder.record_event(
+            Event.CONTROL_FAULT, 'watch of the instance', repr(error)
+        )
+
 
 def _classify_end(error: BaseException | None) -> RequestEnd:
     match error:
--- a/packages/daemon/tanagerbend_daemon/services.py
+++ b/packages/daemon/tanagerbend_daemon/services.py
@@ -108,6 +108,7 @@
     async def on_stop(self) -> None:
         """Stop listening."""
         await self.server.close()
+        self.parts.backend.watch.close()
         for session in self.parts.sessions:
             await session.close()
 
--- a/packages/daemon/tanagerbend_daemon/tests/memory_fleet.py
+++ b/packages/daemon/tanagerbend_daemon/tests/memory_fleet.py
@@ -35,7 +35,7 @@
     headers,
 )
 from tanagerbend_orders import Ledger, OrderKeyIssuer
-from tanagerbend_quarantine import Quarantine
+from tanagerbend_quarantine import ProcessState, Quarantine
 from tanagerbend_routing import Balancer, RouteTable
 
 SHEET = b'service,work,rank,method,path,order\nprint,run,1,POST,/print,yes\n'
@@ -147,6 +147,40 @@
         return Ack()
 
 
+class WatchedProcess:
+    """Process of a backend server, without a socket."""
+
+    def __init__(self, timer):
+        self.timer = timer
+        self.has_ended = asyncio.Event()
+
+    def end(self):
+        """End the process."""
+        self.has_ended.set()
+
+    async def wait(self, seconds):
+        """Wait until the process ends or some seconds have passed."""
+        waits = [
+            asyncio.ensure_future(self.has_ended.wait()),
+            asyncio.ensure_future(self.timer.sleep(seconds)),
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for each in waits:
+                each.cancel()
+        if self.has_ended.is_set():
+            return ProcessState.UNKNOWN
+        return ProcessState.RUNNING
+
+    async def is_down(self):
+        """Return whether the process has ended."""
+        return self.has_ended.is_set()
+
+    def close(self):
+        """Close no connection."""
+
+
 class MemoryNode:
     """The parts of one daemon that handle orders."""
 
@@ -168,6 +202,7 @@
                 quarantine,
                 notices,
                 close_idle_connections=self.backend.close_idle_connections,
+                process=WatchedProcess(fleet.timer),
             ),
             FifoAdmission(fleet.timer, slots),
             self.roster,
--- a/packages/daemon/tanagerbend_daemon/tests/test_containment.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_containment.py
@@ -17,7 +17,7 @@
     read_head,
     route_table,
 )
-from tanagerbend_daemon.tests.memory_fleet import NoPeers
+from tanagerbend_daemon.tests.memory_fleet import NoPeers, WatchedProcess
 from tanagerbend_interfaces import BackendRequest
 from tanagerbend_membership import Roster
 from tanagerbend_metrics import Recorder
@@ -86,7 +86,12 @@
         NoPeers(),
     )
     return GuardedBackend(
-        server, 'artwork', quarantine, notices, close_idle_connections
+        server,
+        'artwork',
+        quarantine,
+        notices,
+        close_idle_connections,
+        WatchedProcess(recorder.timer),
     )
 
 
@@ -255,3 +260,37 @@
     await suspect
     assert quarantine.verdict(fingerprint_of('/plate')) is Verdict.SUSPECT
     assert quarantine.verdict(fingerprint_of('/poison')) is Verdict.SUSPECT
+
+
+async def give_up(crashing, path):
+    """Send a request and cancel it once the server runs it."""
+    given_up = asyncio.create_task(send(crashing, path))
+    while path not in crashing.backend.read:
+        await asyncio.sleep(0)
+    given_up.cancel()
+    await asyncio.wait((given_up,))
+
+
+async def until_watched(crashing):
+    """Wait until no abandoned request is watched any more."""
+    async with asyncio.timeout(10):
+        while crashing.watch.task is not None:
+            await asyncio.sleep(0.01)
+
+
+async def test_crash_under_a_cancelled_request_is_noticed(crashing):
+    """Guards against crashes that no one notices once the caller has left."""
+    await give_up(crashing, '/poison')
+    crashing.process.end()
+    await until_watched(crashing)
+    quarantine = crashing.quarantine
+    assert quarantine.verdict(fingerprint_of('/poison')) is Verdict.SUSPECT
+
+
+async def test_server_that_outlives_a_cancelled_request_clears_it(crashing):
+    """Guards against suspecting a request that does no harm for ever."""
+    quarantine = crashing.quarantine
+    quarantine.record_crash([fingerprint_of('/plate')])
+    await give_up(crashing, '/plate')
+    await until_watched(crashing)
+    assert quarantine.verdict(fingerprint_of('/plate')) is Verdict.CLEAR
--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -10,7 +10,11 @@
 
 from tanagerbend_admission import ObjectiveQueue
 from tanagerbend_emulator.arrivals import Arrivals
-from tanagerbend_emulator.instance import HOST, EmulatedInstance
+from tanagerbend_emulator.instance import (
+    HOST,
+    EmulatedInstance,
+    EmulatedProcess,
+)
 from tanagerbend_emulator.links import HostLink
 from tanagerbend_emulator.loads import Crashed, Load, Restart, ServiceLoad
 from tanagerbend_emulator.virtual import LateTimer, LoopTimer
@@ -30,6 +34,7 @@
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.results import sending_limits
 from tanagerbend_proxy.uplink import HEADER_BYTES, SendingLimits, Uplink
+from tanagerbend_quarantine import InstanceProcess
 from tanagerbend_routing import (
     InstanceRegistry,
     ListedInstance,
@@ -69,9 +74,9 @@
 
     instance: EmulatedInstance | None = None
 
-    async def is_instance_down(self) -> bool:
-        """Return whether the instance is down."""
-        return self.instance.is_down
+    def make_process(self) -> InstanceProcess:
+        """Return the process of the emulated instance."""
+        return EmulatedProcess(self.instance)
 
     async def _send(
         self,
--- a/packages/emulator/tanagerbend_emulator/instance.py
+++ b/packages/emulator/tanagerbend_emulator/instance.py
@@ -19,6 +19,7 @@
 )
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.messages import Answer, Request
+from tanagerbend_quarantine import ProcessState
 from tanagerbend_routing import ListedInstance
 
 if TYPE_CHECKING:
@@ -60,6 +61,8 @@
     running: set[asyncio.Timeout] = attrs.field(factory=set)
     # Timeouts of running requests that were lost in a crash.
     lost: set[asyncio.Timeout] = attrs.field(factory=set)
+    # Set at the next crash.
+    crashed: asyncio.Event = attrs.field(factory=asyncio.Event)
     slots: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -118,6 +121,8 @@
         """Crash; all running and waiting requests are lost."""
         now = asyncio.get_running_loop().time()
         self.down_until = now + self.service.down
+        self.crashed.set()
+        self.crashed = asyncio.Event()
         for timeout in self.running:
             if not timeout.expired():
                 self.lost.add(timeout)
@@ -194,6 +199,31 @@
         return False
 
 
+@attrs.frozen
+class EmulatedProcess:
+    """Tells whether the process of an emulated instance runs."""
+
+    instance: EmulatedInstance
+
+    async def wait(self, seconds: float) -> ProcessState:
+        """Wait until the instance crashes, at most ``seconds``."""
+        if self.instance.is_down:
+            return ProcessState.UNKNOWN
+        try:
+            async with asyncio.timeout(seconds):
+                await self.instance.crashed.wait()
+        except TimeoutError:
+            return ProcessState.RUNNING
+        return ProcessState.UNKNOWN
+
+    async def is_down(self) -> bool:
+        """Return whether the instance is down."""
+        return self.instance.is_down
+
+    def close(self) -> None:
+        """Close no connection."""
+
+
 @functools.lru_cache(maxsize=MAX_CACHED_BODIES)
 def make_body(kilobytes: float) -> bytes:
     """Return a cached body of the given size."""
--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -70,6 +70,7 @@
     'log_lines_left_out': 'event',
     'uploads_refused_early': 'code',
     'instance_probes_failed': 'error',
+    'instance_watches_ended': 'reason',
 }
 # Exposed before they are first incremented, so that alerts on them always
 # have a time series.
--- a/packages/proxy/tanagerbend_proxy/guard.py
+++ b/packages/proxy/tanagerbend_proxy/guard.py
@@ -16,9 +16,11 @@
 from tanagerbend_proxy.messages import Answer, Placed, Request
 from tanagerbend_proxy.suspicions import Suspicions, conviction_refusal
 from tanagerbend_quarantine import (
+    AbandonedWatch,
     Crash,
     InFlightRequest,
     InFlightRequests,
+    InstanceProcess,
     Isolation,
     IsolationGate,
     Verdict,
@@ -42,8 +44,7 @@
     ==========
 
     suspicions : Suspicions
-    is_down : callable
-        Returns whether the instance refuses connections.
+    process : InstanceProcess
 
     Attributes
     ==========
@@ -51,6 +52,7 @@
     gate : IsolationGate
     flights : InFlightRequests
         Requests that the instance may be running.
+    watch : AbandonedWatch
     lost : set of InFlightRequest
         Requests whose connection was lost, during a crash check.
     crash_check : asyncio.Task or None
@@ -58,14 +60,23 @@
     """
 
     suspicions: Suspicions
-    is_down: Callable[[], Awaitable[bool]]
+    process: InstanceProcess
     gate: IsolationGate = attrs.field(factory=IsolationGate)
     flights: InFlightRequests = attrs.field(init=False)
+    watch: AbandonedWatch = attrs.field(init=False)
+    instance: str = ''
     lost: set[InFlightRequest] = attrs.field(factory=set)
     crash_check: 'asyncio.Task[None] | None' = None
 
     def __attrs_post_init__(self) -> None:
         self.flights = InFlightRequests(self.suspicions.cases.timer)
+        self.watch = AbandonedWatch(
+            self.flights,
+            self.process,
+            self._check_once,
+            self._record_survival,
+            self._log_watch_error,
+        )
 
     async def run(
         self,
@@ -125,6 +136,7 @@
         send: Callable[[float], Awaitable[End]],
     ) -> End:
         cases = self.suspicions.cases
+        self.instance = instance
         self.flights.begin(in_flight)
         try:
             end = await send(in_flight.deadline - cases.timer.now())
@@ -135,22 +147,25 @@
                 case Refusal(ran=Ran.NO):
                     self.flights.end(in_flight)
                 case Refusal(code=code) if code in CONNECTION_LOST_CODES:
-                    await self._check_for_crash(in_flight, instance)
+                    await self._check_for_crash(in_flight)
             return end
         finally:
             if in_flight in self.flights.active:
                 self.flights.abandon(in_flight)
+                self.watch.begin()
 
-    async def _check_for_crash(
-        self, in_flight: InFlightRequest, instance: str
-    ) -> None:
+    async def _check_for_crash(self, in_flight: InFlightRequest) -> None:
         """Check whether a request was lost in a crash of the instance."""
         if in_flight not in self.flights.active:
             # Attributed already, with the other requests of the same crash.
             return
         self.lost.add(in_flight)
+        await self._check_once()
+
+    async def _check_once(self) -> None:
+        """Check for a crash, together with others that ask meanwhile."""
         if self.crash_check is None:
-            self.crash_check = asyncio.create_task(self._detect_crash(instance))
+            self.crash_check = asyncio.create_task(self._detect_crash())
             self.crash_check.add_done_callback(self._finish_check)
         await asyncio.shield(self.crash_check)
 
@@ -158,42 +173,65 @@
         self.crash_check = None
         self.lost.clear()
 
-    async def _detect_crash(self, instance: str) -> None:
+    async def _detect_crash(self) -> None:
         await self.suspicions.cases.timer.sleep(SETTLE_SECONDS)
         alive = self.flights.active.keys() - self.lost
-        if alive or not await self.is_down():
+        if alive or not await self.process.is_down():
             return
-        self._record_crash(instance)
+        self._record_crash()
 
-    def _record_crash(self, instance: str) -> None:
+    def _record_crash(self) -> None:
         cases = self.suspicions.cases
-        crash = Crash(instance, cases.timer.wall())
+        crash = Crash(self.instance, cases.timer.wall())
         alone = [
             in_flight.fingerprint
             for in_flight in self.flights.active
             if in_flight.is_alone
         ]
-        fingerprints = self.flights.remove_all_at_crash()
+        abandoned = {
+            in_flight.fingerprint
+            for in_flight in self.flights.recently_abandoned
+        }
+        suspects = self.flights.remove_all_at_crash()
         changed = cases.record_crash(alone, attrs.evolve(crash, is_alone=True))
         others = [
-            fingerprint
-            for fingerprint in fingerprints
-            if fingerprint not in alone
+            in_flight.fingerprint
+            for in_flight in suspects
+            if in_flight.fingerprint not in alone
         ]
         changed += cases.record_crash(others, crash)
         cases.recorder.count('instance_crashes')
         self.suspicions.log.write(
             'instance_crashed',
-            instance=instance,
-            in_flight=len(fingerprints),
+            instance=self.instance,
+            in_flight=len(suspects),
+            abandoned=len(abandoned),
             suspects=[fingerprint.hex() for fingerprint in changed],
             is_alone=bool(alone),
         )
-        # Suspects are spread by the entry daemon when it gives them up.
-        convicts = [
+        # The entry daemon spreads suspects when it gives them up, but it no
+        # longer waits for those that were abandoned.
+        told = [
             fingerprint
             for fingerprint in changed
-            if cases.verdict(fingerprint) is Verdict.CONVICTED
+            if fingerprint in abandoned
+            or cases.verdict(fingerprint) is Verdict.CONVICTED
+        ]
+        if told:
+            self.suspicions.spread(told)
+
+    def _record_survival(self, survived: list[InFlightRequest]) -> None:
+        cases = self.suspicions.cases
+        changed = [
+            in_flight.fingerprint
+            for in_flight in survived
+            if cases.record_survival(in_flight.fingerprint)
         ]
-        if convicts:
-            self.suspicions.spread(convicts)
+        if changed:
+            cases.recorder.count('crashes_outweighed', amount=len(changed))
+            self.suspicions.spread(changed)
+
+    def _log_watch_error(self, error: BaseException) -> None:
+        self.suspicions.cases.recorder.count('instance_watch_failed')
+        reason = f'{type(error).__name__}: {error}'
+        self.suspicions.log.write('instance_watch_failed', reason=reason)
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -1,8 +1,6 @@
 """Runs requests at the instance on this host; its daemon is the owner."""
 
-import asyncio
 import math
-import socket
 from typing import Final
 
 import aiohttp
@@ -10,10 +8,11 @@
 from multidict import CIMultiDict
 
 from tanagerbend_admission import ObjectiveQueue, ServiceTimes, Work
+from tanagerbend_daemon.process_connection import ProcessConnection
 from tanagerbend_metrics import Recorder
 from tanagerbend_metrics.names import BACKEND_TIME, QUEUE_TIME
 from tanagerbend_model import Ran, Refusal, ResultCode
-from tanagerbend_proxy.exchange import Outgoing, make_socket, send
+from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.guard import CONNECTION_LOST_CODES, InstanceGuard
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.loop_delay import LoopDelay
@@ -27,6 +26,7 @@
 from tanagerbend_proxy.repeats import Repeats
 from tanagerbend_proxy.suspicions import Suspicions
 from tanagerbend_proxy.uplink import Uplink
+from tanagerbend_quarantine import InstanceProcess
 from tanagerbend_routing import (
     InstanceRegistry,
     LoadReport,
@@ -43,8 +43,6 @@
 # Deducted from the time limit of the instance, so that its answer or a
 # refusal reaches the caller in time.
 RETURN_MARGIN_SECONDS: Final = 0.01
-# A running process on this host accepts a connection within this time.
-PROBE_TIMEOUT_SECONDS: Final = 0.25
 
 # Refusals of requests that were not sent to the instance.
 NOT_SENT_CODES: Final = frozenset(
@@ -104,11 +102,20 @@
     guard: InstanceGuard = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.guard = InstanceGuard(self.suspicions, self.is_instance_down)
+        self.guard = InstanceGuard(self.suspicions, self.make_process())
         self.delay = LoopDelay(self.recorder.timer)
         self.queue.departures.link = self.uplink
         self.reset_repeats()
 
+    def make_process(self) -> InstanceProcess:
+        """Return the connection that ends with the instance."""
+        return ProcessConnection(self.address, self.recorder)
+
+    async def close(self) -> None:
+        """Close the connections to the instance."""
+        self.guard.watch.close()
+        await self.session.close()
+
     def reset_repeats(self) -> None:
         """Reset the counts of requests and repeats."""
         now = self.recorder.timer.now()
@@ -174,23 +181,6 @@
                 return attrs.evolve(outcome, evidence=evidence)
         return outcome
 
-    async def is_instance_down(self) -> bool:
-        """Return whether the instance refuses a connection."""
-        host, _, port = self.address.rpartition(':')
-        probe = make_socket((socket.AF_INET, socket.SOCK_STREAM, 0))
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
-                loop = asyncio.get_running_loop()
-                await loop.sock_connect(probe, (host, int(port)))
-        except ConnectionRefusedError:
-            return True
-        except OSError as error:
-            # Shows neither that the instance runs nor that it is down.
-            self.recorder.count('instance_probes_failed', type(error).__name__)
-        finally:
-            probe.close()
-        return False
-
     def _observe_size(self, route: str, result: Answer | Refusal) -> None:
         match result:
             case Answer(body=body):
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -225,5 +225,5 @@
         """Close the client sessions after all tasks have ended."""
         components = self.components
         await components.entry.session.close()
-        await components.owner.session.close()
+        await components.owner.close()
         await components.follower.service.close()
--- a/packages/proxy/tanagerbend_proxy/tests/test_guard.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_guard.py
@@ -13,7 +13,8 @@
 from tanagerbend_proxy.guard import InstanceGuard
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.messages import Answer, Placed, Request
-from tanagerbend_quarantine import Crash, Verdict
+from tanagerbend_quarantine import Crash, ProcessState, Verdict
+from tanagerbend_quarantine.flights import WORK_AFTER_CLOSE_SECONDS
 from tanagerbend_routing import Repeat
 from tanagerbend_timer import SystemTimer
 
@@ -28,19 +29,37 @@
     """A guard with an instance whose requests the test ends."""
 
     def __init__(self):
-        self.is_down = False
         self.probes = 0
+        self.has_ended = asyncio.Event()
         self.running = {}
         recorder = Recorder(SystemTimer())
         log = DecisionLog('host-1', recorder)
         self.suspicions = make_suspicions(recorder, NAMES, log)
         self.cases = self.suspicions.cases
-        self.guard = InstanceGuard(self.suspicions, self.probe)
+        self.refuses = False
+        self.guard = InstanceGuard(self.suspicions, self)
 
-    async def probe(self):
+    async def is_down(self):
         """Count a probe; return whether the instance is down."""
         self.probes += 1
-        return self.is_down
+        return self.refuses
+
+    def close(self):
+        """Close no connection."""
+
+    async def wait(self, seconds):
+        """Wait until the connection to the instance ends."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.has_ended.wait()
+        except TimeoutError:
+            return ProcessState.RUNNING
+        return ProcessState.UNKNOWN
+
+    def end_process(self):
+        """End the instance without a request that has a connection."""
+        self.refuses = True
+        self.has_ended.set()
 
     def request(self, path, caller='shop'):
         """Return a request of a caller."""
@@ -81,14 +100,16 @@
 
 
 @pytest.fixture
-def instance():
-    return Instance()
+async def instance():
+    started = Instance()
+    yield started
+    started.guard.watch.close()
 
 
 async def test_requests_lost_with_their_instance_are_suspects(instance):
     """Guards against a crash that makes no request a suspect."""
     tasks = [await instance.begin(path) for path in ('/a', '/b')]
-    instance.is_down = True
+    instance.refuses = True
     for path in ('/a', '/b'):
         instance.end(path, LOST)
     assert await asyncio.gather(*tasks) == [LOST, LOST]
@@ -108,7 +129,7 @@
 async def test_instance_that_runs_others_has_not_ended(instance):
     """Guards against probing an instance that is known to be alive."""
     lost, other = await instance.begin('/a'), await instance.begin('/b')
-    instance.is_down = True
+    instance.refuses = True
     instance.end('/a', LOST)
     await lost
     instance.end('/b', Answer(200, CIMultiDict(), b''))
@@ -120,7 +141,7 @@
 @pytest.mark.parametrize('end', [SILENT, UNSENT])
 async def test_timeouts_and_refused_connections_are_no_crash(instance, end):
     """Guards against suspects without any sign of a crash."""
-    instance.is_down = True
+    instance.refuses = True
     task = await instance.begin('/a')
     instance.end('/a', end)
     assert await task == end
@@ -132,7 +153,7 @@
     left, other = await instance.begin('/a'), await instance.begin('/b')
     left.cancel()
     await asyncio.wait((left,))
-    instance.is_down = True
+    instance.refuses = True
     instance.end('/b', LOST)
     await other
     assert instance.verdict('/a') is instance.verdict('/b') is Verdict.SUSPECT
@@ -151,7 +172,7 @@
     left.cancel()
     await asyncio.wait((left,))
     suspect = await instance.begin('/a')
-    instance.is_down = True
+    instance.refuses = True
     instance.end('/a', LOST)
     await suspect
     assert instance.verdict('/a') is Verdict.CONVICTED
@@ -161,7 +182,7 @@
 async def test_loss_that_is_detected_late_is_no_second_crash(instance):
     """Guards against counting one crash once per lost request."""
     first, late = await instance.begin('/a'), await instance.begin('/b')
-    instance.is_down = True
+    instance.refuses = True
     instance.end('/a', LOST)
     instance.guard.lost.update(instance.guard.flights.active)
     await first
@@ -215,7 +236,7 @@
     await first
     await asyncio.sleep(0)
     assert set(instance.running) == {'/a'}
-    instance.is_down = True
+    instance.refuses = True
     instance.end('/a', LOST)
     await suspect
     assert instance.verdict('/a') is Verdict.CONVICTED
@@ -244,3 +265,58 @@
     assert outcome.ran is Ran.NO
     instance.end('/b', Answer(200, CIMultiDict(), b''))
     await first
+
+
+async def abandon(instance, path):
+    """Start a request whose caller then leaves."""
+    left = await instance.begin(path)
+    left.cancel()
+    await asyncio.wait((left,))
+
+
+async def until_watched(instance):
+    """Wait until no abandoned request is watched any more."""
+    async with asyncio.timeout(10):
+        while instance.guard.watch.task is not None:
+            await asyncio.sleep(0.01)
+
+
+async def test_crash_is_noticed_although_its_caller_left(instance):
+    """Guards against a crash that only active requests notice."""
+    told = []
+    instance.suspicions.spread = told.extend
+    await abandon(instance, '/a')
+    instance.end_process()
+    await until_watched(instance)
+    assert instance.verdict('/a') is Verdict.SUSPECT
+    assert told == [instance.fingerprint('/a')]
+
+
+async def test_end_of_the_watching_connection_is_no_crash(instance):
+    """Guards against suspects when a sound instance closes connections."""
+    await abandon(instance, '/a')
+    instance.has_ended.set()
+    await until_watched(instance)
+    assert instance.verdict('/a') is Verdict.CLEAR
+
+
+async def test_instance_that_outlives_a_request_is_watched_no_more(instance):
+    """Guards against blaming a request for a crash long after it."""
+    await abandon(instance, '/a')
+    await until_watched(instance)
+    instance.end_process()
+    other = await instance.begin('/b')
+    instance.end('/b', LOST)
+    await other
+    assert instance.verdict('/a') is Verdict.CLEAR
+    assert instance.verdict('/b') is Verdict.SUSPECT
+
+
+async def test_survived_request_is_suspected_less(instance):
+    """Guards against refusing a request that mostly does no harm."""
+    fingerprint = instance.fingerprint('/a')
+    instance.cases.record_crash([fingerprint], Crash('i-0', 1.0))
+    await abandon(instance, '/a')
+    await asyncio.sleep(WORK_AFTER_CLOSE_SECONDS)
+    await until_watched(instance)
+    assert instance.verdict('/a') is Verdict.CLEAR
--- a/packages/proxy/tanagerbend_proxy/tests/test_late_refusals.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_late_refusals.py
@@ -84,6 +84,7 @@
     """Return a function that sends two orders through an owner."""
     session = make_session(5.0, 1)
     servers = []
+    owners = []
 
     async def send(instance):
         server = await asyncio.start_server(
@@ -108,6 +109,7 @@
             BUDGET,
             make_suspicions(recorder, NAMES, DecisionLog('host', recorder)),
         )
+        owners.append(owner)
         placed = Placed('i-1', 'order', 0, Repeat.NEVER, 2.0, 2.0)
         results = []
         for number in ('1', '2'):
@@ -117,7 +119,8 @@
         return results
 
     yield send
-    await session.close()
+    for owner in owners:
+        await owner.close()
     for server in servers:
         server.close()
 
--- a/packages/quarantine/tanagerbend_quarantine/case.py
+++ b/packages/quarantine/tanagerbend_quarantine/case.py
@@ -97,6 +97,14 @@
             newest(self.dismissed | other.dismissed),
         )
 
+    def with_one_dismissed(self) -> 'Case':
+        """Return the case without the oldest crash in company that counts."""
+        in_company = [crash for crash in self.counted if not crash.is_alone]
+        if not in_company:
+            return self
+        oldest = min(in_company, key=_crash_order)
+        return Case(self.crashes, newest(self.dismissed | {oldest}))
+
     def with_all_dismissed(self) -> 'Case':
         """Return the case with all its crashes dismissed."""
         return Case(self.crashes, newest(self.dismissed | self.crashes))
@@ -106,8 +114,11 @@
     """Return the latest crashes, at most as many as are kept."""
     if len(crashes) <= MAX_CRASHES:
         return crashes
-    by_time = sorted(crashes, key=lambda crash: (crash.at, crash.instance))
-    return frozenset(by_time[-MAX_CRASHES:])
+    return frozenset(sorted(crashes, key=_crash_order)[-MAX_CRASHES:])
+
+
+def _crash_order(crash: Crash) -> tuple[float, str]:
+    return crash.at, crash.instance
 
 
 @attrs.frozen
--- a/packages/quarantine/tanagerbend_quarantine/cases.py
+++ b/packages/quarantine/tanagerbend_quarantine/cases.py
@@ -174,6 +174,20 @@
             fingerprint, stored.case.with_all_dismissed(), stored.expires_at
         )
 
+    def record_survival(self, fingerprint: bytes) -> bool:
+        """Record that an instance outlived a request that was abandoned.
+
+        Returns whether the case changed.  The instance may have stopped the
+        request early, so this outweighs a single crash, unlike a success,
+        and does not end a conviction.
+        """
+        stored = self._stored(fingerprint)
+        if stored is None or stored.case.verdict is Verdict.CONVICTED:
+            return False
+        return self._merge(
+            fingerprint, stored.case.with_one_dismissed(), stored.expires_at
+        )
+
     def clear(self, fingerprint: bytes) -> bool:
         """Clear a request by decision of an operator."""
         stored = self._stored(fingerprint)
--- a/packages/quarantine/tanagerbend_quarantine/flights.py
+++ b/packages/quarantine/tanagerbend_quarantine/flights.py
@@ -1,9 +1,15 @@
 """Requests that an instance may be running."""
 
+from typing import Final
+
 import attrs
 
 from tanagerbend_timer import Timer
 
+# Within this time after their connection closed, instances end their work on
+# a request.
+WORK_AFTER_CLOSE_SECONDS: Final = 0.5
+
 
 @attrs.define(eq=False)
 class InFlightRequest:
@@ -17,11 +23,23 @@
         Monotonic seconds after which the instance no longer runs it.
     is_alone : bool
         Whether it is a suspect that runs alone.
+    abandoned_at : float
+        Monotonic seconds at which its connection was closed; infinite
+        before.
+    is_watched : bool
+        Whether an end of the instance would have been noticed.
     """
 
     fingerprint: bytes
     deadline: float
     is_alone: bool = False
+    abandoned_at: float = float('inf')
+    is_watched: bool = True
+
+    @property
+    def work_ends_at(self) -> float:
+        """Monotonic seconds at which the instance has stopped working."""
+        return self.abandoned_at + WORK_AFTER_CLOSE_SECONDS
 
 
 class InFlightRequests:
@@ -31,7 +49,10 @@
     ===========
 
     An instance may continue to run a request that its caller or its daemon
-    has abandoned, until its deadline, and crash because of it.
+    has abandoned, and crash because of it.  Most instances stop soon after
+    the connection of the request has closed, some only at its deadline.  A
+    crash is attributed to a request that was abandoned a short time before;
+    later crashes are far more likely to have another cause.
 
     Examples
     ========
@@ -57,7 +78,10 @@
         self.timer = timer
         # In the order in which the requests were sent.
         self.active: dict[InFlightRequest, None] = {}
+        # In the order in which they were abandoned.
         self.abandoned: dict[InFlightRequest, None] = {}
+        # Abandoned requests on which the instance may still be working.
+        self.recently_abandoned: dict[InFlightRequest, None] = {}
 
     def begin(self, in_flight: InFlightRequest) -> None:
         """Record that a request is sent to the instance."""
@@ -70,7 +94,9 @@
     def abandon(self, in_flight: InFlightRequest) -> None:
         """Record that the request was abandoned but may still run."""
         self.end(in_flight)
+        in_flight.abandoned_at = self.timer.now()
         self.abandoned[in_flight] = None
+        self.recently_abandoned[in_flight] = None
         self._drop_expired()
 
     def at_risk(self) -> list[InFlightRequest]:
@@ -78,19 +104,60 @@
         self._drop_expired()
         return [*self.active, *self.abandoned]
 
-    def remove_all_at_crash(self) -> list[bytes]:
-        """Return the fingerprints of all requests at a crash and remove them.
+    def suspects_of_crash(self) -> list[InFlightRequest]:
+        """Return the requests that may be the cause of a crash now."""
+        now = self.timer.now()
+        recent = (
+            in_flight
+            for in_flight in self.recently_abandoned
+            if in_flight.work_ends_at > now
+        )
+        return [*self.active, *recent]
+
+    def remove_all_at_crash(self) -> list[InFlightRequest]:
+        """Return the possible causes of a crash and remove all requests.
 
         If one of these requests is reported lost later, that belongs to the
         same crash, and the request is no longer in flight.
         """
-        fingerprints = [in_flight.fingerprint for in_flight in self.at_risk()]
+        suspects = self.suspects_of_crash()
         self.active.clear()
         self.abandoned.clear()
-        return fingerprints
+        self.recently_abandoned.clear()
+        return suspects
+
+    def seconds_to_watch(self) -> float:
+        """Return the time until the next abandoned request has ended.
+
+        Zero if there is none.
+        """
+        oldest = next(iter(self.recently_abandoned), None)
+        if oldest is None:
+            return 0.0
+        return max(oldest.work_ends_at - self.timer.now(), 0.0)
+
+    def stop_watching(self) -> None:
+        """Record that an end of the instance may not have been noticed."""
+        for in_flight in self.recently_abandoned:
+            in_flight.is_watched = False
+
+    def remove_survived(self) -> list[InFlightRequest]:
+        """Return the abandoned requests that have ended, and forget them.
+
+        Those that were not watched are left out of the result.
+        """
+        now = self.timer.now()
+        ended = [
+            in_flight
+            for in_flight in self.recently_abandoned
+            if in_flight.work_ends_at <= now
+        ]
+        for in_flight in ended:
+            self.recently_abandoned.pop(in_flight)
+        return [in_flight for in_flight in ended if in_flight.is_watched]
 
     def _drop_expired(self) -> None:
         now = self.timer.now()
         for in_flight in tuple(self.abandoned):
-            if in_flight.deadline <= now:
+            if max(in_flight.deadline, in_flight.work_ends_at) <= now:
                 self.abandoned.pop(in_flight)
--- a/packages/quarantine/tanagerbend_quarantine/quarantine.py
+++ b/packages/quarantine/tanagerbend_quarantine/quarantine.py
@@ -130,6 +130,17 @@
             return Notice(cleared=(fingerprint,))
         return Notice()
 
+    def record_survival(self, fingerprint: bytes) -> Notice:
+        """Record that the server outlived an abandoned request.
+
+        Returns the changes.
+        """
+        was_suspect = self.verdict(fingerprint) is Verdict.SUSPECT
+        self.cases.record_survival(fingerprint)
+        if was_suspect and self.verdict(fingerprint) is Verdict.CLEAR:
+            return Notice(cleared=(fingerprint,))
+        return Notice()
+
     def merge(self, notice: Notice) -> None:
         """Apply the changes that another daemon reports.
 
--- a/packages/quarantine/tanagerbend_quarantine/tests/test_quarantine.py
+++ b/packages/quarantine/tanagerbend_quarantine/tests/test_quarantine.py
@@ -9,6 +9,8 @@
 from tanagerbend_quarantine import (
     Cases,
     Crash,
+    InFlightRequest,
+    InFlightRequests,
     Isolation,
     IsolationGate,
     Notice,
@@ -17,6 +19,7 @@
     fingerprint,
 )
 from tanagerbend_quarantine.case import CRASHES_TO_CONVICT
+from tanagerbend_quarantine.flights import WORK_AFTER_CLOSE_SECONDS
 from tanagerbend_timer import ManualTimer
 
 
@@ -274,3 +277,65 @@
     gate.leave(Isolation.FROM_SUSPECTS)
     await second
     assert gate.running == 2
+
+
+def test_survival_outweighs_one_crash(timer):
+    """Guards against refusing a request that instances mostly outlive.
+
+    Its client always leaves, so that no success can clear it.
+    """
+    cases = Cases(Recorder(timer))
+    for number in range(2):
+        cases.record_crash([b'a'], Crash(f'i-{number}', float(number)))
+    assert cases.record_survival(b'a')
+    cases.record_crash([b'a'], Crash('i-2', 2.0))
+    assert cases.verdict(b'a') is Verdict.SUSPECT
+    cases.record_crash([b'a'], Crash('i-3', 3.0))
+    assert cases.verdict(b'a') is Verdict.CONVICTED
+
+
+def test_survival_does_not_end_a_conviction(timer):
+    """Guards against a run that began before the conviction and ends it."""
+    cases = Cases(Recorder(timer))
+    for number in range(CRASHES_TO_CONVICT):
+        cases.record_crash([b'a'], Crash(f'i-{number}', float(number)))
+    assert not cases.record_survival(b'a')
+    assert cases.verdict(b'a') is Verdict.CONVICTED
+
+
+async def test_abandoned_request_is_suspected_for_a_short_time(timer):
+    """Guards against blaming requests that the instance dropped long ago."""
+    in_flight = InFlightRequests(timer)
+    request = InFlightRequest(b'a', deadline=30.0)
+    in_flight.begin(request)
+    in_flight.abandon(request)
+    await timer.advance(WORK_AFTER_CLOSE_SECONDS / 2)
+    assert in_flight.suspects_of_crash() == [request]
+    assert not in_flight.remove_survived()
+    await timer.advance(WORK_AFTER_CLOSE_SECONDS / 2)
+    assert not in_flight.suspects_of_crash()
+    assert in_flight.at_risk() == [request]
+    assert in_flight.remove_survived() == [request]
+
+
+async def test_request_that_passed_its_deadline_may_still_end_an_instance(
+    timer,
+):
+    """Guards against an instance that works past the deadline and crashes."""
+    in_flight = InFlightRequests(timer)
+    request = InFlightRequest(b'a', deadline=1.0)
+    in_flight.begin(request)
+    await timer.advance(1.0)
+    in_flight.abandon(request)
+    assert in_flight.suspects_of_crash() == in_flight.at_risk() == [request]
+
+
+async def test_request_that_was_not_watched_has_not_survived(timer):
+    """Guards against clearing a request that an unnoticed crash ended."""
+    in_flight = InFlightRequests(timer)
+    request = InFlightRequest(b'a', deadline=1.0)
+    in_flight.abandon(request)
+    in_flight.stop_watching()
+    await timer.advance(WORK_AFTER_CLOSE_SECONDS)
+    assert not in_flight.remove_survived()
+    assert not in_flight.recently_abandoned
--- a/packages/standins/tanagerbend_standins/instance.py
+++ b/packages/standins/tanagerbend_standins/instance.py
@@ -68,18 +68,24 @@
         disable crashes.
     down_seconds : float
         Time between a crash and the restart.
+    delay_seconds : float
+        Time between the start of such a request and the crash.
     crash_times : list of float
         Event loop times of the crashes.
     starts : int
         Number of starts, including the first one.
     restart : asyncio.Task or None
+    pending : set of asyncio.Task
+        Crashes whose delay has not passed yet.
     """
 
     trigger: str = ''
     down_seconds: float = 1.0
+    delay_seconds: float = 0.0
     crash_times: list[float] = attrs.field(factory=list)
     starts: int = 1
     restart: 'asyncio.Task[None] | None' = None
+    pending: 'set[asyncio.Task[None]]' = attrs.field(factory=set)
 
     @property
     def is_down(self) -> bool:
@@ -154,10 +160,13 @@
 
     async def close(self) -> None:
         """Stop the server and any pending restart."""
-        restart = self.crashes.restart
-        if restart is not None:
-            restart.cancel()
-            await asyncio.wait((restart,))
+        tasks = set(self.crashes.pending)
+        if self.crashes.restart is not None:
+            tasks.add(self.crashes.restart)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
         await self.runner.cleanup()
 
     async def crash(self) -> None:
@@ -169,6 +178,20 @@
                 _reset(connection.transport)
         self.crashes.restart = asyncio.create_task(self._restart())
 
+    async def _crash_after_delay(self) -> None:
+        """Crash once the delay has passed, also if the caller leaves."""
+        seconds = self.crashes.delay_seconds
+        if not seconds:
+            await self.crash()
+            return
+        task = asyncio.create_task(self._crash_later(seconds))
+        self.crashes.pending.add(task)
+        task.add_done_callback(self.crashes.pending.discard)
+
+    async def _crash_later(self, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        await self.crash()
+
     async def _restart(self) -> None:
         await asyncio.sleep(self.crashes.down_seconds)
         self.crashes.starts += 1
@@ -216,7 +239,7 @@
         self.requested_paths.append(request.raw_path)
         self.last_headers = dict(request.headers)
         if self.crashes.is_triggered_by(request.raw_path):
-            await self.crash()
+            await self._crash_after_delay()
         return await self._run(request, identifier, body)
 
     async def _run(
