Take no refusal of a call for a backend server's own statement

A server that passes on the refusal of a call that it made, with all headers and the same request identifier, said so too, after it had run part of the request; the caller was told "not run".

Change: a result code beside the header shows whose refusal it is; then the outcome is unknown. The test has the case; it failed before (1 of 3).

--- a/packages/daemon/tanagerbend_daemon/owner.py
+++ b/packages/daemon/tanagerbend_daemon/owner.py
@@ -146,15 +146,24 @@
         reason = 'backend server answered another request'
         return Refusal(ResultCode.ANSWER_CROSSED, reason, Ran.UNKNOWN)
     if response.status == HTTPStatus.SERVICE_UNAVAILABLE:
-        # A 503 alone does not prove that nothing ran; the backend server can
-        # state it with the same header as the refusals of daemons.
-        ran_header = header_of(response.headers, headers.RAN)
-        ran = Ran.NO if ran_header == Ran.NO.value else Ran.UNKNOWN
+        ran = Ran.NO if _states_not_run(response) else Ran.UNKNOWN
         reason = 'backend server sheds load'
         return Refusal(ResultCode.BACKEND_SHED_LOAD, reason, ran)
     return None
 
 
+def _states_not_run(response: BackendResponse) -> bool:
+    """Return whether a backend server says that it has not run the request.
+
+    A 503 alone does not prove it; the server can state it with the same
+    header as the refusals of daemons.  A result code beside it shows that
+    the server passes on the refusal of a call that it made.
+    """
+    if header_of(response.headers, headers.RESULT):
+        return False
+    return header_of(response.headers, headers.RAN) == Ran.NO.value
+
+
 def _admission_outcome(refusal: Refusal) -> Outcome:
     if refusal.code is ResultCode.BACKEND_SHED_LOAD:
         return Outcome.SHED
--- a/packages/daemon/tanagerbend_daemon/tests/test_entry.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_entry.py
@@ -279,7 +279,13 @@
 
 @pytest.mark.parametrize(
     ('pairs', 'ran'),
-    [((), Ran.UNKNOWN), (((headers.RAN, 'no'),), Ran.NO)],
+    [
+        ((), Ran.UNKNOWN),
+        (((headers.RAN, 'no'),), Ran.NO),
+        # The refusal of a call that the server made and passes on.
+        (((headers.RAN, 'no'), (headers.RESULT, '402')), Ran.UNKNOWN),
+    ],
+    ids=['no statement', 'statement', 'refusal of a call'],
 )
 async def test_shed_load_is_not_run_only_if_the_backend_says_so(
     owner_side, monkeypatch, pairs, ran
