Take no cut watch for an outage, and keep the beginning of one

Cause: any failed watch counted as an outage, and the next watch, which waits for up to 2 s, was cut before it could end it. Meanwhile daemons told one another up to 1.95 s of the grace period, a duration without a beginning, and so began it anew each time.

Change: a watch that fails while it waits is followed by a call that doesn't wait; only if that fails too the service is lost. routing.outage holds when an outage began; replies to daemons carry its duration, and who adopts it keeps the beginning. A grace period is adopted only from a daemon that reached the service after the outage began here.

Why it works: the call after a cut is answered at once, so cut watches start no grace period at all; and a statement on an outage is compared with the time of the contact that it rests on.

--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -167,12 +167,15 @@
     settled_after : float
         Seconds until the peer takes a missing entry as a sign that its
         instance is gone.
+    lost_seconds : float or None
+        Seconds since the peer lost the service, None if it did not.
     """
 
     batch: Batch
     age: float
     reader: str
     settled_after: float = 0.0
+    lost_seconds: float | None = None
 
 
 def encode_reply(
@@ -203,6 +206,7 @@
         'age_ms': round(reply.age * MILLISECONDS),
         'reader': reply.reader,
         'settled_ms': round(reply.settled_after * MILLISECONDS),
+        'lost_ms': _to_milliseconds(reply.lost_seconds),
         'instances': instances,
         'gone': removed,
         'routes': routes,
@@ -210,6 +214,10 @@
     return zlib.compress(json.dumps(document).encode(), 1)
 
 
+def _to_milliseconds(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * MILLISECONDS)
+
+
 def _encode_difference(difference: RouteDifference) -> dict[str, Any]:
     fields = attrs.asdict(difference, recurse=False)
     fields['put'] = [
@@ -289,9 +297,16 @@
         finite_float(document['age_ms']) / MILLISECONDS,
         str(document['reader']),
         finite_float(document['settled_ms']) / MILLISECONDS,
+        _decode_lost_seconds(document),
     )
 
 
+def _decode_lost_seconds(document: dict[str, Any]) -> float | None:
+    # Earlier releases do not send it.
+    found = document.get('lost_ms')
+    return None if found is None else finite_float(found) / MILLISECONDS
+
+
 def _decode_difference(fields: dict[str, Any]) -> RouteDifference:
     limits = fields['limits']
     return RouteDifference(
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -115,6 +115,8 @@
         self.rng = rng
         self.staleness = staleness
         self.speed = 0.0
+        # Whether the last call was a watch that ended while it waited.
+        self.is_watch_cut = False
         # Whether reading changes is too slow to keep up with new versions.
         self.prefers_listing = False
         self.backoff = INITIAL_BACKOFF_SECONDS
@@ -186,6 +188,11 @@
     async def _follow_service(self) -> None:
         result = await self._read()
         match result:
+            case Refusal() if self.is_watch_cut:
+                # The service cuts waiting watches also while it answers; the
+                # next call, which doesn't wait, tells whether it is lost.
+                self.recorder.count('watches_cut')
+                await self._back_off()
             case Refusal():
                 self._record_service_failure(result)
                 await self._ask_fallback_peers()
@@ -199,7 +206,7 @@
     async def _read(self) -> Batch | HistoryUnavailable | Refusal:
         """Read the service once; poll peers while the answer is late."""
         timeout = self.watch_seconds + HEDGE_DELAY_SECONDS
-        if self.knowledge.is_service_lost:
+        if self.knowledge.is_service_lost or self.is_watch_cut:
             timeout = CONNECT_SECONDS
         reading = self.attempts.start(self.read_once())
         while True:
@@ -214,10 +221,11 @@
 
     async def read_once(self) -> Batch | HistoryUnavailable | Refusal:
         """Read the service once and apply the result."""
+        wait = 0.0 if self.is_watch_cut else self.watch_seconds
+        self.is_watch_cut = False
         if self.applier.revision is None or self.prefers_listing:
             return await self._read_listing()
         began = self.timer.now()
-        wait = self.watch_seconds
         result = await self.service.changes(
             self.applier.revision,
             wait,
@@ -231,8 +239,11 @@
             case HistoryUnavailable():
                 self.applier.revision = None
             case _:
+                seconds = self.timer.now() - began
                 # The answer may have been too large for the link.
-                self.prefers_listing = self.timer.now() - began > wait
+                self.prefers_listing = seconds > self.watch_seconds
+                is_lost = self.knowledge.is_service_lost
+                self.is_watch_cut = wait > 0 and not is_lost
         return result
 
     async def poll(self, source: Source) -> PollReply | Refusal:
@@ -274,7 +285,7 @@
             self.peers.sources.named_reader = reply.reader
         self.staleness.link.received(CHANGES, reply.batch.size)
         self.staleness.record_contact(age)
-        self.knowledge.registry.adopt_grace_period(reply.settled_after)
+        _adopt_outage(self, reply, age)
         self.applier.apply(reply.batch)
 
     def _drop_source(self, source: Source, reason: str) -> None:
@@ -322,7 +333,8 @@
             Batch(items, self.applier.revision or 0),
             self.staleness.seconds,
             self.peers.sources.fastest_reader[0],
-            self.knowledge.registry.grace_seconds_left,
+            self.knowledge.registry.outage.grace_seconds_left,
+            self.knowledge.registry.outage.seconds,
         )
         base = self.applier.log.versions.get(request.version)
         return encode_reply(reply, base, self.timer.now())
@@ -358,6 +370,19 @@
         self.knowledge.registry.expire()
 
 
+def _adopt_outage(follower: Follower, reply: PollReply, age: float) -> None:
+    """Adopt what a peer knows of an outage of the service."""
+    registry = follower.knowledge.registry
+    now = follower.timer.now()
+    if reply.lost_seconds is None:
+        registry.outage.adopt_grace_period(reply.settled_after, now - age)
+        return
+    lost_at = now - reply.lost_seconds
+    # A daemon that was in contact later knows that the service answers.
+    if lost_at > follower.staleness.last_contact:
+        registry.outage.begin(lost_at)
+
+
 async def _follow_safely(follower: Follower) -> bool:
     """Follow once; log an unexpected exception and return False for it."""
     try:
--- a/packages/proxy/tanagerbend_proxy/knowledge.py
+++ b/packages/proxy/tanagerbend_proxy/knowledge.py
@@ -72,14 +72,14 @@
 
     def mark_service_lost(self, reason: str) -> None:
         """Record that the configuration service does not answer."""
-        self.registry.service_lost()
+        self.registry.outage.begin()
         if not self.is_service_lost:
             self.is_service_lost = True
             self.log.write('service_lost', reason=reason)
 
     def mark_service_available(self) -> None:
         """Record that the configuration service answers again."""
-        self.registry.service_regained()
+        self.registry.outage.end()
         if self.is_service_lost:
             self.is_service_lost = False
             self.log.write('service_available', version=self.version)
--- a/packages/proxy/tanagerbend_proxy/tests/test_changes.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_changes.py
@@ -1,5 +1,6 @@
 """Encoding of changes between daemons."""
 
+import json
 import zlib
 
 import attrs
@@ -90,6 +91,23 @@
     }
 
 
+@pytest.mark.parametrize('seconds', [None, 0.0, 4.5])
+def test_outage_arrives_with_its_duration(seconds):
+    """Guards against a daemon that begins the outage of a peer anew."""
+    told = attrs.evolve(reply_with(), lost_seconds=seconds)
+    found, _ = relayed(told, OLD, OLD)
+    assert found.lost_seconds == seconds
+
+
+def test_reply_of_an_earlier_release_tells_of_no_outage():
+    """Guards against two releases that can't follow each other."""
+    raw = encode_reply(reply_with(), OLD, 10.0)
+    document = json.loads(zlib.decompress(raw))
+    document.pop('lost_ms')
+    earlier = zlib.compress(json.dumps(document).encode())
+    assert decode_reply(earlier, OLD, 50.0).lost_seconds is None
+
+
 def test_difference_of_a_large_configuration_is_small():
     """Guards against sending a whole configuration for one changed route."""
     routes = [route(f'r{number}') for number in range(1000)]
--- a/packages/proxy/tanagerbend_proxy/tests/test_following.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_following.py
@@ -10,10 +10,8 @@
     WATCH_SECONDS,
 )
 from tanagerbend_proxy.sources import POLL_WAIT_SECONDS
-from tanagerbend_routing.registry import (
-    DEPARTURE_GRACE_SECONDS,
-    OUTAGE_GRACE_SECONDS,
-)
+from tanagerbend_routing.outage import OUTAGE_GRACE_SECONDS
+from tanagerbend_routing.registry import DEPARTURE_GRACE_SECONDS
 
 # A daemon must be up to date again this long after an outage ends.
 RECOVERY_SECONDS = 3.0
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -13,12 +13,8 @@
 import attrs
 
 from tanagerbend_metrics import Recorder
+from tanagerbend_routing.outage import Outage
 
-# Grace period for missing entries after an outage.  The platform states that
-# expired entries of live instances are written again about two seconds after
-# its service returns.  The period begins when this daemon reaches the service
-# again, which is up to 0.9 s later.
-OUTAGE_GRACE_SECONDS: Final = 1.95
 # Time for which queued requests may still start at an instance after the news
 # that it leaves.  Platforms grant two seconds or more from the acknowledged
 # entry, and the news takes up to 1.2 s: changes are batched, a source may not
@@ -105,41 +101,13 @@
         # change.
         self.usable_by_service: dict[str, Instances] | None = None
         self.newest_by_address: dict[str, ListedInstance] | None = None
-        self.settled_from = 0.0
+        self.outage = Outage(recorder.timer)
         self.departed_at: dict[str, float] = {}
 
-    def service_lost(self) -> None:
-        """Record that the platform service does not answer this daemon."""
-        self.settled_from = float('inf')
-
-    def service_regained(self) -> None:
-        """Record that the service answers again, and start the grace period."""
-        if self.settled_from == float('inf'):
-            self.settled_from = self.timer.now() + OUTAGE_GRACE_SECONDS
-
-    def adopt_grace_period(self, seconds: float) -> None:
-        """Adopt the grace period that a peer reports.
-
-        ``seconds`` are those that are left of it.  A daemon that could not
-        reach the service for a local reason, such as a full link, has no
-        reason to keep missing entries for longer than its peers.
-        """
-        self.settled_from = self.timer.now() + seconds
-
-    @property
-    def grace_seconds_left(self) -> float:
-        """Seconds until a missing entry means that its instance is gone.
-
-        At most ``OUTAGE_GRACE_SECONDS``, also while the service does not
-        answer.
-        """
-        left = self.settled_from - self.timer.now()
-        return min(max(left, 0.0), OUTAGE_GRACE_SECONDS)
-
     @property
     def is_settled(self) -> bool:
         """Whether a missing entry means that its instance is gone."""
-        return self.timer.now() >= self.settled_from
+        return self.outage.is_settled
 
     def put(self, instance: ListedInstance) -> None:
         """Add or update an entry that was written."""
@@ -187,7 +155,7 @@
     @property
     def missing_usable_until(self) -> float:
         """Monotonic seconds until which missing entries stay usable."""
-        return max(self.settled_from, self.timer.now())
+        return max(self.outage.settled_from, self.timer.now())
 
     def replace(self, listed: Mapping[str, ListedInstance]) -> None:
         """Replace all entries by a listing.
--- a/packages/routing/tanagerbend_routing/tests/test_registry.py
+++ b/packages/routing/tanagerbend_routing/tests/test_registry.py
@@ -8,10 +8,10 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_routing import InstanceRegistry, ListedInstance
 from tanagerbend_routing import registry as registry_module
+from tanagerbend_routing.outage import OUTAGE_GRACE_SECONDS
 from tanagerbend_routing.registry import (
     DEPARTURE_GRACE_SECONDS,
     DEPARTURE_MEMORY_SECONDS,
-    OUTAGE_GRACE_SECONDS,
     by_service,
 )
 from tanagerbend_timer import ManualTimer
@@ -51,8 +51,8 @@
 
 def test_missing_entry_is_kept_for_grace_period_after_outage(registry):
     """Guards against an empty route after an outage of the service."""
-    registry.service_lost()
-    registry.service_regained()
+    registry.outage.begin()
+    registry.outage.end()
     registry.replace({'i-2': TWO})
     advance_time(registry, OUTAGE_GRACE_SECONDS - 0.1)
     assert identities(registry) == {'i-1', 'i-2'}
@@ -62,8 +62,8 @@
 
 def test_entry_written_again_in_grace_period_stays(registry):
     """Guards against removing an entry that was written again."""
-    registry.service_lost()
-    registry.service_regained()
+    registry.outage.begin()
+    registry.outage.end()
     registry.remove('i-1')
     registry.put(ONE)
     advance_time(registry, 2 * OUTAGE_GRACE_SECONDS)
@@ -73,8 +73,8 @@
 def test_leaving_instance_is_not_kept_after_outage(registry):
     """Guards against keeping an instance that announced its departure."""
     registry.put(attrs.evolve(ONE, is_leaving=True))
-    registry.service_lost()
-    registry.service_regained()
+    registry.outage.begin()
+    registry.outage.end()
     registry.remove('i-1')
     assert registry.at_address(ONE.address) is None
 
@@ -166,8 +166,8 @@
     assert registry.at_address(address) is None
     registry.put(ONE)
     assert registry.at_address(address) is ONE
-    registry.service_lost()
-    registry.service_regained()
+    registry.outage.begin()
+    registry.outage.end()
     registry.remove('i-1')
     assert registry.at_address(address) is ONE
     advance_time(registry, OUTAGE_GRACE_SECONDS + 0.1)
@@ -175,3 +175,39 @@
     registry.replace({'i-1': ONE})
     assert registry.at_address(address) is ONE
     assert registry.at_address(TWO.address) is None
+
+
+def test_peer_that_has_not_noticed_an_outage_ends_no_grace_period(registry):
+    """Guards against dropping live instances after an outage.
+
+    The peer lost the service at the same time, but has not noticed it yet.
+    """
+    reached_at = registry.timer.now()
+    advance_time(registry, 0.1)
+    registry.outage.begin()
+    registry.outage.adopt_grace_period(0.0, reached_at)
+    registry.remove('i-1')
+    assert identities(registry) == {'i-1', 'i-2'}
+
+
+def test_peer_that_reaches_the_service_ends_a_local_outage(registry):
+    """Guards against using a removed instance for as long as a link fails."""
+    registry.outage.begin()
+    advance_time(registry, 0.1)
+    registry.outage.adopt_grace_period(0.0, registry.timer.now())
+    registry.remove('i-1')
+    assert identities(registry) == {'i-2'}
+
+
+def test_outage_keeps_its_beginning(registry):
+    """Guards against daemons that begin the outage of a peer anew."""
+    registry.outage.begin(registry.timer.now() - 3.0)
+    advance_time(registry, 1.0)
+    registry.outage.begin()
+    assert registry.outage.seconds == pytest.approx(4.0)
+    registry.outage.end()
+    assert registry.outage.seconds is None
+    advance_time(registry, 1.0)
+    registry.outage.end()
+    left = OUTAGE_GRACE_SECONDS - 1.0
+    assert registry.outage.grace_seconds_left == pytest.approx(left)
--- a/packages/standins/tanagerbend_standins/item_store.py
+++ b/packages/standins/tanagerbend_standins/item_store.py
@@ -44,6 +44,7 @@
         self.forced_body: bytes | None = None
         self.changed = asyncio.Event()
         self.runner: web.ServerRunner | None = None
+        self.waiting_watches: set[asyncio.Transport] = set()
 
     async def start(self) -> str:
         """Start listening on loopback and return ``address:port``."""
@@ -91,6 +92,11 @@
         self.log.clear()
         self._notify_watches()
 
+    def cut_watches(self) -> None:
+        """Close the connections of the watches that wait."""
+        for transport in self.waiting_watches:
+            transport.close()
+
     def _apply_event(self, event: dict[str, Any]) -> None:
         self.items.pop(event['key'], None)
         if 'value' in event:
@@ -114,7 +120,12 @@
         if request.path == '/v1/kv-range':
             return self._range(request.query)
         if request.path == '/v1/kv-watch':
-            return await self._watch(request.query)
+            transport = request.transport
+            self.waiting_watches.add(transport)
+            try:
+                return await self._watch(request.query)
+            finally:
+                self.waiting_watches.discard(transport)
         return web.Response(status=HTTPStatus.NOT_FOUND)
 
     def _range(self, query: Any) -> web.Response:
