Bound what is read of answers to other requests

Reported by operators of like systems, and reproduced: a faulty instance sent a body with another Request-Id without end. The daemon beside it kept all of it, 2,808 MB after 5 s, where a machine has 300. Endless `102 Processing` held up the event loop: 4 of 120 reads of another service failed, the slowest took 2.76 s.

Cause: an answer to another request is skipped by reading its body whole, without a limit; interim answers were read for as long as they came.

Change: the body of a skipped answer is dropped part by part, up to the size that any answer may have; more than 16 interim answers are no answer. Either closes the connection, as other broken answers do.

--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -5,6 +5,7 @@
 import math
 import socket
 from collections.abc import Iterable
+from http import HTTPStatus
 from typing import Any, Final
 
 import aiohttp
@@ -25,6 +26,9 @@
 from tanagerbend_proxy.messages import Answer
 
 Headers = CIMultiDict[str]
+CONTINUE: Final = int(HTTPStatus.CONTINUE)
+SWITCHING_PROTOCOLS: Final = int(HTTPStatus.SWITCHING_PROTOCOLS)
+OK: Final = int(HTTPStatus.OK)
 # A connection is closed when sent bytes stay unacknowledged for this time.
 # A host that lost power sends no reset, and enough time must remain to send
 # the request to another instance.
@@ -36,6 +40,8 @@
 CONNECT_SECONDS: Final = 0.4
 # Late answers to earlier requests that may be skipped on a connection.
 MAX_SKIPPED_ANSWERS: Final = 4
+# Interim answers (status 1xx) before the answer to a request.
+MAX_INTERIM_ANSWERS: Final = 16
 READ_BUFFER_BYTES: Final = 262144
 # Larger answers are refused.  The limit is several times the size of a batch
 # of large versions; three answers at once, each held twice, take half of the
@@ -65,12 +71,15 @@
         infinite to wait until the limit.
     started : float
         Event loop time at which the attempt began.
+    interim_answers : int
+        Number of interim answers received.
     """
 
     header: str = ''
     identifier: str = ''
     after_mismatch: float = math.inf
     started: float = 0.0
+    interim_answers: int = 0
 
     def describe(self) -> str:
         """Return the phase that the attempt reached and its duration."""
@@ -91,6 +100,20 @@
         if due > (self.limit.when() or math.inf):
             self.limit.reschedule(due)
 
+    def count_interim(self, status: int) -> None:
+        """Count an interim answer.
+
+        Raises
+        ======
+
+        aiohttp.ClientPayloadError
+            If there are too many.
+        """
+        is_interim = CONTINUE <= status < OK and status != SWITCHING_PROTOCOLS
+        self.interim_answers += is_interim
+        if self.interim_answers > MAX_INTERIM_ANSWERS:
+            raise aiohttp.ClientPayloadError('too many interim answers')
+
     def is_mismatched(self, headers: Any) -> bool:
         """Return whether an answer carries another identifier."""
         if not self.header:
@@ -118,15 +141,31 @@
             attempt = CURRENT_ATTEMPT.get()
             if not isinstance(attempt, IdentifiedAttempt):
                 return message, payload
+            attempt.count_interim(message.code)
             if not attempt.is_mismatched(message.headers):
                 return message, payload
             attempt.shorten_limit()
-            await payload.read()
+            await _skip_body(payload)
         raise aiohttp.ServerDisconnectedError(
             'too many answers to other requests'
         )
 
 
+async def _skip_body(payload: aiohttp.StreamReader) -> None:
+    """Read a body to its end and keep nothing of it."""
+    size = 0
+    async for part in payload.iter_any():
+        size += len(part)
+        _check_size(size)
+
+
+def _check_size(size: int) -> None:
+    """Refuse a body that is larger than any answer may be."""
+    if size > MAX_ANSWER_BYTES:
+        reason = f'answer of more than {MAX_ANSWER_BYTES} bytes'
+        raise aiohttp.ClientPayloadError(reason)
+
+
 class OverlappingConnector(Connector):
     """Connector that opens further connections while the first is late.
 
@@ -338,9 +377,7 @@
     size = 0
     async for part in response.content.iter_any():
         size += len(part)
-        if size > MAX_ANSWER_BYTES:
-            reason = f'answer of more than {MAX_ANSWER_BYTES} bytes'
-            raise aiohttp.ClientPayloadError(reason)
+        _check_size(size)
         parts.append(part)
     return b''.join(parts)
 
--- a/packages/proxy/tanagerbend_proxy/tests/test_endless_bytes.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_endless_bytes.py
@@ -5,14 +5,23 @@
 
 import pytest
 
-from tanagerbend_model import Refusal
-from tanagerbend_proxy.exchange import MAX_ANSWER_BYTES
+from multidict import CIMultiDict
+
+from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_proxy.exchange import (
+    MAX_ANSWER_BYTES,
+    MAX_INTERIM_ANSWERS,
+    Outgoing,
+    send,
+)
 from tanagerbend_proxy.tests.test_exchange import ask, session
 from tanagerbend_standins.raw_server import ClosingHandler
 
 __all__ = ('session',)
 
 OK = b'HTTP/1.1 200 OK\r\n'
+# Beginning of an answer to another request.
+FOREIGN = OK + b'X-Id: 2\r\n'
 WHOLE = OK + b'Content-Length: 2\r\n\r\nok'
 # Limit of a test for what must end sooner.
 TIMEOUT_SECONDS = 20
@@ -34,6 +43,20 @@
         b'X: y\r\n' * 10000,
     ),
     'after the answer': (WHOLE, b'x' * 65536),
+    'foreign body': (FOREIGN + b'\r\n', b'x' * 65536),
+    'foreign body with a length': (
+        FOREIGN + b'Content-Length: 99999999999\r\n\r\n',
+        b'x' * 65536,
+    ),
+    'foreign chunks': (
+        FOREIGN + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'8000\r\n' + b'x' * 0x8000 + b'\r\n',
+    ),
+    'interim answers': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 1000),
+    'interim answers with the identifier': (
+        b'',
+        b'HTTP/1.1 102 Processing\r\nX-Id: 1\r\n\r\n' * 1000,
+    ),
 }
 
 
@@ -66,12 +89,19 @@
 async def test_endless_answer_takes_bounded_memory(endless, session):
     """Guards against a server that fills the memory of a daemon.
 
-    A daemon that reads an endless line, header or body buffers all of it.
+    A daemon that reads an endless line, header or body buffers all of it,
+    also of an answer to another request, which it skips.
     """
     address, kind, ended = endless
     tracemalloc.start()
     try:
-        got = await ask(session, address, body_limit=TIMEOUT_SECONDS)
+        got = await ask(
+            session,
+            address,
+            body_limit=TIMEOUT_SECONDS,
+            header='X-Id',
+            identifier='1',
+        )
         if kind != 'after the answer':
             assert isinstance(got, Refusal)
         async with asyncio.timeout(TIMEOUT_SECONDS):
@@ -79,3 +109,39 @@
         assert tracemalloc.get_traced_memory()[1] < 4 * MAX_ANSWER_BYTES
     finally:
         tracemalloc.stop()
+
+
+async def test_few_interim_answers_are_skipped(session):
+    """Guards against refusing an answer after usual interim ones."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 102 Processing\r\n\r\n' * MAX_INTERIM_ANSWERS)
+        writer.write(WHOLE)
+        await reader.read()
+
+    server = await asyncio.start_server(ClosingHandler(serve), '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    got = await ask(session, f'{host}:{port}')
+    assert got.body == b'ok'
+    server.close()
+
+
+async def test_endless_interim_answers_are_no_answer(session):
+    """Guards against reading interim answers until the deadline passes."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        while True:
+            writer.write(b'HTTP/1.1 102 Processing\r\n\r\n')
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    server = await asyncio.start_server(ClosingHandler(serve), '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    outgoing = Outgoing(
+        f'{host}:{port}', 'GET', '/', CIMultiDict(), b'', TIMEOUT_SECONDS
+    )
+    got = await send(session, outgoing)
+    assert got.code is ResultCode.ANSWER_TRUNCATED
+    server.close()
