Refuse a body that mostly consists of framing

Found with the report on endless bytes: chunks of one byte, with the right identifier, took the processor of the daemon beside the instance for as long as the instance sent them (5 s); the slowest of 120 reads of another service took 1.45 s.

Cause: each chunk of a body costs processor time, and only the bytes of the body were limited.

Change: the bytes that came on the connection are compared with those of the body while it is read; over four for each and 64 KiB beyond them, the answer is refused and the connection closed. Bytes after the end of a body don't count, since they belong to no answer.

The test of chunks fails before (504 after 20 s).

--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -47,6 +47,11 @@
 # of large versions; three answers at once, each held twice, take half of the
 # memory of a small host.
 MAX_ANSWER_BYTES: Final = 16777216
+# Bytes on the connection for each byte of a body, beyond an allowance for
+# headers and a few small chunks.  Each chunk costs processor time, however
+# small it is.
+MAX_FRAMING_RATIO: Final = 4
+FRAMING_ALLOWANCE_BYTES: Final = 65536
 # Number of values of the header `Connection` whose parsed names are cached.
 CONNECTION_HEADER_CACHE_SIZE: Final = 64
 # Raised for bytes that are no HTTP answer, and for truncated answers.
@@ -128,6 +133,12 @@
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         self.lost_error: BaseException | None = None
+        self.received_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Count and parse bytes of the connection."""
+        self.received_bytes += len(data)
+        super().data_received(data)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Store the error that ended the connection."""
@@ -360,7 +371,7 @@
     started = asyncio.get_running_loop().time()
     attempt.extend_limit(started + outgoing.body_limit)
     try:
-        body = await _read_body(response)
+        body = await _read_body(response, protocol)
     except BaseException:
         response.close()
         raise
@@ -372,16 +383,38 @@
     return Answer(response.status, headers, body, seconds, attempt.is_new)
 
 
-async def _read_body(response: aiohttp.ClientResponse) -> bytes:
+async def _read_body(
+    response: aiohttp.ClientResponse,
+    protocol: ResponseHandler | None,
+) -> bytes:
     parts = []
     size = 0
+    received_before = _received_bytes(protocol)
     async for part in response.content.iter_any():
         size += len(part)
         _check_size(size)
+        if not response.content.is_eof():
+            # Bytes after the end of the body belong to no answer.
+            received = _received_bytes(protocol) - received_before
+            _check_framing(size, received)
         parts.append(part)
     return b''.join(parts)
 
 
+def _received_bytes(protocol: ResponseHandler | None) -> int:
+    """Return the bytes received on a connection, 0 if it is released."""
+    if isinstance(protocol, MatchingHandler):
+        return protocol.received_bytes
+    return 0
+
+
+def _check_framing(size: int, received: int) -> None:
+    """Refuse a body of ``size`` bytes that mostly consists of framing."""
+    if received > MAX_FRAMING_RATIO * size + FRAMING_ALLOWANCE_BYTES:
+        reason = f'{received} bytes for {size} bytes of an answer'
+        raise aiohttp.ClientPayloadError(reason)
+
+
 def _was_reset(
     response: aiohttp.ClientResponse,
     protocol: ResponseHandler | None,
--- a/packages/proxy/tanagerbend_proxy/tests/test_endless_bytes.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_endless_bytes.py
@@ -43,6 +43,7 @@
         b'X: y\r\n' * 10000,
     ),
     'after the answer': (WHOLE, b'x' * 65536),
+    'answers after the answer': (WHOLE, WHOLE * 2000),
     'foreign body': (FOREIGN + b'\r\n', b'x' * 65536),
     'foreign body with a length': (
         FOREIGN + b'Content-Length: 99999999999\r\n\r\n',
@@ -102,7 +103,9 @@
             header='X-Id',
             identifier='1',
         )
-        if kind != 'after the answer':
+        if kind == 'answers after the answer':
+            assert got.body == b'ok'
+        elif kind != 'after the answer':
             assert isinstance(got, Refusal)
         async with asyncio.timeout(TIMEOUT_SECONDS):
             await ended.wait()
@@ -127,13 +130,25 @@
     server.close()
 
 
-async def test_endless_interim_answers_are_no_answer(session):
-    """Guards against reading interim answers until the deadline passes."""
+ENDLESS = {
+    'interim answers': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 1000),
+    'chunks of one byte': (
+        OK + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'1\r\nx\r\n' * 1000,
+    ),
+}
+
+
+@pytest.mark.parametrize('kind', ENDLESS)
+async def test_costly_bytes_are_not_read_until_the_deadline(session, kind):
+    """Guards against a server that takes the processor of a daemon."""
+    first, rest = ENDLESS[kind]
 
     async def serve(reader, writer):
         await reader.readuntil(b'\r\n\r\n')
+        writer.write(first)
         while True:
-            writer.write(b'HTTP/1.1 102 Processing\r\n\r\n')
+            writer.write(rest)
             await writer.drain()
             await asyncio.sleep(0)
 
@@ -145,3 +160,19 @@
     got = await send(session, outgoing)
     assert got.code is ResultCode.ANSWER_TRUNCATED
     server.close()
+
+
+async def test_answer_in_small_chunks_is_read(session):
+    """Guards against refusing a sound answer for the size of its chunks."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(OK + b'Transfer-Encoding: chunked\r\n\r\n')
+        writer.write(b'1\r\nx\r\n' * 5000 + b'0\r\n\r\n')
+        await reader.read()
+
+    server = await asyncio.start_server(ClosingHandler(serve), '127.0.0.1', 0)
+    host, port = server.sockets[0].getsockname()
+    got = await ask(session, f'{host}:{port}', body_limit=TIMEOUT_SECONDS)
+    assert got.body == b'x' * 5000
+    server.close()
