Watch requests that are abandoned as a watch ends

Found when reading the change again: a request that was abandoned between the end of a watch and its callback began none, as the finished task still stood in its place, so a crash under it went unnoticed until the next such request. The watch gives its place up itself, in the same step as it ends. By reading; the time between is one pass of the event loop, which no test here brings about.

--- a/packages/quarantine/tanagerbend_quarantine/abandoned.py
+++ b/packages/quarantine/tanagerbend_quarantine/abandoned.py
@@ -70,7 +70,7 @@
         """Watch the instance until it has outlived the abandoned requests."""
         if self.task is None:
             self.task = asyncio.create_task(self._run())
-            self.task.add_done_callback(self._finish)
+            self.task.add_done_callback(self._report_error)
 
     def close(self) -> None:
         """End the watch and close its connection."""
@@ -79,20 +79,25 @@
         self.process.close()
 
     async def _run(self) -> None:
-        while self.in_flight.recently_abandoned:
-            seconds = self.in_flight.seconds_to_watch()
-            match await self.process.wait(seconds):
-                case ProcessState.RUNNING:
-                    survived = self.in_flight.remove_survived()
-                    self.on_survived(survived)
-                case ProcessState.UNKNOWN:
-                    await self.check_for_crash()
-                    self.in_flight.stop_watching()
-                    self.in_flight.remove_survived()
-                    await self.in_flight.timer.sleep(REOPEN_SECONDS)
-
-    def _finish(self, task: 'asyncio.Task[None]') -> None:
-        self.task = None
+        try:
+            while self.in_flight.recently_abandoned:
+                await self._watch_once()
+        finally:
+            # A request that is abandoned from now on begins another watch.
+            self.task = None
+
+    async def _watch_once(self) -> None:
+        seconds = self.in_flight.seconds_to_watch()
+        match await self.process.wait(seconds):
+            case ProcessState.RUNNING:
+                self.on_survived(self.in_flight.remove_survived())
+            case ProcessState.UNKNOWN:
+                await self.check_for_crash()
+                self.in_flight.stop_watching()
+                self.in_flight.remove_survived()
+                await self.in_flight.timer.sleep(REOPEN_SECONDS)
+
+    def _report_error(self, task: 'asyncio.Task[None]') -> None:
         error = None if task.cancelled() else task.exception()
         if error is not None:
             self.in_flight.recently_abandoned.clear()
