Refuse a reply with an outage that begins later

Found when reading the change again: a negative duration in the reply of a daemon put the beginning of the outage into the future, and no grace period of another daemon would be adopted until then. The test fails before.

--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -304,7 +304,9 @@
 def _decode_lost_seconds(document: dict[str, Any]) -> float | None:
     # Earlier releases do not send it.
     found = document.get('lost_ms')
-    return None if found is None else finite_float(found) / MILLISECONDS
+    if found is None:
+        return None
+    return integer_in_range(found, MAX_WIRE_NUMBER) / MILLISECONDS
 
 
 def _decode_difference(fields: dict[str, Any]) -> RouteDifference:
--- a/packages/proxy/tanagerbend_proxy/tests/test_changes.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_changes.py
@@ -99,6 +99,13 @@
     assert found.lost_seconds == seconds
 
 
+def test_outage_that_begins_later_is_refused():
+    """Guards against a daemon that waits for the end of an outage to come."""
+    told = attrs.evolve(reply_with(), lost_seconds=-1.0)
+    found, _ = relayed(told, OLD, OLD)
+    assert found.code is ResultCode.FRAME_MALFORMED
+
+
 def test_reply_of_an_earlier_release_tells_of_no_outage():
     """Guards against two releases that can't follow each other."""
     raw = encode_reply(reply_with(), OLD, 10.0)
