Wait for a millisecond in the call after a cut watch

Found when reading the change again: the call that tells a cut watch from an outage asked the service to wait for 0 ms. The pages name whole milliseconds up to 30,000 and don't say what 0 means; a service that takes it for "not given" would hold the call. 1 ms is in range whatever 0 means. The tests of cut watches and outages pass as before (7).

--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -43,8 +43,8 @@
 # version since the previous one, and the next answer is larger still.  A
 # listing holds only the newest version.
 SLOW_TRANSFER_SECONDS: Final = 0.4
-# Lower bound of a peer's wait and of the duration that a read speed is
-# computed from.
+# Lower bound of a peer's wait, of a watch and of the duration that a read
+# speed is computed from.
 MIN_SECONDS: Final = 0.001
 # Characters of an exception message in a log line.
 MAX_REASON_LENGTH: Final = 200
@@ -221,11 +221,12 @@
 
     async def read_once(self) -> Batch | HistoryUnavailable | Refusal:
         """Read the service once and apply the result."""
-        wait = 0.0 if self.is_watch_cut else self.watch_seconds
+        is_check = self.is_watch_cut
         self.is_watch_cut = False
         if self.applier.revision is None or self.prefers_listing:
             return await self._read_listing()
         began = self.timer.now()
+        wait = MIN_SECONDS if is_check else self.watch_seconds
         result = await self.service.changes(
             self.applier.revision,
             wait,
@@ -243,7 +244,7 @@
                 # The answer may have been too large for the link.
                 self.prefers_listing = seconds > self.watch_seconds
                 is_lost = self.knowledge.is_service_lost
-                self.is_watch_cut = wait > 0 and not is_lost
+                self.is_watch_cut = not (is_check or is_lost)
         return result
 
     async def poll(self, source: Source) -> PollReply | Refusal:
