Log with each change where it came from and since when it can be missing

version_adopted, instance_listed, instance_leaving and instance_removed now have source, missing_for (seconds since the contact before, after which the change was published) and transfer; the histogram change_delay has the distribution. No decision changes.

--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -15,6 +15,8 @@
 # a connection takes.
 LOOP_DELAY: Final = 'loop_delay'
 CONNECT_TIME: Final = 'connect'
+# Longest time for which changes can have been missing when they arrive.
+CHANGE_DELAY: Final = 'change_delay'
 # Bytes of request and answer bodies exchanged with other hosts.
 BYTES_SENT: Final = 'bytes_sent'
 BYTES_RECEIVED: Final = 'bytes_received'
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -235,8 +235,9 @@
         match result:
             case Batch():
                 self.prefers_listing = result.seconds >= SLOW_TRANSFER_SECONDS
-                self._record_service_contact(result)
-                self.applier.apply(result)
+                with self.staleness.arriving('', result, result.seconds):
+                    self._record_service_contact(result)
+                    self.applier.apply(result)
             case HistoryUnavailable():
                 self.applier.revision = None
             case _:
@@ -267,8 +268,11 @@
         match reply:
             case PollReply(age=age) if age <= MAX_AGE_SECONDS:
                 # Time beyond the wait is transit; it adds to the age.
-                transit = self.timer.now() - sent_at - source.wait
-                self._apply_reply(source, reply, age + max(transit, 0.0))
+                transit = max(self.timer.now() - sent_at - source.wait, 0.0)
+                with self.staleness.arriving(
+                    peer.identity, reply.batch, transit
+                ):
+                    self._apply_reply(source, reply, age + transit)
                 return reply
             case PollReply(age=age):
                 reason = f'no contact with the service for {age:.1f} s'
@@ -353,8 +357,9 @@
             case Refusal():
                 return result
         version = self.knowledge.version
-        self._record_service_contact(result)
-        self.applier.apply_listing(result)
+        with self.staleness.arriving('', result, result.seconds):
+            self._record_service_contact(result)
+            self.applier.apply_listing(result)
         is_update = 0 < version < self.knowledge.version
         self.prefers_listing = (
             is_update and result.seconds >= SLOW_TRANSFER_SECONDS
--- a/packages/proxy/tanagerbend_proxy/knowledge.py
+++ b/packages/proxy/tanagerbend_proxy/knowledge.py
@@ -1,6 +1,13 @@
 """Configuration and instances as a daemon knows them."""
 
+import contextlib
+from collections.abc import Iterator
+from typing import Any, Final
+
+import attrs
+
 from tanagerbend_metrics import Recorder
+from tanagerbend_metrics.names import CHANGE_DELAY
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_routing import (
     InstanceRegistry,
@@ -8,6 +15,42 @@
     RoutingConfiguration,
 )
 
+LOG_DIGITS: Final = 3
+
+
+@attrs.frozen
+class Arrival:
+    """How the changes that are being applied arrived.
+
+    Parameters
+    ==========
+
+    source : str
+        Identity of the instance whose daemon sent them; empty for the
+        configuration service.
+    missing_for : float or None
+        Seconds since the last contact before this one; None if there was
+        none.  The changes were published after that contact, so they are at
+        most this old.
+    transfer : float
+        Seconds that the answer took to arrive.
+    """
+
+    source: str
+    missing_for: float | None
+    transfer: float
+
+    def fields(self) -> dict[str, Any]:
+        """Return the fields of a log line."""
+        missing_for = self.missing_for
+        if missing_for is not None:
+            missing_for = round(missing_for, LOG_DIGITS)
+        return {
+            'source': self.source,
+            'missing_for': missing_for,
+            'transfer': round(self.transfer, LOG_DIGITS),
+        }
+
 
 class DeploymentState:
     """Holds the newest configuration and the registry of instances.
@@ -25,6 +68,25 @@
         self.registry = InstanceRegistry(recorder, self.log_instance_change)
         self.configuration: RoutingConfiguration | None = None
         self.is_service_lost = False
+        self.arrival: Arrival | None = None
+
+    @property
+    def arrival_fields(self) -> dict[str, Any]:
+        """Fields of a log line on the arrival of the present changes."""
+        return {} if self.arrival is None else self.arrival.fields()
+
+    @contextlib.contextmanager
+    def arriving(self, arrival: Arrival) -> Iterator[None]:
+        """Log the changes that are applied meanwhile with their arrival."""
+        if arrival.missing_for is not None:
+            self.recorder.histograms.record(
+                CHANGE_DELAY, '', 0, arrival.missing_for
+            )
+        self.arrival = arrival
+        try:
+            yield
+        finally:
+            self.arrival = None
 
     @property
     def version(self) -> int:
@@ -44,6 +106,7 @@
             'version_adopted',
             version=configuration.version,
             before=previous,
+            **self.arrival_fields,
         )
         unknown_kinds = configuration.unknown_kinds
         if unknown_kinds:
@@ -63,6 +126,7 @@
             instance=instance.identity,
             instance_host=instance.host_address,
             service=instance.service,
+            **self.arrival_fields,
         )
 
     def unreadable(self, identity: str, reason: str) -> None:
--- a/packages/proxy/tanagerbend_proxy/staleness.py
+++ b/packages/proxy/tanagerbend_proxy/staleness.py
@@ -1,8 +1,11 @@
 """Age of a daemon's configuration and entries, with log fields for it."""
 
+import contextlib
+import math
 from typing import Any
 
-from tanagerbend_proxy.knowledge import DeploymentState
+from tanagerbend_proxy.changes import Batch
+from tanagerbend_proxy.knowledge import Arrival, DeploymentState
 from tanagerbend_proxy.link_use import LinkUse
 
 
@@ -50,6 +53,18 @@
             self.write('changes_resumed')
         self.last_contact = max(self.last_contact, self.timer.now() - age)
 
+    def arriving(
+        self, source: str, batch: Batch, transfer: float
+    ) -> contextlib.AbstractContextManager[None]:
+        """Log changes that are applied meanwhile with how they arrived.
+
+        ``transfer`` is in seconds; enter it before the contact is recorded.
+        """
+        if not batch.items:
+            return contextlib.nullcontext()
+        missing_for = self.seconds if math.isfinite(self.seconds) else None
+        return self.knowledge.arriving(Arrival(source, missing_for, transfer))
+
     async def check(self) -> None:
         """Log once when half of the time for changes has passed."""
         is_late = self.bound / 2 < self.seconds < float('inf')
--- a/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
@@ -6,14 +6,16 @@
 
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
-from tanagerbend_proxy.changes import Batch
+from tanagerbend_proxy.changes import Batch, Item
 from tanagerbend_proxy.following import Follower
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.link_use import ANSWERS, LinkUse
 from tanagerbend_proxy.staleness import Staleness
+from tanagerbend_routing import ListedInstance
 from tanagerbend_timer import ManualTimer
 
 STALENESS_BOUND_SECONDS = 2.0
+INSTANCE = ListedInstance('i-1', '10.0.0.1:80', 'shop', 'north', 2)
 
 
 class RecordingLog(list):
@@ -100,5 +102,21 @@
     assert {'age', 'version', 'unsent_kb', 'sent_kb_s'} <= failed[0].keys()
 
 
+async def test_change_is_logged_with_its_source_and_delay(follower, lines):
+    """Guards against late changes whose source and delay nobody can tell."""
+    await follower._read_listing()
+    await follower.timer.advance(0.7)
+    batch = Batch((Item('i-1', INSTANCE),), 2, seconds=0.5)
+    with follower.staleness.arriving('i-9', batch, batch.seconds):
+        follower.applier.apply(batch)
+    event, fields = lines[-1]
+    assert event == 'instance_listed'
+    assert fields['source'] == 'i-9'
+    assert fields['missing_for'] == pytest.approx(0.7)
+    assert fields['transfer'] == pytest.approx(0.5)
+    follower.knowledge.registry.remove('i-1')
+    assert 'source' not in lines[-1][1]
+
+
 class NoPeers:
     uses_relay = False
