--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -5,10 +5,9 @@
 """
 
 import asyncio
-import contextlib
 import random
 import traceback
-from typing import Final, Protocol
+from typing import Protocol
 
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
@@ -17,54 +16,32 @@
 from tanagerbend_proxy.changes import (
     Batch,
     HistoryUnavailable,
-    Item,
     PollReply,
     PollRequest,
-    encode_reply,
 )
 from tanagerbend_proxy.exchange import CONNECT_SECONDS
+from tanagerbend_proxy.following_limits import (
+    ANSWER_SECONDS,
+    COALESCE_SECONDS,
+    HEDGE_DELAY_SECONDS,
+    INITIAL_BACKOFF_SECONDS,
+    MAX_AGE_SECONDS,
+    MAX_BACKOFF_SECONDS,
+    MAX_REASON_LENGTH,
+    MIN_MEASURED_BYTES,
+    MIN_SECONDS,
+    READER_COALESCE_SECONDS,
+    READER_WATCH_SECONDS,
+    SLOW_TRANSFER_SECONDS,
+    WATCH_SECONDS,
+)
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.link_use import CHANGES, SERVICE
 from tanagerbend_proxy.peers import Peers
-from tanagerbend_proxy.sources import POLL_WAIT_SECONDS, Source
+from tanagerbend_proxy.poll_answers import PollAnswers
+from tanagerbend_proxy.sources import Source
 from tanagerbend_proxy.staleness import Staleness
 
-# A watch whose answer was lost must end, and the next one begin, within
-# three seconds: a daemon has to be up to date that soon after an outage.
-WATCH_SECONDS: Final = 2.0
-ANSWER_SECONDS: Final = 0.7
-# An answer that takes longer is delayed by a saturated link, a lost packet
-# or a stopped process; other daemons are then polled in parallel.
-HEDGE_DELAY_SECONDS: Final = 0.25
-# Shorter transfers fit in the socket buffers, so that their duration says
-# nothing about the bandwidth.
-MIN_MEASURED_BYTES: Final = 65536
-# A transfer of changes that takes longer falls behind: the answer holds every
-# version since the previous one, and the next answer is larger still.  A
-# listing holds only the newest version.
-SLOW_TRANSFER_SECONDS: Final = 0.4
-# Lower bound of a peer's wait, of a watch and of the duration that a read
-# speed is computed from.
-MIN_SECONDS: Final = 0.001
-# Characters of an exception message in a log line.
-MAX_REASON_LENGTH: Final = 200
-INITIAL_BACKOFF_SECONDS: Final = 0.05
-MAX_BACKOFF_SECONDS: Final = 0.5
-# Interval at which entries retained during an outage are checked for expiry.
-EXPIRY_CHECK_SECONDS: Final = 0.1
-# Wait after a change, so that one read returns a burst of changes; well
-# below the two seconds within which a configuration must be in force.
-COALESCE_SECONDS: Final = 0.4
-# A daemon that may relay to peers uses shorter times: it has to detect a lost
-# answer early enough for its peers to get the change from another daemon.
-READER_WATCH_SECONDS: Final = 0.8
-READER_COALESCE_SECONDS: Final = 0.2
-# A peer's answer is used only if the peer heard from the service at most this
-# long ago: the reader's coalescing delay, a full watch and its answer.
-MAX_AGE_SECONDS: Final = (
-    READER_COALESCE_SECONDS + READER_WATCH_SECONDS + ANSWER_SECONDS
-)
-
 
 class ItemService(Protocol):
     """Read-only client of the platform's service, which bills each call."""
@@ -114,13 +91,16 @@
         self.timer = recorder.timer
         self.rng = rng
         self.staleness = staleness
-        self.speed = 0.0
         # Whether the last call was a watch that ended while it waited.
         self.is_watch_cut = False
         # Whether reading changes is too slow to keep up with new versions.
         self.prefers_listing = False
         self.backoff = INITIAL_BACKOFF_SECONDS
         self.applier = Applier(knowledge)
+        self.poll_answers = PollAnswers(
+            self.applier, knowledge, peers, staleness
+        )
+        self.answer = self.poll_answers.answer
         self.attempts: Attempts[Batch | HistoryUnavailable | PollReply] = (
             Attempts()
         )
@@ -256,7 +236,7 @@
             self.knowledge.version,
             source.wait,
             self.peers.own_identity(self.knowledge.registry),
-            self.speed,
+            self.poll_answers.speed,
             source.is_reader,
         )
         sent_at = self.timer.now()
@@ -299,55 +279,12 @@
         self.recorder.count('peers_left')
         self.staleness.write('peer_left', instance=identity, reason=reason)
 
-    async def answer(self, request: PollRequest) -> bytes | Refusal:
-        """Answer a peer's poll at the next change, or after its wait."""
-        self.peers.sources.record_speed(request.host, request.speed)
-        if request.is_reader:
-            self.peers.sources.hold_reader_role()
-        deadline = self.timer.now() + min(request.wait, POLL_WAIT_SECONDS)
-        while True:
-            if self.staleness.seconds > MAX_AGE_SECONDS - MIN_SECONDS:
-                reason = (
-                    'no contact with the service for'
-                    f' {self.staleness.seconds:.1f} s'
-                )
-                return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
-            items = self.applier.log.since(request.revision)
-            if items is None:
-                reason = (
-                    f'changes after revision {request.revision}'
-                    ' are not retained'
-                )
-                return Refusal(ResultCode.VERSION_OLDER, reason)
-            remaining = min(
-                deadline - self.timer.now(),
-                MAX_AGE_SECONDS - self.staleness.seconds,
-            )
-            if items or remaining < MIN_SECONDS:
-                return self._encode_answer(request, items)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(remaining):
-                    await self.applier.log.changed.wait()
-
-    def _encode_answer(
-        self, request: PollRequest, items: tuple[Item, ...]
-    ) -> bytes:
-        identity = self.peers.own_identity(self.knowledge.registry)
-        self.peers.sources.record_speed(identity, self.speed)
-        reply = PollReply(
-            Batch(items, self.applier.revision or 0),
-            self.staleness.seconds,
-            self.peers.sources.fastest_reader[0],
-            self.knowledge.registry.outage.grace_seconds_left,
-            self.knowledge.registry.outage.seconds,
-        )
-        base = self.applier.log.versions.get(request.version)
-        return encode_reply(reply, base, self.timer.now())
-
     def _record_service_contact(self, batch: Batch) -> None:
         self.staleness.link.received(SERVICE, batch.size)
         if batch.size >= MIN_MEASURED_BYTES:
-            self.speed = batch.size / max(batch.seconds, MIN_SECONDS)
+            self.poll_answers.speed = batch.size / max(
+                batch.seconds, MIN_SECONDS
+            )
         self.staleness.record_contact(batch.seconds)
         self.knowledge.mark_service_available()
 
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/poll_answers.py
@@ -0,0 +1,98 @@
+"""Answers polls of other daemons for changes."""
+
+import asyncio
+import contextlib
+
+from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_proxy.applying import Applier
+from tanagerbend_proxy.changes import (
+    Batch,
+    Item,
+    PollReply,
+    PollRequest,
+    encode_reply,
+)
+from tanagerbend_proxy.following_limits import MAX_AGE_SECONDS, MIN_SECONDS
+from tanagerbend_proxy.knowledge import DeploymentState
+from tanagerbend_proxy.peers import Peers
+from tanagerbend_proxy.sources import POLL_WAIT_SECONDS
+from tanagerbend_proxy.staleness import Staleness
+
+
+class PollAnswers:
+    """Answers polls from the changes that this daemon applied.
+
+    Parameters
+    ==========
+
+    applier : Applier
+    knowledge : DeploymentState
+    peers : Peers
+    staleness : Staleness
+
+    Attributes
+    ==========
+
+    speed : float
+        Speed at which this daemon reads the service, in bytes per second;
+        0 if unknown.
+    """
+
+    def __init__(
+        self,
+        applier: Applier,
+        knowledge: DeploymentState,
+        peers: Peers,
+        staleness: Staleness,
+    ) -> None:
+        self.applier = applier
+        self.knowledge = knowledge
+        self.peers = peers
+        self.staleness = staleness
+        self.timer = staleness.timer
+        self.speed = 0.0
+
+    async def answer(self, request: PollRequest) -> bytes | Refusal:
+        """Answer a peer's poll at the next change, or after its wait."""
+        self.peers.sources.record_speed(request.host, request.speed)
+        if request.is_reader:
+            self.peers.sources.hold_reader_role()
+        deadline = self.timer.now() + min(request.wait, POLL_WAIT_SECONDS)
+        while True:
+            if self.staleness.seconds > MAX_AGE_SECONDS - MIN_SECONDS:
+                reason = (
+                    'no contact with the service for'
+                    f' {self.staleness.seconds:.1f} s'
+                )
+                return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
+            items = self.applier.log.since(request.revision)
+            if items is None:
+                reason = (
+                    f'changes after revision {request.revision}'
+                    ' are not retained'
+                )
+                return Refusal(ResultCode.VERSION_OLDER, reason)
+            remaining = min(
+                deadline - self.timer.now(),
+                MAX_AGE_SECONDS - self.staleness.seconds,
+            )
+            if items or remaining < MIN_SECONDS:
+                return self._encode_answer(request, items)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(remaining):
+                    await self.applier.log.changed.wait()
+
+    def _encode_answer(
+        self, request: PollRequest, items: tuple[Item, ...]
+    ) -> bytes:
+        identity = self.peers.own_identity(self.knowledge.registry)
+        self.peers.sources.record_speed(identity, self.speed)
+        reply = PollReply(
+            Batch(items, self.applier.revision or 0),
+            self.staleness.seconds,
+            self.peers.sources.fastest_reader[0],
+            self.knowledge.registry.outage.grace_seconds_left,
+            self.knowledge.registry.outage.seconds,
+        )
+        base = self.applier.log.versions.get(request.version)
+        return encode_reply(reply, base, self.timer.now())
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -11,7 +11,7 @@
 from tanagerbend_metrics.names import LOOP_DELAY
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy.assembly import Components
-from tanagerbend_proxy.following import EXPIRY_CHECK_SECONDS
+from tanagerbend_proxy.following_limits import EXPIRY_CHECK_SECONDS
 from tanagerbend_proxy.endpoint import Endpoint
 from tanagerbend_proxy.quarantine_view import QUARANTINE_PATH, QuarantineView
 from tanagerbend_timer import Timer, combine_callbacks
--- a/packages/proxy/tanagerbend_proxy/tests/test_following.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_following.py
@@ -1,7 +1,7 @@
 """Time limits of following the service against those of platforms."""
 
 from tanagerbend_proxy.exchange import CONNECT_SECONDS
-from tanagerbend_proxy.following import (
+from tanagerbend_proxy.following_limits import (
     ANSWER_SECONDS,
     EXPIRY_CHECK_SECONDS,
     HEDGE_DELAY_SECONDS,
