Read the entries of instances beside a large answer

What callers saw: requests sent to an instance up to 2.9 s after the store had acknowledged that it leaves (DRAIN, bound 2.5 s), during a storm of configurations.

Cause: one watch covers configurations and entries, so an entry of 300 bytes arrives with, or after, versions of 0.3 to 0.4 MB, which take a link of 3.5 Mbit/s 0.7 to 0.9 s each. A second effect makes it worse: while the answer arrives the reader has no contact with the service, so that its whole failure domain leaves it after 1.7 s, and all of these daemons read the same versions over links of their own.

Change: once an answer has been arriving for 0.25 s, the entries are watched by a call of their own. Entries and configurations have a revision each, so that an answer that arrives late undoes nothing that was read meanwhile. Polls state both ages; peers rely on a reader whose entries are recent while it reads a version. On links that carry an answer within 0.25 s nothing changes.

Tried and left: MAX_VERSION_AGE_SECONDS of 2.0 and 2.4 s.

--- a/packages/proxy/tanagerbend_proxy/applying.py
+++ b/packages/proxy/tanagerbend_proxy/applying.py
@@ -19,28 +19,42 @@
 
     revision : int or None
         Up to which all changes have been applied; None before a listing.
+    entries_revision : int
+        Up to which the changes of instances have been applied; they may be
+        ahead of the configuration.
     log : ChangeLog
-        Recent changes, for polls of peers.
+        Recent changes of instances, for polls of peers.
     """
 
     def __init__(self, knowledge: DeploymentState) -> None:
         self.knowledge = knowledge
         self.revision: int | None = None
+        self.entries_revision = 0
         self.log = ChangeLog()
 
+    def reset(self) -> None:
+        """Require a listing, since changes may be missing."""
+        self.revision = None
+        self.entries_revision = 0
+
     def apply_listing(self, batch: Batch) -> None:
         """Apply a full listing; entries missing in it are removed."""
         if batch.revision < (self.revision or 0):
             # Later changes have been applied already.
             return
+        self._adopt_configurations(batch)
+        # The entries may have been read up to a later revision meanwhile.
+        if batch.revision >= self.entries_revision:
+            self._replace_entries(batch)
+        self.revision = batch.revision
+
+    def _replace_entries(self, batch: Batch) -> None:
         listed = {}
         for item in batch.items:
             match item.value:
                 case ListedInstance():
                     listed[item.identity] = item.value
-                case RoutingConfiguration():
-                    self._adopt(item.value)
-                case Unreadable(reason=reason):
+                case Unreadable(reason=reason) if item.identity:
                     self.knowledge.unreadable(item.identity, reason)
         registry = self.knowledge.registry
         unlisted = registry.entries.keys() - listed.keys()
@@ -51,38 +65,63 @@
             revision=batch.revision,
         )
         removed = tuple(Item(identity, Removed()) for identity in unlisted)
-        complete = Batch((*removed, *batch.items), batch.revision)
+        complete = Batch((*removed, *_newest_entries(batch)), batch.revision)
         # The first listing does not cover changes before its revision.
         previous = self.log.batches[-1].revision if self.log.batches else None
         self.log.add(batch.revision if previous is None else previous, complete)
-        self.revision = batch.revision
+        self.entries_revision = batch.revision
 
     def apply(self, batch: Batch) -> None:
-        """Apply the changes up to a revision."""
-        before = self.revision or 0
-        if batch.revision <= before:
-            # A concurrent exchange has delivered these changes already.
+        """Apply the changes up to a revision.
+
+        Concurrent exchanges may deliver the same changes, and entries may be
+        delivered before the configuration of the same revision.
+        """
+        if batch.after is not None and not self._follows(batch.after):
             return
-        for item in batch.items:
-            self._apply_item(item)
-        self.revision = batch.revision
-        if batch.items:
-            self.log.add(before, batch)
+        self._adopt_configurations(batch)
+        if batch.revision > self.entries_revision:
+            entries = _newest_entries(batch)
+            for item in entries:
+                self._apply_entry(item)
+            if entries:
+                self.log.add(
+                    self.entries_revision, Batch(entries, batch.revision)
+                )
+            self.entries_revision = batch.revision
+        complete = batch.revision if batch.complete is None else batch.complete
+        self.revision = max(self.revision or 0, complete)
 
-    def _apply_item(self, item: Item) -> None:
+    def _follows(self, after: int) -> bool:
+        """Return whether all changes up to a revision have been applied."""
+        return self.revision is not None and after <= self.entries_revision
+
+    def _apply_entry(self, item: Item) -> None:
         registry = self.knowledge.registry
         match item.value:
             case ListedInstance():
                 registry.put(item.value)
-            case RoutingConfiguration():
-                self._adopt(item.value)
             case Removed():
                 registry.remove(item.identity)
             case Unreadable(reason=reason):
                 self.knowledge.unreadable(item.identity, reason)
                 registry.remove(item.identity)
 
+    def _adopt_configurations(self, batch: Batch) -> None:
+        """Adopt the configurations of a batch, the newest of which stays."""
+        for item in batch.items:
+            match item.value:
+                case RoutingConfiguration():
+                    self._adopt(item.value)
+                case Unreadable(reason=reason) if not item.identity:
+                    self.knowledge.unreadable(item.identity, reason)
+
     def _adopt(self, configuration: RoutingConfiguration) -> None:
-        self.knowledge.adopt(configuration)
-        if self.knowledge.configuration is not None:
+        if self.knowledge.adopt(configuration):
             self.log.add_version(self.knowledge.configuration)
+
+
+def _newest_entries(batch: Batch) -> tuple[Item, ...]:
+    """Return the newest item of each instance."""
+    entries = {item.identity: item for item in batch.items if item.identity}
+    return tuple(entries.values())
--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -82,16 +82,25 @@
 
     items : tuple of Item
     revision : int
+        Revision up to which all changes of instances are included.
     size : int
         Bytes of the transfer.
     seconds : float
         Duration of the transfer.
+    after : int or None
+        Revision after which all changes are included; None if the batch
+        follows whatever has been applied.
+    complete : int or None
+        Revision up to which configurations are included too; None if it is
+        ``revision``.
     """
 
     items: tuple[Item, ...]
     revision: int
     size: int = 0
     seconds: float = 0.0
+    after: int | None = None
+    complete: int | None = None
 
 
 @attrs.frozen
@@ -107,7 +116,7 @@
     ==========
 
     revision : int
-        Revision up to which the sender holds all changes.
+        Revision up to which the sender holds all changes of instances.
     version : int
         Configuration version in force at the sender.
     wait : float
@@ -161,7 +170,7 @@
 
     batch : Batch
     age : float
-        Seconds since the last contact of the peer with the service.
+        Seconds since the peer read all changes of the service.
     reader : str
         Identity of the instance whose daemon the peer takes for the reader.
     settled_after : float
@@ -169,6 +178,9 @@
         instance is gone.
     lost_seconds : float or None
         Seconds since the peer lost the service, None if it did not.
+    entries_age : float or None
+        Seconds since the peer read the changes of instances; None if it is
+        ``age``.
     """
 
     batch: Batch
@@ -176,6 +188,14 @@
     reader: str
     settled_after: float = 0.0
     lost_seconds: float | None = None
+    entries_age: float | None = None
+
+    def aged(self, seconds: float) -> 'PollReply':
+        """Return the reply as it is after some seconds on the way."""
+        entries_age = self.age if self.entries_age is None else self.entries_age
+        return attrs.evolve(
+            self, age=self.age + seconds, entries_age=entries_age + seconds
+        )
 
 
 def encode_reply(
@@ -203,7 +223,9 @@
                 removed.append(item.identity)
     document = {
         'revision': reply.batch.revision,
+        'complete': reply.batch.complete,
         'age_ms': round(reply.age * MILLISECONDS),
+        'entries_age_ms': _to_milliseconds(reply.entries_age),
         'reader': reply.reader,
         'settled_ms': round(reply.settled_after * MILLISECONDS),
         'lost_ms': _to_milliseconds(reply.lost_seconds),
@@ -293,20 +315,27 @@
             tuple(items),
             integer_in_range(document['revision'], MAX_WIRE_NUMBER),
             size,
+            complete=_decode_optional(document, 'complete'),
         ),
         finite_float(document['age_ms']) / MILLISECONDS,
         str(document['reader']),
         finite_float(document['settled_ms']) / MILLISECONDS,
-        _decode_lost_seconds(document),
+        _decode_seconds(document, 'lost_ms'),
+        _decode_seconds(document, 'entries_age_ms'),
     )
 
 
-def _decode_lost_seconds(document: dict[str, Any]) -> float | None:
-    # Earlier releases do not send it.
-    found = document.get('lost_ms')
+def _decode_seconds(document: dict[str, Any], field: str) -> float | None:
+    found = _decode_optional(document, field)
+    return None if found is None else found / MILLISECONDS
+
+
+def _decode_optional(document: dict[str, Any], field: str) -> int | None:
+    # Earlier releases do not send these fields.
+    found = document.get(field)
     if found is None:
         return None
-    return integer_in_range(found, MAX_WIRE_NUMBER) / MILLISECONDS
+    return integer_in_range(found, MAX_WIRE_NUMBER)
 
 
 def _decode_difference(fields: dict[str, Any]) -> RouteDifference:
--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -4,7 +4,7 @@
 import functools
 import math
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any, Final
 
@@ -271,6 +271,10 @@
     return session
 
 
+def ignore_headers() -> None:
+    """Do nothing when the headers of an answer arrive."""
+
+
 @attrs.frozen
 class Outgoing:
     """A request that is sent once.
@@ -293,6 +297,8 @@
         Seconds for reading the body, even if ``limit`` passes meanwhile.
     connect_limit : float
         Seconds within which the connection must open.
+    on_headers : callable
+        Called when the headers of the answer have arrived.
     """
 
     address: str
@@ -306,6 +312,7 @@
     after_mismatch: float = math.inf
     body_limit: float = 0.0
     connect_limit: float = CONNECT_SECONDS
+    on_headers: Callable[[], None] = ignore_headers
 
 
 async def send(
@@ -351,6 +358,7 @@
     protocol = None if connection is None else connection.protocol
     started = asyncio.get_running_loop().time()
     attempt.extend_limit(started + outgoing.body_limit)
+    outgoing.on_headers()
     try:
         body = await _read_body(response, protocol)
     except BaseException:
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -7,8 +7,11 @@
 import asyncio
 import random
 import traceback
+from collections.abc import Callable
 from typing import Protocol
 
+import attrs
+
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy.applying import Applier
@@ -19,6 +22,7 @@
     PollReply,
     PollRequest,
 )
+from tanagerbend_proxy.entries_watch import EntriesWatch
 from tanagerbend_proxy.exchange import CONNECT_SECONDS
 from tanagerbend_proxy.following_limits import (
     ANSWER_SECONDS,
@@ -26,6 +30,7 @@
     HEDGE_DELAY_SECONDS,
     INITIAL_BACKOFF_SECONDS,
     MAX_AGE_SECONDS,
+    MAX_VERSION_AGE_SECONDS,
     MAX_BACKOFF_SECONDS,
     MAX_REASON_LENGTH,
     MIN_MEASURED_BYTES,
@@ -46,17 +51,33 @@
 class ItemService(Protocol):
     """Read-only client of the platform's service, which bills each call."""
 
-    async def listing(self, limit: float) -> Batch | Refusal:
-        """Return all items."""
+    async def listing(
+        self,
+        limit: float,
+        on_headers: Callable[[], None],
+    ) -> Batch | Refusal:
+        """Return all items.
+
+        ``on_headers`` is called when an answer has begun to arrive.
+        """
 
     async def changes(
         self,
         after: int,
         wait: float,
         limit: float,
+        on_headers: Callable[[], None],
     ) -> Batch | HistoryUnavailable | Refusal:
         """Return the changes after a revision; wait until there is one."""
 
+    async def instance_changes(
+        self,
+        after: int,
+        wait: float,
+        limit: float,
+    ) -> Batch | HistoryUnavailable | Refusal:
+        """Return the changes of instances only."""
+
     async def close(self) -> None:
         """Close the connections to the service."""
 
@@ -97,6 +118,9 @@
         self.prefers_listing = False
         self.backoff = INITIAL_BACKOFF_SECONDS
         self.applier = Applier(knowledge)
+        self.entries_watch = EntriesWatch(
+            service, self.applier, staleness, recorder
+        )
         self.poll_answers = PollAnswers(
             self.applier, knowledge, peers, staleness
         )
@@ -123,10 +147,11 @@
             while True:
                 if not await _follow_safely(self):
                     # The last batch may be applied only in part; list anew.
-                    self.applier.revision = None
+                    self.applier.reset()
                     await self._back_off()
         finally:
             await self.attempts.close()
+            await self.entries_watch.close()
 
     async def follow_once(self) -> None:
         """Poll the current source once, and others if it fails."""
@@ -201,6 +226,12 @@
 
     async def read_once(self) -> Batch | HistoryUnavailable | Refusal:
         """Read the service once and apply the result."""
+        try:
+            return await self._read_changes()
+        finally:
+            self.entries_watch.end()
+
+    async def _read_changes(self) -> Batch | HistoryUnavailable | Refusal:
         is_check = self.is_watch_cut
         self.is_watch_cut = False
         if self.applier.revision is None or self.prefers_listing:
@@ -211,6 +242,7 @@
             self.applier.revision,
             wait,
             wait + ANSWER_SECONDS,
+            self.entries_watch.begin,
         )
         match result:
             case Batch():
@@ -219,7 +251,7 @@
                     self._record_service_contact(result)
                     self.applier.apply(result)
             case HistoryUnavailable():
-                self.applier.revision = None
+                self.applier.reset()
             case _:
                 seconds = self.timer.now() - began
                 # The answer may have been too large for the link.
@@ -232,7 +264,7 @@
         """Poll a peer once and apply its reply."""
         peer = source.instance
         request = PollRequest(
-            self.applier.revision or 0,
+            self.applier.entries_revision,
             self.knowledge.version,
             source.wait,
             self.peers.own_identity(self.knowledge.registry),
@@ -246,17 +278,17 @@
             self.knowledge.configuration,
         )
         match reply:
-            case PollReply(age=age) if age <= MAX_AGE_SECONDS:
+            case PollReply(age=age) if not is_recent(reply):
+                reason = f'no contact with the service for {age:.1f} s'
+                reply = Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
+            case PollReply():
                 # Time beyond the wait is transit; it adds to the age.
                 transit = max(self.timer.now() - sent_at - source.wait, 0.0)
-                with self.staleness.arriving(
-                    peer.identity, reply.batch, transit
-                ):
-                    self._apply_reply(source, reply, age + transit)
+                batch = attrs.evolve(reply.batch, after=request.revision)
+                reply = attrs.evolve(reply, batch=batch).aged(transit)
+                with self.staleness.arriving(peer.identity, batch, transit):
+                    self._apply_reply(source, reply)
                 return reply
-            case PollReply(age=age):
-                reason = f'no contact with the service for {age:.1f} s'
-                reply = Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
         self._drop_source(source, reply.reason)
         return reply
 
@@ -264,13 +296,13 @@
         self,
         source: Source,
         reply: PollReply,
-        age: float,
     ) -> None:
         if source.is_check:
             self.peers.sources.named_reader = reply.reader
         self.staleness.link.received(CHANGES, reply.batch.size)
-        self.staleness.record_contact(age)
-        _adopt_outage(self, reply, age)
+        self.staleness.record_contact(reply.age)
+        self.staleness.record_entries_contact(reply.entries_age)
+        _adopt_outage(self, reply)
         self.applier.apply(reply.batch)
 
     def _drop_source(self, source: Source, reason: str) -> None:
@@ -289,7 +321,9 @@
         self.knowledge.mark_service_available()
 
     async def _read_listing(self) -> Batch | Refusal:
-        result = await self.service.listing(ANSWER_SECONDS)
+        result = await self.service.listing(
+            ANSWER_SECONDS, self.entries_watch.begin
+        )
         match result:
             case Refusal():
                 return result
@@ -313,16 +347,26 @@
         self.knowledge.registry.expire()
 
 
-def _adopt_outage(follower: Follower, reply: PollReply, age: float) -> None:
+def is_recent(reply: PollReply) -> bool:
+    """Return whether what a peer knows is recent enough to rely on."""
+    entries_age = reply.aged(0.0).entries_age
+    return (
+        entries_age <= MAX_AGE_SECONDS and reply.age <= MAX_VERSION_AGE_SECONDS
+    )
+
+
+def _adopt_outage(follower: Follower, reply: PollReply) -> None:
     """Adopt what a peer knows of an outage of the service."""
     registry = follower.knowledge.registry
     now = follower.timer.now()
     if reply.lost_seconds is None:
-        registry.outage.adopt_grace_period(reply.settled_after, now - age)
+        registry.outage.adopt_grace_period(
+            reply.settled_after, now - reply.entries_age
+        )
         return
     lost_at = now - reply.lost_seconds
     # A daemon that was in contact later knows that the service answers.
-    if lost_at > follower.staleness.last_contact:
+    if lost_at > follower.staleness.last_entries_contact:
         registry.outage.begin(lost_at)
 
 
--- a/packages/proxy/tanagerbend_proxy/following_limits.py
+++ b/packages/proxy/tanagerbend_proxy/following_limits.py
@@ -37,3 +37,7 @@
 MAX_AGE_SECONDS: Final = (
     READER_COALESCE_SECONDS + READER_WATCH_SECONDS + ANSWER_SECONDS
 )
+# The same for configurations.  A version that is published just after a slow
+# transfer began arrives with the next one.  A reader that falls behind asks
+# other daemons itself, and peers that left it would read over slow links.
+MAX_VERSION_AGE_SECONDS: Final = 3.0
--- a/packages/proxy/tanagerbend_proxy/poll_answers.py
+++ b/packages/proxy/tanagerbend_proxy/poll_answers.py
@@ -12,7 +12,11 @@
     PollRequest,
     encode_reply,
 )
-from tanagerbend_proxy.following_limits import MAX_AGE_SECONDS, MIN_SECONDS
+from tanagerbend_proxy.following_limits import (
+    MAX_AGE_SECONDS,
+    MAX_VERSION_AGE_SECONDS,
+    MIN_SECONDS,
+)
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.peers import Peers
 from tanagerbend_proxy.sources import POLL_WAIT_SECONDS
@@ -59,40 +63,58 @@
             self.peers.sources.hold_reader_role()
         deadline = self.timer.now() + min(request.wait, POLL_WAIT_SECONDS)
         while True:
-            if self.staleness.seconds > MAX_AGE_SECONDS - MIN_SECONDS:
+            if self.seconds_left < MIN_SECONDS:
                 reason = (
                     'no contact with the service for'
                     f' {self.staleness.seconds:.1f} s'
                 )
                 return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
-            items = self.applier.log.since(request.revision)
+            items = self._items_for(request)
             if items is None:
                 reason = (
                     f'changes after revision {request.revision}'
                     ' are not retained'
                 )
                 return Refusal(ResultCode.VERSION_OLDER, reason)
-            remaining = min(
-                deadline - self.timer.now(),
-                MAX_AGE_SECONDS - self.staleness.seconds,
-            )
+            remaining = min(deadline - self.timer.now(), self.seconds_left)
             if items or remaining < MIN_SECONDS:
                 return self._encode_answer(request, items)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(remaining):
                     await self.applier.log.changed.wait()
 
+    @property
+    def seconds_left(self) -> float:
+        """Seconds for which the changes known here are recent enough."""
+        return min(
+            MAX_AGE_SECONDS - self.staleness.entries_seconds,
+            MAX_VERSION_AGE_SECONDS - self.staleness.seconds,
+        )
+
+    def _items_for(self, request: PollRequest) -> tuple[Item, ...] | None:
+        """Return what the sender of a poll lacks, None if not retained."""
+        entries = self.applier.log.since(request.revision)
+        configuration = self.knowledge.configuration
+        if entries is None or self.knowledge.version <= request.version:
+            return entries
+        return (*entries, Item('', configuration))
+
     def _encode_answer(
         self, request: PollRequest, items: tuple[Item, ...]
     ) -> bytes:
         identity = self.peers.own_identity(self.knowledge.registry)
         self.peers.sources.record_speed(identity, self.speed)
         reply = PollReply(
-            Batch(items, self.applier.revision or 0),
+            Batch(
+                items,
+                self.applier.entries_revision,
+                complete=self.applier.revision or 0,
+            ),
             self.staleness.seconds,
             self.peers.sources.fastest_reader[0],
             self.knowledge.registry.outage.grace_seconds_left,
             self.knowledge.registry.outage.seconds,
+            self.staleness.entries_seconds,
         )
         base = self.applier.log.versions.get(request.version)
         return encode_reply(reply, base, self.timer.now())
--- a/packages/proxy/tanagerbend_proxy/relaying.py
+++ b/packages/proxy/tanagerbend_proxy/relaying.py
@@ -29,13 +29,15 @@
 
 
 class ChangeLog:
-    """Log of recent changes, from which polls of peers are answered.
+    """Log of recent changes of instances, and recent configurations.
+
+    Polls of peers are answered from it.
 
     Attributes
     ==========
 
     complete_after : int or None
-        Revision after which the log holds all changes.
+        Revision after which the log holds all changes of instances.
     changed : asyncio.Event
         Set, and replaced by a new event, at each change.
     """
@@ -53,17 +55,21 @@
         self.batches.append(batch)
         if len(self.batches) > MAX_BATCHES:
             self.complete_after = self.batches.popleft().revision
-        self.changed.set()
-        self.changed = asyncio.Event()
+        self._notify()
 
     def add_version(self, configuration: RoutingConfiguration) -> None:
         """Retain a version as a base for differences."""
         self.versions[configuration.version] = configuration
         if len(self.versions) > MAX_VERSIONS:
             self.versions.pop(next(iter(self.versions)))
+        self._notify()
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def since(self, revision: int) -> tuple[Item, ...] | None:
-        """Return the newest items after a revision, None if not retained."""
+        """Return the newest entries after a revision, None if not retained."""
         if self.complete_after is None or revision < self.complete_after:
             return None
         newest = {}
--- a/packages/proxy/tanagerbend_proxy/staleness.py
+++ b/packages/proxy/tanagerbend_proxy/staleness.py
@@ -26,7 +26,10 @@
     ==========
 
     last_contact : float
-        Monotonic time of the last contact.
+        Monotonic time at which all changes were known.
+    last_entries_contact : float
+        Monotonic time at which the changes of instances were known, which
+        arrive before a large configuration.
     """
 
     def __init__(
@@ -40,6 +43,7 @@
         self.timer = link.timer
         self.bound = bound
         self.last_contact = float('-inf')
+        self.last_entries_contact = float('-inf')
         self.is_late = False
 
     @property
@@ -47,11 +51,22 @@
         """Age of the version and of the entries."""
         return self.timer.now() - self.last_contact
 
+    @property
+    def entries_seconds(self) -> float:
+        """Age of the entries."""
+        return self.timer.now() - self.last_entries_contact
+
     def record_contact(self, age: float) -> None:
         """Record a contact with the service ``age`` seconds ago."""
         if self.is_late and age < self.seconds:
             self.write('changes_resumed')
         self.last_contact = max(self.last_contact, self.timer.now() - age)
+        self.record_entries_contact(age)
+
+    def record_entries_contact(self, age: float) -> None:
+        """Record that the entries are complete up to ``age`` seconds ago."""
+        known_at = self.timer.now() - age
+        self.last_entries_contact = max(self.last_entries_contact, known_at)
 
     def arriving(
         self, source: str, batch: Batch, transfer: float
@@ -62,7 +77,10 @@
         """
         if not batch.items:
             return contextlib.nullcontext()
-        missing_for = self.seconds if math.isfinite(self.seconds) else None
+        age = self.seconds
+        if all(item.identity for item in batch.items):
+            age = self.entries_seconds
+        missing_for = age if math.isfinite(age) else None
         return self.knowledge.arriving(Arrival(source, missing_for, transfer))
 
     async def check(self) -> None:
--- /dev/null
+++ b/packages/proxy/tanagerbend_proxy/tests/test_applying.py
@@ -0,0 +1,77 @@
+"""Changes of instances that arrive before the configuration."""
+
+import attrs
+import pytest
+
+from tanagerbend_metrics import Recorder
+from tanagerbend_proxy.applying import Applier
+from tanagerbend_proxy.changes import Batch, Item, Removed
+from tanagerbend_proxy.decisions import DecisionLog
+from tanagerbend_proxy.knowledge import DeploymentState
+from tanagerbend_routing import (
+    CallerLimits,
+    ListedInstance,
+    RoutingConfiguration,
+)
+from tanagerbend_timer import ManualTimer
+
+READY = ListedInstance('i-1', '10.0.0.1:80', 'shop', 'north', 2)
+LEAVING = attrs.evolve(READY, is_leaving=True)
+LIMITS = CallerLimits(16384, 100000, 3, 15)
+
+
+def version(number):
+    return Item('', RoutingConfiguration(number, {}, LIMITS))
+
+
+@pytest.fixture
+def applier():
+    """Applier after a listing at revision 10."""
+    recorder = Recorder(ManualTimer())
+    found = Applier(DeploymentState(recorder, DecisionLog('host', recorder)))
+    found.apply_listing(Batch((version(1), Item('i-1', READY)), 10))
+    return found
+
+
+def usable(applier):
+    return [each.identity for each in applier.knowledge.registry.usable('shop')]
+
+
+def test_older_answer_does_not_bring_an_instance_back(applier):
+    """Guards against a slow answer that undoes what was read meanwhile."""
+    applier.apply(Batch((Item('i-1', LEAVING),), 14, after=10, complete=0))
+    assert usable(applier) == []
+    assert (applier.revision, applier.entries_revision) == (10, 14)
+    older = (version(2), Item('i-1', READY))
+    applier.apply(Batch(older, 12, after=10))
+    assert usable(applier) == []
+    assert applier.knowledge.version == 2
+    assert (applier.revision, applier.entries_revision) == (12, 14)
+    applier.apply_listing(Batch((version(3), Item('i-1', READY)), 13))
+    assert usable(applier) == []
+    assert applier.knowledge.version == 3
+
+
+def test_only_the_newest_change_of_an_instance_is_applied(applier):
+    """Guards against a departure that an answer repeats with its past."""
+    applier.apply(Batch((Item('i-1', LEAVING),), 14, after=10, complete=0))
+    departed_at = dict(applier.knowledge.registry.departed_at)
+    past = (Item('i-1', READY), version(2), Item('i-1', LEAVING))
+    applier.apply(Batch(past, 15, after=10))
+    assert usable(applier) == []
+    assert applier.knowledge.registry.departed_at == departed_at
+
+
+def test_changes_after_a_gap_are_not_applied(applier):
+    """Guards against a change that is missing for good."""
+    applier.apply(Batch((Item('i-1', LEAVING),), 20, after=15))
+    assert (applier.revision, usable(applier)) == (10, ['i-1'])
+    applier.reset()
+    applier.apply(Batch((Item('i-1', Removed()),), 20, after=10))
+    assert applier.revision is None
+
+
+def test_every_valid_version_of_an_answer_is_adopted(applier):
+    """Guards against a later faulty version that hides a valid one."""
+    applier.apply(Batch((version(4), version(2)), 16, after=10))
+    assert applier.knowledge.version == 4
--- a/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
@@ -30,7 +30,7 @@
 class FailingService:
     """Service that answers the listing and fails all later calls."""
 
-    async def listing(self, _limit):
+    async def listing(self, *_call):
         return Batch((), 1)
 
     async def changes(self, *_call):
