Name hosts with a wide link as readers before they have read

Cause: only a daemon that has read a large answer has a speed, so the first reader stays the only one that is known; and the speed of the reader itself was never lowered.

Change: before its first large answer a daemon states the rate of its link. The speed of the present reader replaces the one recorded for it. A daemon whose instance is not listed can't be polled, so it is not named.

--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -124,7 +124,7 @@
     host : str
         Identity of the instance on the host of the sender.
     speed : float
-        Speed at which the sender read the service, in bytes per second;
+        Speed at which the sender reads the service, in bytes per second;
         0 if unknown.
     is_reader : bool
         Whether the sender has been told that the peer is the reader.
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -314,7 +314,7 @@
     def _record_service_contact(self, batch: Batch) -> None:
         self.staleness.link.received(SERVICE, batch.size)
         if batch.size >= MIN_MEASURED_BYTES:
-            self.poll_answers.speed = batch.size / max(
+            self.poll_answers.measured_speed = batch.size / max(
                 batch.seconds, MIN_SECONDS
             )
         self.staleness.record_contact(batch.seconds)
--- a/packages/proxy/tanagerbend_proxy/peers.py
+++ b/packages/proxy/tanagerbend_proxy/peers.py
@@ -1,5 +1,6 @@
 """Polls daemons of other hosts for changes."""
 
+import math
 import random
 from typing import Final
 
@@ -48,6 +49,12 @@
         self.source = ''
         self.uses_relay = False
 
+    @property
+    def link_speed(self) -> float:
+        """Rate of this host's link in bytes per second, 0 if unknown."""
+        rate = self.settings.link_bytes_per_second
+        return rate if math.isfinite(rate) else 0.0
+
     def choose(self, registry: InstanceRegistry) -> Source | None:
         """Return the peer to poll, or None to read the service."""
         local = registry.near(self.settings.failure_domain)
--- a/packages/proxy/tanagerbend_proxy/poll_answers.py
+++ b/packages/proxy/tanagerbend_proxy/poll_answers.py
@@ -37,9 +37,9 @@
     Attributes
     ==========
 
-    speed : float
-        Speed at which this daemon reads the service, in bytes per second;
-        0 if unknown.
+    measured_speed : float
+        Speed at which this daemon read the service last, in bytes per
+        second; 0 before a large answer.
     """
 
     def __init__(
@@ -54,7 +54,16 @@
         self.peers = peers
         self.staleness = staleness
         self.timer = staleness.timer
-        self.speed = 0.0
+        self.measured_speed = 0.0
+
+    @property
+    def speed(self) -> float:
+        """Speed at which this daemon reads the service.
+
+        In bytes per second; before a large answer that of the link, 0 if
+        unknown.
+        """
+        return self.measured_speed or self.peers.link_speed
 
     async def answer(self, request: PollRequest) -> bytes | Refusal:
         """Answer a peer's poll at the next change, or after its wait."""
--- a/packages/proxy/tanagerbend_proxy/sources.py
+++ b/packages/proxy/tanagerbend_proxy/sources.py
@@ -161,8 +161,15 @@
         self.reads_until = self.timer.now() + READER_ROLE_SECONDS
 
     def record_speed(self, identity: str, speed: float) -> None:
-        """Record the read speed of a daemon, in bytes per second."""
-        if speed > TAKEOVER_FACTOR * self.fastest_reader[1]:
+        """Record the read speed of a daemon, in bytes per second.
+
+        A daemon whose instance is not listed has no identity and can't be
+        polled.
+        """
+        if not identity:
+            return
+        reader, fastest = self.fastest_reader
+        if identity == reader or speed > TAKEOVER_FACTOR * fastest:
             self.fastest_reader = (identity, speed)
 
     def fallback_peers(
--- a/packages/proxy/tanagerbend_proxy/tests/test_sources.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_sources.py
@@ -140,6 +140,25 @@
     assert log.since(5) == (item('i-1'),)
 
 
+def test_reader_that_became_slow_is_replaced(sources):
+    """Guards against a reader that is judged by the speed it once had."""
+    sources.own_address = OLDEST.address
+    sources.record_speed('i-2', 100.0)
+    sources.record_speed('i-3', 90.0)
+    assert chosen(sources) == 'i-2'
+    sources.record_speed('i-2', 50.0)
+    sources.record_speed('i-3', 90.0)
+    assert chosen(sources) == 'i-3'
+
+
+def test_daemon_without_a_listed_instance_is_not_named(sources):
+    """Guards against a fastest daemon that no other one can poll."""
+    sources.own_address = OLDEST.address
+    sources.record_speed('', 200.0)
+    sources.record_speed('i-2', 100.0)
+    assert chosen(sources) == 'i-2'
+
+
 async def test_daemon_polled_as_reader_reads_the_service(sources):
     """Guards against daemons that poll each other in a cycle."""
     assert chosen(sources) == OLDEST.identity
