Let polls of other daemons wait behind a full link

What callers saw: a daemon did not know for 2.8 s that the instance on its own host leaves (DRAIN). In the same seconds the record shows that the entries of the instances on such hosts were acknowledged after 0.9 to 2.0 s and that readiness answers of these hosts were lost: what left them waited that long.

Cause: the connections over which a daemon asks others for changes close when bytes stay unacknowledged for 0.7 s, a limit made for requests, which have another instance to go to. Once the link out of the host holds 0.7 s of other traffic, each poll ends before its acknowledgement and each new connection begins behind the same traffic, so the daemon hears nothing until the link is free, from nobody. The poll's own limit of 2 s, with 0.5 s in which the peer waits, allowed 1.5 s at most.

Change: these connections are of a session of their own that waits up to 3 s for an acknowledgement, and so do new connections. Other sources are asked beside it as before, after 0.75 s.

--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -121,7 +121,7 @@
     follower = Follower(
         connect(recorder),
         knowledge,
-        make_peers(settings, recorder, session),
+        make_peers(settings, recorder, PEER_KEEP_ALIVE_SECONDS),
         recorder,
         rng,
         Staleness(knowledge, link, settings.apply_seconds),
--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -223,7 +223,9 @@
         task.result().close()
 
 
-def make_socket(info: Any) -> socket.socket:
+def make_socket(
+    info: Any, unacked_timeout_ms: int = UNACKED_TIMEOUT_MS
+) -> socket.socket:
     """Return a socket that detects a peer that stopped responding."""
     family, kind, protocol = info[:3]
     tcp_socket = socket.socket(family, kind, protocol)
@@ -233,12 +235,14 @@
     tcp_socket.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_SECONDS)
     tcp_socket.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS)
     tcp_socket.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    tcp_socket.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
+    tcp_socket.setsockopt(tcp, socket.TCP_USER_TIMEOUT, unacked_timeout_ms)
     return tcp_socket
 
 
 def make_session(
-    keep_seconds: float, connections: int
+    keep_seconds: float,
+    connections: int,
+    unacked_timeout_ms: int = UNACKED_TIMEOUT_MS,
 ) -> aiohttp.ClientSession:
     """Return a session whose connections detect unresponsive peers.
 
@@ -249,11 +253,16 @@
         How long an idle connection stays open.
     connections : int
         Limit of open connections, 0 for no limit.
+    unacked_timeout_ms : int
+        Milliseconds after which a connection with unacknowledged bytes is
+        closed.
     """
     connector = OverlappingConnector(
         limit=connections,
         keepalive_timeout=keep_seconds,
-        socket_factory=make_socket,
+        socket_factory=functools.partial(
+            make_socket, unacked_timeout_ms=unacked_timeout_ms
+        ),
     )
     connector._factory = functools.partial(  # noqa: SLF001
         MatchingHandler,
--- a/packages/proxy/tanagerbend_proxy/peers.py
+++ b/packages/proxy/tanagerbend_proxy/peers.py
@@ -10,20 +10,28 @@
 from tanagerbend_model import Refusal
 from tanagerbend_proxy.changes import PollReply, PollRequest
 from tanagerbend_proxy.daemon_settings import DaemonSettings
+from tanagerbend_proxy.exchange import make_session
+from tanagerbend_proxy.messages import MILLISECONDS
 from tanagerbend_proxy.relaying import poll_peer
-from tanagerbend_proxy.sources import MIN_RELAY_HOSTS, Source, Sources
+from tanagerbend_proxy.sources import (
+    MIN_RELAY_HOSTS,
+    POLL_WAIT_SECONDS,
+    Source,
+    Sources,
+)
 from tanagerbend_routing import (
     InstanceRegistry,
     ListedInstance,
     RoutingConfiguration,
 )
 
-# An answer that takes longer is too old to be of use; other peers are polled
-# long before.
-POLL_TIMEOUT_SECONDS: Final = 2.0
-# Time limit of connecting; further connection attempts start in parallel
-# before it.
-CONNECT_TIMEOUT_SECONDS: Final = 1.2
+# Time for which a poll, its acknowledgement or a new connection may wait
+# behind other traffic on a full link.  Other peers are polled long before,
+# and a poll that has reached its peer is answered at the next change.
+FULL_LINK_SECONDS: Final = 3.0
+UNACKED_POLL_TIMEOUT_MS: Final = round(FULL_LINK_SECONDS * MILLISECONDS)
+CONNECT_TIMEOUT_SECONDS: Final = FULL_LINK_SECONDS
+POLL_TIMEOUT_SECONDS: Final = FULL_LINK_SECONDS + POLL_WAIT_SECONDS
 
 
 class Peers:
@@ -98,9 +106,14 @@
 def make_peers(
     settings: DaemonSettings,
     recorder: Recorder,
-    session: aiohttp.ClientSession,
+    keep_seconds: float,
 ) -> Peers:
-    """Return the peers of a daemon."""
+    """Return the peers of a daemon.
+
+    An idle connection to a peer stays open for ``keep_seconds``.
+    """
     return Peers(
-        settings, Sources(settings.instance_address, recorder), session
+        settings,
+        Sources(settings.instance_address, recorder),
+        make_session(keep_seconds, 0, UNACKED_POLL_TIMEOUT_MS),
     )
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -225,5 +225,6 @@
         """Close the client sessions after all tasks have ended."""
         components = self.components
         await components.entry.session.close()
+        await components.follower.peers.session.close()
         await components.owner.close()
         await components.follower.service.close()
