Add up the limits of each way in which a departure can be late

A reader that is cut off from the service: 1.5 s and the 0.5 s of queued requests, 2.0 of 2.5 s; a version that fills the link: 1.15 and 0.5 s.

--- a/packages/proxy/tanagerbend_proxy/tests/test_following.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_following.py
@@ -7,6 +7,7 @@
     HEDGE_DELAY_SECONDS,
     MAX_BACKOFF_SECONDS,
     READER_COALESCE_SECONDS,
+    READER_WATCH_SECONDS,
     WATCH_SECONDS,
 )
 from tanagerbend_proxy.sources import POLL_WAIT_SECONDS
@@ -15,6 +16,8 @@
 
 # A daemon must be up to date again this long after an outage ends.
 RECOVERY_SECONDS = 3.0
+# The same on platforms with enough hosts in a failure domain for a reader.
+RELAYED_DRAIN_SECONDS = 2.5
 # Shortest time that platforms allow from the notice that an instance leaves
 # to the last request it accepts.
 DRAIN_SECONDS = 2.0
@@ -44,3 +47,17 @@
         READER_COALESCE_SECONDS + detected_after + HEDGE_DELAY_SECONDS
     )
     assert notice_after + DEPARTURE_GRACE_SECONDS < DRAIN_SECONDS
+
+
+def test_reader_without_the_service_does_not_delay_drain_notice():
+    """Guards against a reader that its peers rely on for too long."""
+    noticed_after = READER_WATCH_SECONDS + HEDGE_DELAY_SECONDS
+    notice_after = noticed_after + HEDGE_DELAY_SECONDS + READER_COALESCE_SECONDS
+    assert notice_after + DEPARTURE_GRACE_SECONDS < RELAYED_DRAIN_SECONDS
+
+
+def test_slow_transfer_does_not_delay_drain_notice():
+    """Guards against entries that wait for the end of a large answer."""
+    read_apart_after = READER_COALESCE_SECONDS + HEDGE_DELAY_SECONDS
+    notice_after = read_apart_after + ANSWER_SECONDS
+    assert notice_after + DEPARTURE_GRACE_SECONDS < DRAIN_SECONDS
