Log an unexpected error while entries are read beside an answer

The task of the watch had no handler, so such an error would have ended it without a line. It writes following_failed like the follower does, and the next large answer starts it again. The revision of the configuration that a peer states is bounded by that of its entries.

test_unexpected_error_beside_a_large_answer_is_logged failed before: no line was written.

--- a/packages/proxy/tanagerbend_proxy/applying.py
+++ b/packages/proxy/tanagerbend_proxy/applying.py
@@ -89,7 +89,9 @@
                     self.entries_revision, Batch(entries, batch.revision)
                 )
             self.entries_revision = batch.revision
-        complete = batch.revision if batch.complete is None else batch.complete
+        complete = batch.revision
+        if batch.complete is not None:
+            complete = min(batch.complete, complete)
         self.revision = max(self.revision or 0, complete)
 
     def _follows(self, after: int) -> bool:
--- a/packages/proxy/tanagerbend_proxy/entries_watch.py
+++ b/packages/proxy/tanagerbend_proxy/entries_watch.py
@@ -68,7 +68,7 @@
         if self.applier.revision is not None:
             self.is_arriving = True
             if not self.attempts.running:
-                self.attempts.start(self._watch())
+                self.attempts.start(self._watch_safely())
 
     def end(self) -> None:
         """Stop after the present call, since the answer has arrived."""
@@ -78,6 +78,20 @@
         """Cancel the present call."""
         await self.attempts.close()
 
+    async def _watch_safely(
+        self,
+    ) -> Batch | HistoryUnavailable | Refusal | None:
+        """Watch; log an unexpected exception.
+
+        Changes that are applied only in part are read again by the next call,
+        as their revision is not reached.
+        """
+        try:
+            return await self._watch()
+        except Exception as error:  # noqa: BLE001
+            self.staleness.write_unexpected(error)
+        return None
+
     async def _watch(self) -> Batch | HistoryUnavailable | Refusal | None:
         """Watch until the answer has arrived, or a call fails."""
         await self.recorder.timer.sleep(HEDGE_DELAY_SECONDS)
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import random
-import traceback
 from collections.abc import Callable
 from typing import Protocol
 
@@ -32,7 +31,6 @@
     MAX_AGE_SECONDS,
     MAX_VERSION_AGE_SECONDS,
     MAX_BACKOFF_SECONDS,
-    MAX_REASON_LENGTH,
     MIN_MEASURED_BYTES,
     MIN_SECONDS,
     READER_COALESCE_SECONDS,
@@ -375,17 +373,6 @@
     try:
         await follower.follow_once()
     except Exception as error:  # noqa: BLE001
-        _log_unexpected(follower, error)
+        follower.staleness.write_unexpected(error)
         return False
     return True
-
-
-def _log_unexpected(follower: Follower, error: Exception) -> None:
-    """Count and log an unexpected exception."""
-    follower.recorder.count('following_failed')
-    frame = traceback.extract_tb(error.__traceback__)[-1]
-    follower.staleness.write(
-        'following_failed',
-        reason=f'{type(error).__name__}: {error}'[:MAX_REASON_LENGTH],
-        place=f'{frame.name}, line {frame.lineno}',
-    )
--- a/packages/proxy/tanagerbend_proxy/staleness.py
+++ b/packages/proxy/tanagerbend_proxy/staleness.py
@@ -2,9 +2,11 @@
 
 import contextlib
 import math
+import traceback
 from typing import Any
 
 from tanagerbend_proxy.changes import Batch
+from tanagerbend_proxy.following_limits import MAX_REASON_LENGTH
 from tanagerbend_proxy.knowledge import Arrival, DeploymentState
 from tanagerbend_proxy.link_use import LinkUse
 
@@ -90,6 +92,16 @@
             self.write('changes_late')
         self.is_late = is_late
 
+    def write_unexpected(self, error: Exception) -> None:
+        """Count and log an unexpected exception."""
+        self.knowledge.recorder.count('following_failed')
+        frame = traceback.extract_tb(error.__traceback__)[-1]
+        self.write(
+            'following_failed',
+            reason=f'{type(error).__name__}: {error}'[:MAX_REASON_LENGTH],
+            place=f'{frame.name}, line {frame.lineno}',
+        )
+
     def write(self, event: str, **fields: Any) -> None:
         """Write a log line with the age and the use of the link."""
         self.knowledge.log.write(
--- a/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
@@ -1,5 +1,6 @@
 """Metrics and log lines that explain late changes."""
 
+import asyncio
 import random
 
 import pytest
@@ -8,6 +9,7 @@
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy.changes import Batch, Item
 from tanagerbend_proxy.following import Follower
+from tanagerbend_proxy.following_limits import HEDGE_DELAY_SECONDS
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.link_use import ANSWERS, LinkUse
 from tanagerbend_proxy.staleness import Staleness
@@ -118,5 +120,26 @@
     assert 'source' not in lines[-1][1]
 
 
+async def test_unexpected_error_beside_a_large_answer_is_logged(
+    follower, lines
+):
+    """Guards against an error that ends the reading of entries unseen."""
+    await follower._read_listing()
+    follower.service.instance_changes = raise_key_error
+    watch = follower.entries_watch
+    for _ in range(2):
+        watch.begin()
+        await asyncio.sleep(0)
+        await follower.timer.advance(HEDGE_DELAY_SECONDS)
+        await asyncio.gather(*watch.attempts.running)
+        watch.end()
+    assert lines.events.count('following_failed') == 2
+    assert 'KeyError' in lines[-1][1]['reason']
+
+
+async def raise_key_error(*_call):
+    raise KeyError('unexpected')
+
+
 class NoPeers:
     uses_relay = False
