--- a/packages/proxy/tanagerbend_proxy/entries_watch.py
+++ b/packages/proxy/tanagerbend_proxy/entries_watch.py
@@ -18,7 +18,7 @@
 
 
 class EntryService(Protocol):
-    """Part of the platform's service that this module reads."""
+    """Read-only client of the entries of instances."""
 
     async def instance_changes(
         self,
@@ -26,7 +26,10 @@
         wait: float,
         limit: float,
     ) -> Batch | HistoryUnavailable | Refusal:
-        """Return the changes of instances only, see `ItemService.changes`."""
+        """Return the changes of instances after a revision.
+
+        Waits until there is one; times are in seconds.
+        """
 
 
 class EntriesWatch:
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -21,7 +21,7 @@
     PollReply,
     PollRequest,
 )
-from tanagerbend_proxy.entries_watch import EntriesWatch
+from tanagerbend_proxy.entries_watch import EntriesWatch, EntryService
 from tanagerbend_proxy.exchange import CONNECT_SECONDS
 from tanagerbend_proxy.following_limits import (
     ANSWER_SECONDS,
@@ -46,7 +46,7 @@
 from tanagerbend_proxy.staleness import Staleness
 
 
-class ItemService(Protocol):
+class ItemService(EntryService, Protocol):
     """Read-only client of the platform's service, which bills each call."""
 
     async def listing(
@@ -68,14 +68,6 @@
     ) -> Batch | HistoryUnavailable | Refusal:
         """Return the changes after a revision; wait until there is one."""
 
-    async def instance_changes(
-        self,
-        after: int,
-        wait: float,
-        limit: float,
-    ) -> Batch | HistoryUnavailable | Refusal:
-        """Return the changes of instances only."""
-
     async def close(self) -> None:
         """Close the connections to the service."""
 
