Use only the latest start of several entries with one address

After a loss of power the store listed 150 entries for 85 instances: those that had ended without notice, and the same hosts' new ones under other identities.

The entry of the later start, by `born` or else by the order of arrival, displaces the others at its address when the entries are read; they get no new and no queued work until the later one is gone. The owner refuses a request for a displaced instance without sending it.

The tests failed before: 12 of 14 in test_shared_addresses.py, both cases of the new test in test_owner.py.

--- a/packages/proxy/tanagerbend_proxy/knowledge.py
+++ b/packages/proxy/tanagerbend_proxy/knowledge.py
@@ -119,13 +119,16 @@
             )
         return True
 
-    def log_instance_change(self, event: str, instance: ListedInstance) -> None:
+    def log_instance_change(
+        self, event: str, instance: ListedInstance, **fields: str
+    ) -> None:
         """Log a change of an instance."""
         self.log.write(
             event,
             instance=instance.identity,
             instance_host=instance.host_address,
             service=instance.service,
+            **fields,
             **self.arrival_fields,
         )
 
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -48,6 +48,7 @@
 # refusal reaches the caller in time.
 RETURN_MARGIN_SECONDS: Final = 0.01
 
+DISPLACED_REASON: Final = 'another instance has the address'
 # Refusals of requests that were not sent to the instance.
 NOT_SENT_CODES: Final = frozenset(
     (
@@ -142,7 +143,7 @@
         refusal = self.suspicions.refuse(request)
         if refusal is not None:
             return self._add_evidence(request, Outcome(refusal))
-        refusal = self.repeats.refuse(placed)
+        refusal = self._refuse_displaced(placed) or self.repeats.refuse(placed)
         if refusal is None:
             refusal = await self.queue.enter(work)
         if refusal is not None:
@@ -150,7 +151,8 @@
         if not self.registry.takes_work(placed.instance):
             self.queue.leave(work, 0.0, is_complete=False)
             reason = 'the instance left while the request waited'
-            return Outcome(Refusal(ResultCode.DRAINING, reason))
+            left = Refusal(ResultCode.DRAINING, reason)
+            return Outcome(self._refuse_displaced(placed) or left)
         started = self.recorder.timer.now()
         self._record_seconds(QUEUE_TIME, placed, started - now)
         is_whole = False
@@ -178,6 +180,12 @@
         report = self.report(placed.rank, seconds)
         return self._add_evidence(request, Outcome(result, report, is_offered))
 
+    def _refuse_displaced(self, placed: Placed) -> Refusal | None:
+        """Refuse a request for an instance that has lost its address."""
+        if self.registry.is_displaced(placed.instance):
+            return Refusal(ResultCode.NO_INSTANCE, DISPLACED_REASON)
+        return None
+
     def _add_evidence(self, request: Request, outcome: Outcome) -> Outcome:
         """Add the crash evidence on a request that may crash instances."""
         match outcome.result:
@@ -263,8 +271,7 @@
         # earlier request.
         is_for_request = is_matching or (echoed is None and answer.is_first)
         if is_for_request and answer.status == MISDIRECTED:
-            reason = 'another instance has the address'
-            return Refusal(ResultCode.NO_INSTANCE, reason)
+            return Refusal(ResultCode.NO_INSTANCE, DISPLACED_REASON)
         if is_for_request and names.not_run in answer.headers:
             reason = f'the instance did not run it, status {answer.status}'
             return Refusal(ResultCode.BACKEND_SHED_LOAD, reason)
--- a/packages/proxy/tanagerbend_proxy/repeats.py
+++ b/packages/proxy/tanagerbend_proxy/repeats.py
@@ -48,8 +48,8 @@
 
     @property
     def daemons(self) -> int:
-        """Number of daemons in the deployment, one for each instance."""
-        return max(len(self.registry.entries), 1)
+        """Number of daemons in the deployment, one beside each instance."""
+        return max(len(self.registry.occupancy.holders), 1)
 
     def requested(self, service: str, request: Request) -> float:
         """Count a request that begins on this host.
--- a/packages/proxy/tanagerbend_proxy/tests/test_owner.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_owner.py
@@ -69,3 +69,28 @@
     assert outcome.result.ran is Ran.NO
     assert not outcome.is_offered
     assert owner.queue.running == 0
+
+
+@pytest.mark.parametrize('is_queued', [False, True], ids=['new', 'queued'])
+async def test_request_for_a_displaced_instance_is_refused(owner, is_queued):
+    """Guards against requests that reach another instance at the address.
+
+    The process there would answer 421, which counts as a repeat.
+    """
+    first = Work('browse', 0, 30.0, 30.0)
+    assert await owner.queue.enter(first) is None
+    later = attrs.evolve(INSTANCE, identity='i-2', born=7)
+    if not is_queued:
+        owner.registry.put(later)
+    request = Request('1', 'GET', 'shop', '/', CIMultiDict(), b'', 30.0, 0.0)
+    placed = Placed('i-1', 'browse', 0, Repeat.FREELY, 30.0, 30.0)
+    waiting = asyncio.create_task(owner.run(request, placed))
+    await asyncio.sleep(0)
+    assert waiting.done() is not is_queued
+    owner.registry.put(later)
+    owner.queue.leave(first, 0.1)
+    outcome = await waiting
+    assert outcome.result.code is ResultCode.NO_INSTANCE
+    assert outcome.result.ran is Ran.NO
+    assert not outcome.is_offered
+    assert owner.queue.running == 0
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -13,6 +13,7 @@
 import attrs
 
 from tanagerbend_metrics import Recorder
+from tanagerbend_routing.occupancy import NOTHING_DISPLACED, Occupancy
 from tanagerbend_routing.outage import Outage
 
 # Time for which queued requests may still start at an instance after the news
@@ -63,16 +64,23 @@
 Instances = tuple[ListedInstance, ...]
 
 
-def ignore_change(_event: str, _instance: ListedInstance) -> None:
+def ignore_change(
+    _event: str, _instance: ListedInstance, **_fields: str
+) -> None:
     """Ignore a change."""
 
 
 @attrs.define
 class RegistryEntry:
-    """Listed instance, and until when it is usable if its entry is missing."""
+    """Listed instance, and until when it is usable if its entry is missing.
+
+    ``arrival`` orders the entries by when they were written last, as far as
+    this daemon saw it; those of one listing are equal.
+    """
 
     instance: ListedInstance
     usable_until: float = float('inf')
+    arrival: int = 0
 
 
 class InstanceRegistry:
@@ -83,13 +91,14 @@
 
     recorder : Recorder
     notify : callable
-        Called with the name of the event and the instance for each change.
+        Called with the name of the event, the instance and other fields of
+        the log line for each change.
     """
 
     def __init__(
         self,
         recorder: Recorder,
-        notify: Callable[[str, ListedInstance], None] = ignore_change,
+        notify: Callable[..., None] = ignore_change,
     ) -> None:
         self.recorder = recorder
         self.notify = notify
@@ -100,7 +109,10 @@
         # Caches that are built from the entries on first use; None after a
         # change.
         self.usable_by_service: dict[str, Instances] | None = None
-        self.newest_by_address: dict[str, ListedInstance] | None = None
+        self.cached_occupancy: Occupancy | None = None
+        # Instances that were displaced when the cache was built last.
+        self.displaced = NOTHING_DISPLACED
+        self.arrivals = 0
         self.outage = Outage(recorder.timer)
         self.departed_at: dict[str, float] = {}
 
@@ -111,6 +123,7 @@
 
     def put(self, instance: ListedInstance) -> None:
         """Add or update an entry that was written."""
+        self.arrivals += 1
         if self._store(instance):
             self._clear_caches()
 
@@ -122,7 +135,11 @@
     ) -> bool:
         """Store an entry; return whether it differs from the known one."""
         known = self.entries.get(instance.identity)
-        self.entries[instance.identity] = RegistryEntry(instance)
+        is_rewritten = known is None or is_changed(known.instance, instance)
+        self.entries[instance.identity] = RegistryEntry(
+            instance,
+            arrival=self.arrivals if is_rewritten else known.arrival,
+        )
         self.missing.pop(instance.identity, None)
         if known is not None and known.instance == instance:
             return False
@@ -163,6 +180,7 @@
         Added and changed entries of the first listing are not notified.
         """
         is_first = not self.entries
+        self.arrivals += 1
         for identity in self.entries.keys() - listed.keys():
             self.remove(identity)
         for instance in listed.values():
@@ -194,25 +212,41 @@
 
         An unknown instance may be new, so it takes work.
         """
+        if self.is_displaced(identity):
+            return False
         since = self.departed_at.get(identity, float('inf'))
         return self.timer.now() - since < DEPARTURE_GRACE_SECONDS
 
+    def is_displaced(self, identity: str) -> bool:
+        """Return whether a later start has the address of an instance."""
+        return identity in self.occupancy.displaced
+
+    @property
+    def occupancy(self) -> Occupancy:
+        """Which of the entries at one address are in use."""
+        found = self.cached_occupancy
+        if found is None:
+            found = Occupancy.of(self.entries.values())
+            self.cached_occupancy = found
+            notify_displaced(self, found.displaced)
+        return found
+
     def usable(self, service: str) -> tuple[ListedInstance, ...]:
         """Return the instances of a service that accept new work."""
         if self.usable_by_service is None:
-            self.usable_by_service = by_service(self.entries.values())
+            self.usable_by_service = by_service(self._not_displaced())
         return self.usable_by_service.get(service, ())
 
     def working(self) -> list[ListedInstance]:
-        """Return the instances that are not leaving."""
+        """Return the instances that are neither leaving nor displaced."""
         return [
             entry.instance
-            for entry in self.entries.values()
+            for entry in self._not_displaced()
             if not entry.instance.is_leaving
         ]
 
     def near(self, failure_domain: str) -> list[ListedInstance]:
-        """Return the instances of a failure domain that are not leaving."""
+        """Return those of the working instances in a failure domain."""
         return [
             instance
             for instance in self.working()
@@ -220,10 +254,17 @@
         ]
 
     def at_address(self, address: str) -> ListedInstance | None:
-        """Return the newest instance at ``address:port``."""
-        if self.newest_by_address is None:
-            self.newest_by_address = by_address(self.entries.values())
-        return self.newest_by_address.get(address)
+        """Return the latest instance at ``address:port``."""
+        found = self.occupancy.holders.get(address)
+        return None if found is None else found.instance
+
+    def _not_displaced(self) -> list[RegistryEntry]:
+        displaced = self.occupancy.displaced
+        return [
+            entry
+            for identity, entry in self.entries.items()
+            if identity not in displaced
+        ]
 
     def _update_departure(self, instance: ListedInstance) -> None:
         if instance.is_leaving:
@@ -239,7 +280,7 @@
 
     def _clear_caches(self) -> None:
         self.usable_by_service = None
-        self.newest_by_address = None
+        self.cached_occupancy = None
 
 
 def by_service(
@@ -254,16 +295,25 @@
     return {service: tuple(found) for service, found in services.items()}
 
 
-def by_address(
-    registry_entries: Iterable[RegistryEntry],
-) -> dict[str, ListedInstance]:
-    """Return the newest instance at each address."""
-    instances = [entry.instance for entry in registry_entries]
-    # Among instances of equal age, the first entry takes precedence.
-    instances.reverse()
-    instances.sort(key=_born)
-    return {each.address: each for each in instances}
-
+def is_changed(known: ListedInstance, instance: ListedInstance) -> bool:
+    """Return whether an entry says anything new.
 
-def _born(instance: ListedInstance) -> int:
-    return instance.born
+    The time until which an instance is cold is computed at each reading.
+    """
+    return known != attrs.evolve(instance, cold_until=known.cold_until)
+
+
+def notify_displaced(
+    registry: InstanceRegistry, displaced: Mapping[str, str]
+) -> None:
+    """Notify what has changed since displaced entries were found last."""
+    before = registry.displaced
+    registry.displaced = displaced
+    for identity in displaced.keys() - before.keys():
+        instance = registry.entries[identity].instance
+        holder = displaced[identity]
+        registry.notify('instance_displaced', instance, holder=holder)
+    for returned in before.keys() - displaced.keys():
+        entry = registry.entries.get(returned)
+        if entry is not None:
+            registry.notify('instance_undisplaced', entry.instance)
--- /dev/null
+++ b/packages/routing/tanagerbend_routing/tests/test_shared_addresses.py
@@ -0,0 +1,145 @@
+"""Tests of entries that name one address."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from tanagerbend_metrics import Recorder
+from tanagerbend_routing import InstanceRegistry, ListedInstance
+from tanagerbend_timer import ManualTimer
+
+OLD = ListedInstance('i-old', '10.0.0.1:80', 'shop', 'north', 6, born=5)
+NEW = attrs.evolve(OLD, identity='i-new', born=7)
+OTHER = attrs.evolve(OLD, identity='i-other', address='10.0.0.2:80')
+EVENTS = {'instance_displaced', 'instance_undisplaced'}
+
+
+@pytest.fixture
+def events():
+    """Displacements that a registry has notified, with the newer instance."""
+    return []
+
+
+@pytest.fixture
+def registry(events):
+    """Return a registry with two instances at different addresses."""
+
+    def notify(event, instance, **fields):
+        if event in EVENTS:
+            events.append((event, instance.identity, *fields.values()))
+
+    made = InstanceRegistry(Recorder(ManualTimer()), notify)
+    made.replace({'i-old': OLD, 'i-other': OTHER})
+    return made
+
+
+def identities(registry, service='shop'):
+    return {each.identity for each in registry.usable(service)}
+
+
+def evolved(**changes):
+    return attrs.evolve(NEW, **changes)
+
+
+@pytest.mark.parametrize(
+    'newer',
+    [NEW, evolved(born=0), evolved(born=5), evolved(is_leaving=True)],
+    ids=['later start', 'unknown start', 'equal start', 'leaving'],
+)
+def test_entry_of_an_earlier_start_gets_no_work(registry, newer):
+    """Guards against requests for an instance that a restart replaced.
+
+    The store lists it until its entry lapses.
+    """
+    assert registry.takes_work('i-old')
+    registry.put(newer)
+    assert 'i-old' not in identities(registry)
+    assert not registry.takes_work('i-old')
+    assert OLD not in registry.working()
+    assert OLD not in registry.near('north')
+    assert registry.at_address(OLD.address) == newer
+
+
+def test_address_that_went_to_another_service(registry):
+    """Guards against requests for a service that lost the address."""
+    registry.put(evolved(service='docs'))
+    assert identities(registry) == {'i-other'}
+    assert identities(registry, 'docs') == {'i-new'}
+
+
+def test_later_start_counts_in_any_order_of_arrival(registry):
+    """Guards against a listing whose order decides which entry is used."""
+    registry.put(evolved(born=3))
+    assert identities(registry) == {'i-old', 'i-other'}
+    registry.replace({'i-new': NEW, 'i-old': OLD})
+    assert identities(registry) == {'i-new'}
+
+
+def test_entries_of_one_listing_without_starts_stay(registry):
+    """Guards against refusing an instance by the order of its key.
+
+    Nothing tells which of the two started later, so both are tried.
+    """
+    unknown = [attrs.evolve(each, born=0) for each in (OLD, NEW)]
+    registry.replace({each.identity: each for each in unknown})
+    assert identities(registry) == {'i-old', 'i-new'}
+
+
+def test_earlier_entry_that_is_written_again_counts_as_later(registry):
+    """Guards against losing an instance whose start is unknown."""
+    registry.put(evolved(born=0))
+    registry.put(attrs.evolve(OLD, slots=7))
+    assert identities(registry) == {'i-old', 'i-other'}
+
+
+def test_listing_that_is_read_again_is_no_new_entry(registry):
+    """Guards against swapping two entries at each listing."""
+    unknown = evolved(born=0)
+    registry.put(unknown)
+    registry.put(attrs.evolve(OLD, cold_until=3.0))
+    assert identities(registry) == {'i-new', 'i-other'}
+
+
+def test_earlier_entry_is_used_again_without_the_later_one(registry):
+    """Guards against losing an instance whose successor never came up."""
+    registry.put(NEW)
+    assert identities(registry) == {'i-new', 'i-other'}
+    registry.remove('i-new')
+    assert identities(registry) == {'i-old', 'i-other'}
+    assert registry.takes_work('i-old')
+
+
+def test_contradicting_starts_leave_one_entry(registry):
+    """Guards against an address at which each entry displaces another."""
+    registry.put(evolved(identity='i-unknown', born=0))
+    registry.put(evolved(born=4))
+    at_address = {each.address for each in registry.working()}
+    assert at_address == {OLD.address, OTHER.address}
+
+
+def test_displaced_entry_is_notified_once(registry, events):
+    """Guards against unused entries that no log line explains."""
+    registry.put(NEW)
+    for _ in range(2):
+        registry.usable('shop')
+    assert events == [('instance_displaced', 'i-old', 'i-new')]
+    registry.remove('i-new')
+    registry.usable('shop')
+    assert events[1:] == [('instance_undisplaced', 'i-old')]
+
+
+def test_removed_entry_is_not_notified_as_used_again(registry, events):
+    """Guards against a log line that says a removed instance is back."""
+    registry.put(NEW)
+    registry.usable('shop')
+    registry.remove('i-old')
+    registry.usable('shop')
+    asyncio.run(registry.timer.advance(1.0))
+    assert events == [('instance_displaced', 'i-old', 'i-new')]
+
+
+def test_hosts_are_counted_once(registry):
+    """Guards against a smaller share of the retry budget after restarts."""
+    registry.put(NEW)
+    assert len(registry.occupancy.holders) == 2
