Take a 421 for all requests, and not as an attempt

A daemon that was answered 421 avoided the entry for 0.25 s and then tried it again. Each try used up one of the route's attempts and one of the three owners that a request asks, so requests were refused that had reached nobody.

The owner now records that the identity isn't at its address and refuses further requests for it without sending them; the entry daemons record it by this refusal. Neither a 421 nor such a refusal counts as an attempt of the route or as an owner that was asked; more than five of them end the request. A 421 still draws on the retry budget.

The limit of three owners is checked before a repeat is taken from the budget, which was spent for nothing before.

--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -17,7 +17,9 @@
 from tanagerbend_proxy.results import (
     CRASHES_INSTANCES,
     SERVER_ERROR,
+    count_placing,
     final_result,
+    why_no_more_owners,
     why_not_retried,
     refuse_unplaced,
 )
@@ -43,8 +45,6 @@
 )
 
 KILOBYTE: Final = 1024
-# A refusal by an owner costs one round trip and no work of an instance.
-MAX_OWNERS_ASKED: Final = 3
 # Reserved at this daemon, so that it reads the owner's answer before the
 # caller's deadline.
 RETURN_MARGIN_SECONDS: Final = 0.02
@@ -229,8 +229,6 @@
             outcome = await self._ask_owner(state, instance)
             self._apply_outcome(state, instance, outcome)
             state.stopped_by = self._reason_to_stop(state, outcome)
-            if not state.stopped_by and state.placed >= MAX_OWNERS_ASKED:
-                state.stopped_by = f'{MAX_OWNERS_ASKED} owners were asked'
             if state.stopped_by:
                 break
             self.lines.add_retry(state, outcome.result)
@@ -346,7 +344,7 @@
     ) -> None:
         """Update the request state and the known load of an instance."""
         state.tried |= {instance.identity}
-        state.offered += outcome.is_offered
+        count_placing(state, outcome)
         if outcome.evidence:
             state.has_crash_evidence = True
             self.suspicions.merge_evidence(outcome.evidence)
@@ -405,17 +403,7 @@
                 rank = state.route.rank
                 self.placement.back_off(instance, rank, is_large=work.is_large)
         else:
-            self.placement.record_unreachable(instance)
-            self.log.write(
-                'instance_avoided',
-                instance=instance.identity,
-                instance_host=instance.host_address,
-                code=refusal.code.name,
-                reason=refusal.reason,
-                seconds=self.placement.observed_instance(
-                    instance
-                ).avoid_seconds,
-            )
+            avoid(self, instance, refusal)
 
     def _log_recovery(self, instance: ListedInstance) -> None:
         if self.placement.observed_instance(instance).avoid_seconds:
@@ -433,10 +421,13 @@
             return reason
         if state.deadline - now < self._min_useful_seconds(state):
             return 'too little time is left'
+        reason = why_no_more_owners(state)
+        if reason:
+            return reason
         match outcome.result:
             case Refusal(ran=Ran.NO) if not outcome.is_offered:
                 return ''
-        if state.offered >= state.route.max_attempts:
+        if state.attempts >= state.route.max_attempts:
             return 'the route allows no more attempts'
         if self.owner.repeats.take(state.service, outcome.result):
             return ''
@@ -480,3 +471,20 @@
         work = self.placement.work_of(route.name)
         passed = self.recorder.timer.now() - request.arrived
         return max(route.objective - passed - 2 * work.seconds, 0.0)
+
+
+def avoid(entry: Entry, instance: ListedInstance, refusal: Refusal) -> None:
+    """Avoid an instance that an owner found absent or unreachable."""
+    if refusal.code is ResultCode.NO_INSTANCE:
+        absences = entry.knowledge.registry.absences
+        absences.record(instance.identity, instance.address)
+        return
+    entry.placement.record_unreachable(instance)
+    entry.log.write(
+        'instance_avoided',
+        instance=instance.identity,
+        instance_host=instance.host_address,
+        code=refusal.code.name,
+        reason=refusal.reason,
+        seconds=entry.placement.observed_instance(instance).avoid_seconds,
+    )
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -254,15 +254,16 @@
         )
         match result:
             case Answer():
-                return self._check_answer(request, result)
+                return self._check_answer(request, result, placed.instance)
         return result
 
     def _check_answer(
-        self, request: Request, answer: Answer
+        self, request: Request, answer: Answer, expected: str
     ) -> Answer | Refusal:
         """Check that an answer is the instance's answer to this request.
 
-        Returns the answer, else a refusal.
+        Returns the answer, else a refusal.  ``expected`` is the identity of
+        the instance.
         """
         names = self.names
         echoed = answer.headers.get(names.request_id)
@@ -271,6 +272,7 @@
         # earlier request.
         is_for_request = is_matching or (echoed is None and answer.is_first)
         if is_for_request and answer.status == MISDIRECTED:
+            self.registry.absences.record(expected, self.address)
             return Refusal(ResultCode.NO_INSTANCE, DISPLACED_REASON)
         if is_for_request and names.not_run in answer.headers:
             reason = f'the instance did not run it, status {answer.status}'
--- a/packages/proxy/tanagerbend_proxy/request_lines.py
+++ b/packages/proxy/tanagerbend_proxy/request_lines.py
@@ -30,6 +30,10 @@
         Number of instances that the request was sent to.
     placed : int
         Number of owners that were asked.
+    attempts : int
+        Number of instances that may have run it, or refused it.
+    misplaced : int
+        Number of owners whose instance was another one.
     tried : frozenset of str
         Identities of the instances whose owners were asked.
     last : Answer or Refusal or None
@@ -58,6 +62,8 @@
     on_time_until: float
     offered: int = 0
     placed: int = 0
+    attempts: int = 0
+    misplaced: int = 0
     tried: frozenset[str] = NO_INSTANCES
     last: Answer | Refusal | None = None
     has_run: bool = False
@@ -110,6 +116,7 @@
             rank=state.route.rank,
             offered=state.offered,
             placed=state.placed,
+            misplaced=state.misplaced,
             caused=round(state.caused, 3),
             served_ms=round(state.served * MILLISECONDS),
             age_ms=round((now - state.request.arrived) * MILLISECONDS),
--- a/packages/proxy/tanagerbend_proxy/results.py
+++ b/packages/proxy/tanagerbend_proxy/results.py
@@ -5,12 +5,17 @@
 import attrs
 
 from tanagerbend_model import Ran, Refusal, ResultCode
-from tanagerbend_proxy.messages import Answer, Request
+from tanagerbend_proxy.messages import Answer, Outcome, Request
 from tanagerbend_proxy.request_lines import RequestState
 from tanagerbend_proxy.uplink import SendingLimits
 from tanagerbend_routing import InstanceRegistry, PrefixRoute, Repeat
 
 SERVER_ERROR: Final = 500
+# A refusal by an owner costs one round trip and no work of an instance.
+MAX_OWNERS_ASKED: Final = 3
+# An instance that isn't at its address costs the same, and only once for all
+# requests of the daemon; so many more owners may be asked.
+MAX_MISPLACED: Final = 5
 CRASHES_INSTANCES: Final = 'it crashes the instances that run it'
 
 
@@ -49,6 +54,25 @@
     )
 
 
+def count_placing(state: RequestState, outcome: Outcome) -> None:
+    """Count a placing, as an attempt unless the instance wasn't there."""
+    state.offered += outcome.is_offered
+    match outcome.result:
+        case Refusal(code=ResultCode.NO_INSTANCE):
+            state.misplaced += 1
+        case _:
+            state.attempts += outcome.is_offered
+
+
+def why_no_more_owners(state: RequestState) -> str:
+    """Return why no other owner may be asked, empty if one may be."""
+    if state.misplaced > MAX_MISPLACED:
+        return f'{state.misplaced} instances were not at their addresses'
+    if state.placed - state.misplaced >= MAX_OWNERS_ASKED:
+        return f'{MAX_OWNERS_ASKED} owners were asked'
+    return ''
+
+
 def why_not_retried(result: Answer | Refusal, repeat: Repeat) -> str:
     """Return why a request must not be retried, empty if it may be.
 
--- a/packages/routing/tanagerbend_routing/occupancy.py
+++ b/packages/routing/tanagerbend_routing/occupancy.py
@@ -5,7 +5,7 @@
 which only the later one can be alive: an address has one listening process.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from typing import Protocol
 
 import attrs
@@ -38,25 +38,35 @@
     holders : mapping of str to Entry
         Entry of the latest start at each address.
     displaced : mapping of str to str
-        Identities of the earlier starts, with that of the latest one.
+        Identities of the earlier starts, with that of the latest one; of
+        absent instances, with an empty text.
     """
 
     holders: Mapping[str, Entry]
     displaced: Mapping[str, str]
 
     @classmethod
-    def of(cls, entries: Iterable[Entry]) -> 'Occupancy':
-        """Compare the entries at each address."""
+    def of(
+        cls, entries: Iterable[Entry], absent: Container[str]
+    ) -> 'Occupancy':
+        """Compare the entries at each address.
+
+        ``absent`` holds the identities of instances that are known not to be
+        there; they displace no others.
+        """
         holders: dict[str, Entry] = {}
+        displaced = {}
         sharing = []
         for entry in entries:
+            if entry.instance.identity in absent:
+                displaced[entry.instance.identity] = ''
+                continue
             holder = holders.setdefault(entry.instance.address, entry)
             if holder is entry:
                 continue
             sharing.extend((holder, entry))
             if is_later(entry, holder):
                 holders[entry.instance.address] = entry
-        displaced = {}
         for entry in sharing:
             holder = holders[entry.instance.address]
             if is_later(holder, entry):
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -13,6 +13,7 @@
 import attrs
 
 from tanagerbend_metrics import Recorder
+from tanagerbend_routing.absences import Absences
 from tanagerbend_routing.occupancy import NOTHING_DISPLACED, Occupancy
 from tanagerbend_routing.outage import Outage
 
@@ -113,6 +114,7 @@
         # Instances that were displaced when the cache was built last.
         self.displaced = NOTHING_DISPLACED
         self.arrivals = 0
+        self.absences = Absences(recorder.timer, self._clear_caches)
         self.outage = Outage(recorder.timer)
         self.departed_at: dict[str, float] = {}
 
@@ -141,6 +143,8 @@
             arrival=self.arrivals if is_rewritten else known.arrival,
         )
         self.missing.pop(instance.identity, None)
+        if is_rewritten:
+            self.absences.forget(instance.address)
         if known is not None and known.instance == instance:
             return False
         self._update_departure(instance)
@@ -200,6 +204,7 @@
             self.recorder.count('entries_dropped_after_outage')
         if expired:
             self._clear_caches()
+        self.absences.expire()
         if self.departed_at:
             self.departed_at = {
                 identity: since
@@ -218,15 +223,18 @@
         return self.timer.now() - since < DEPARTURE_GRACE_SECONDS
 
     def is_displaced(self, identity: str) -> bool:
-        """Return whether a later start has the address of an instance."""
-        return identity in self.occupancy.displaced
+        """Return whether an instance is known not to be at its address."""
+        return (
+            identity in self.occupancy.displaced
+            or identity in self.absences.known
+        )
 
     @property
     def occupancy(self) -> Occupancy:
         """Which of the entries at one address are in use."""
         found = self.cached_occupancy
         if found is None:
-            found = Occupancy.of(self.entries.values())
+            found = Occupancy.of(self.entries.values(), self.absences.known)
             self.cached_occupancy = found
             notify_displaced(self, found.displaced)
         return found
@@ -275,6 +283,7 @@
     def _drop(self, identity: str) -> None:
         entry = self.entries.pop(identity)
         self.missing.pop(identity, None)
+        self.absences.forget(entry.instance.address)
         self.notify('instance_removed', entry.instance)
         self.departed_at.setdefault(identity, self.timer.now())
 
--- a/packages/routing/tanagerbend_routing/tests/test_shared_addresses.py
+++ b/packages/routing/tanagerbend_routing/tests/test_shared_addresses.py
@@ -7,6 +7,7 @@
 
 from tanagerbend_metrics import Recorder
 from tanagerbend_routing import InstanceRegistry, ListedInstance
+from tanagerbend_routing.absences import ABSENCE_SECONDS
 from tanagerbend_timer import ManualTimer
 
 OLD = ListedInstance('i-old', '10.0.0.1:80', 'shop', 'north', 6, born=5)
@@ -143,3 +144,69 @@
     """Guards against a smaller share of the retry budget after restarts."""
     registry.put(NEW)
     assert len(registry.occupancy.holders) == 2
+
+
+def advance_time(registry, seconds):
+    asyncio.run(registry.timer.advance(seconds))
+    registry.expire()
+
+
+def test_absent_instance_gets_no_work(registry, events):
+    """Guards against repeated requests that are answered 421."""
+    registry.absences.record('i-old', OLD.address)
+    assert identities(registry) == {'i-other'}
+    assert not registry.takes_work('i-old')
+    assert registry.at_address(OLD.address) is None
+    assert events == [('instance_displaced', 'i-old', '')]
+
+
+def test_absent_instance_displaces_no_other(registry):
+    """Guards against losing an instance to an entry that names nobody.
+
+    The later entry belongs to an instance that never came up, or the clock of
+    its host was set back.
+    """
+    registry.put(NEW)
+    registry.absences.record('i-new', NEW.address)
+    assert identities(registry) == {'i-old', 'i-other'}
+    assert registry.at_address(OLD.address) == OLD
+
+
+def test_unlisted_instance_can_be_absent(registry):
+    """Guards against sending requests for an entry that arrives late here."""
+    registry.absences.record('i-new', NEW.address)
+    assert not registry.takes_work('i-new')
+    assert identities(registry) == {'i-old', 'i-other'}
+
+
+def test_absent_instance_is_tried_again(registry):
+    """Guards against losing an instance that came up after its entry."""
+    registry.absences.record('i-old', OLD.address)
+    advance_time(registry, ABSENCE_SECONDS - 0.1)
+    registry.absences.record('i-old', OLD.address)
+    assert identities(registry) == {'i-other'}
+    advance_time(registry, 0.2)
+    assert identities(registry) == {'i-old', 'i-other'}
+    assert registry.takes_work('i-old')
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        lambda registry: registry.put(attrs.evolve(OLD, born=6)),
+        lambda registry: registry.remove('i-first'),
+        lambda registry: registry.put(
+            attrs.evolve(OLD, identity='i-first', born=1, is_leaving=True)
+        ),
+    ],
+    ids=['written anew', 'other removed', 'other leaving'],
+)
+def test_change_at_the_address_ends_an_absence(registry, change):
+    """Guards against refusing an instance that has its address by now."""
+    registry.put(attrs.evolve(OLD, identity='i-first', born=1))
+    registry.absences.record('i-old', OLD.address)
+    registry.put(attrs.evolve(OLD, cold_until=3.0))
+    registry.put(attrs.evolve(OTHER, slots=9))
+    assert not registry.takes_work('i-old')
+    change(registry)
+    assert registry.takes_work('i-old')
--- a/packages/standins/tanagerbend_standins/instance.py
+++ b/packages/standins/tanagerbend_standins/instance.py
@@ -125,6 +125,8 @@
         Highest number of requests that ran concurrently.
     cancelled : int
         Number of requests cancelled while they ran.
+    misdirected : int
+        Number of requests for another instance.
     """
 
     def __init__(
@@ -146,6 +148,7 @@
         self.running = 0
         self.peak_running = 0
         self.cancelled = 0
+        self.misdirected = 0
         self.address = ''
         self.runner: web.ServerRunner | None = None
 
@@ -225,6 +228,7 @@
         body = await request.read()
         expected = request.headers.get('Expect-Instance')
         if expected not in {None, self.identity}:
+            self.misdirected += 1
             return web.Response(
                 status=HTTPStatus.MISDIRECTED_REQUEST,
                 headers={
