Count calls by the run that makes them, and refuse runs whose calls lack room

Cause: a call was judged by the target time of its own route, a quarter of what its caller has, and asked three owners at most; its run failed after it had held its slot.

Change: a call is linked to its run by its identifier. It has the more urgent rank of the two, is on time while its run can be, and may ask six owners. A daemon admits as many runs as the services they call have served calls for, urgent ranks first, and refuses the others before they take a slot, with the new code 406.

--- a/packages/emulator/tanagerbend_emulator/instance.py
+++ b/packages/emulator/tanagerbend_emulator/instance.py
@@ -97,7 +97,10 @@
             async with asyncio.timeout(max_seconds) as timeout:
                 self.running.add(timeout)
                 return await self._process(
-                    kind, now + max_seconds, is_repeat=is_repeat
+                    kind,
+                    now + max_seconds,
+                    request.identifier,
+                    is_repeat=is_repeat,
                 )
         except TimeoutError:
             return self._interrupted_result(timeout)
@@ -132,6 +135,7 @@
         self,
         kind: KindLoad,
         deadline_at: float,
+        identifier: str,
         *,
         is_repeat: bool,
     ) -> Answer:
@@ -147,7 +151,10 @@
         try:
             await asyncio.sleep(self._draw_seconds(kind) / 2)
             for name in kind.calls:
-                if not await self._call(name, deadline_at, is_repeat=is_repeat):
+                self.calls += 1
+                call = f'{identifier}.{self.listed.identity}-{self.calls}'
+                self.entry.fleet.arrivals.record_call(call, is_repeat=is_repeat)
+                if not await self._call(name, call, deadline_at):
                     return Answer(STATUS_ERROR, CIMultiDict(), b'')
             await asyncio.sleep(self._draw_seconds(kind) / 2)
         finally:
@@ -183,13 +190,10 @@
         return is_same_service and number < fault.instances
 
     async def _call(
-        self, name: str, deadline_at: float, *, is_repeat: bool
+        self, name: str, identifier: str, deadline_at: float
     ) -> bool:
         time_left = deadline_at - asyncio.get_running_loop().time()
         time_left = min(time_left, self.load.kind(name).deadline)
-        self.calls += 1
-        identifier = f'{self.listed.identity}.{self.calls}'
-        self.entry.fleet.arrivals.record_call(identifier, is_repeat=is_repeat)
         result = await self.entry.handle(
             make_request(identifier, name, time_left)
         )
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -13,6 +13,7 @@
 from tanagerbend_metrics.names import ANSWER_TIME, REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
+from tanagerbend_proxy.calls import OVERLOAD_CODES
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.results import (
     CRASHES_INSTANCES,
@@ -43,8 +44,6 @@
 )
 
 KILOBYTE: Final = 1024
-# A refusal by an owner costs one round trip and no work of an instance.
-MAX_OWNERS_ASKED: Final = 3
 # Reserved at this daemon, so that it reads the owner's answer before the
 # caller's deadline.
 RETURN_MARGIN_SECONDS: Final = 0.02
@@ -64,13 +63,6 @@
 NEUTRAL_CODES: Final = frozenset(
     (ResultCode.RETRY_BUDGET_SPENT, ResultCode.REQUEST_CRASHES_BACKEND),
 )
-OVERLOAD_CODES: Final = frozenset(
-    (
-        ResultCode.QUEUE_FULL,
-        ResultCode.DEADLINE_UNREACHABLE,
-        ResultCode.DEADLINE_PASSED,
-    )
-)
 
 
 @attrs.define
@@ -121,7 +113,9 @@
             case Refusal():
                 return route
         state = self._make_state(request, route)
-        state.caused = self.owner.repeats.requested(state.service, request)
+        state.caused = self.owner.repeats.requested(
+            state.service, request, state.caller
+        )
         try:
             result = self.suspicions.refuse(request)
             if result is not None:
@@ -136,6 +130,7 @@
         finally:
             if state.has_crash_evidence:
                 self.suspicions.spread_case(request)
+        self.owner.calls.record_result(state.caller, state.service, result)
         match result:
             case Refusal():
                 self._record_refusal(state, result)
@@ -147,13 +142,18 @@
         seconds_to_target = self.placement.remaining_objective(
             route, request.time_left
         )
-        return RequestState(
+        state = RequestState(
             request,
             route,
             route.pick_service(self.random),
             min(request.arrived + route.timeout, request.deadline),
             request.arrived + seconds_to_target,
         )
+        caller = self.owner.calls.caller_of(request.identifier)
+        if caller is not None:
+            typical = self.placement.work_of(caller.route).seconds
+            state.count_by_caller(caller, typical)
+        return state
 
     def _record_refusal(self, state: RequestState, refusal: Refusal) -> None:
         self.recorder.count(REFUSALS, refusal.code.name)
@@ -229,8 +229,8 @@
             outcome = await self._ask_owner(state, instance)
             self._apply_outcome(state, instance, outcome)
             state.stopped_by = self._reason_to_stop(state, outcome)
-            if not state.stopped_by and state.placed >= MAX_OWNERS_ASKED:
-                state.stopped_by = f'{MAX_OWNERS_ASKED} owners were asked'
+            if not state.stopped_by and state.placed >= state.max_owners_asked:
+                state.stopped_by = f'{state.placed} owners were asked'
             if state.stopped_by:
                 break
             self.lines.add_retry(state, outcome.result)
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -12,6 +12,7 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_metrics.names import BACKEND_TIME, QUEUE_TIME
 from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_proxy.calls import Calls
 from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.guard import CONNECTION_LOST_CODES, InstanceGuard
 from tanagerbend_proxy.headers import HeaderNames
@@ -103,6 +104,7 @@
     sizes: ServiceTimes = attrs.field(factory=ServiceTimes)
     delay: LoopDelay = attrs.field(init=False)
     repeats: Repeats = attrs.field(init=False)
+    calls: Calls = attrs.field(init=False)
     guard: InstanceGuard = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -125,6 +127,9 @@
         now = self.recorder.timer.now()
         allowance = RetryAllowance(self.budget, now)
         self.repeats = Repeats(allowance, self.registry, self.recorder)
+        self.calls = Calls(
+            self.repeats.runs, self.recorder, self.names.call_separator
+        )
 
     async def run(self, request: Request, placed: Placed) -> Outcome:
         """Wait for a slot and run the request once."""
@@ -142,7 +147,7 @@
         refusal = self.suspicions.refuse(request)
         if refusal is not None:
             return self._add_evidence(request, Outcome(refusal))
-        refusal = self.repeats.refuse(placed)
+        refusal = self.repeats.refuse(placed) or self.calls.refuse(placed)
         if refusal is None:
             refusal = await self.queue.enter(work)
         if refusal is not None:
@@ -154,7 +159,14 @@
         started = self.recorder.timer.now()
         self._record_seconds(QUEUE_TIME, placed, started - now)
         is_whole = False
-        run = Run(placed.route, deadline, placed.repeated)
+        run = Run(
+            placed.route,
+            deadline,
+            placed.repeated,
+            request.identifier,
+            placed.rank,
+            work.on_time_until,
+        )
         try:
             with self.repeats.runs.hold(run, self.recorder.timer):
                 result = await self.guard.run(
--- a/packages/proxy/tanagerbend_proxy/results.py
+++ b/packages/proxy/tanagerbend_proxy/results.py
@@ -64,6 +64,8 @@
     match result:
         case Refusal(code=ResultCode.REQUEST_CRASHES_BACKEND):
             return CRASHES_INSTANCES
+        case Refusal(code=ResultCode.CALLED_SERVICE_FULL):
+            return 'a service that it calls has no room'
         case Answer(status=status) if status < SERVER_ERROR:
             return 'answered'
         case Answer() if repeat is not Repeat.FREELY:
--- a/packages/routing/tanagerbend_routing/active_runs.py
+++ b/packages/routing/tanagerbend_routing/active_runs.py
@@ -40,11 +40,20 @@
         Monotonic seconds of its deadline at the instance.
     retry_share : float
         Share of it that is a retry of earlier work, from 0 to 1.
+    identifier : str
+        Identifier of the request; empty if unknown.
+    rank : int
+        Rank of the request; 0 is the most urgent.
+    on_time_until : float
+        Monotonic seconds after which its answer is late.
     """
 
     route: str
     deadline: float
     retry_share: float = 0.0
+    identifier: str = ''
+    rank: int = 0
+    on_time_until: float = -math.inf
 
 
 class Runs:
@@ -68,6 +77,7 @@
 
     def __init__(self) -> None:
         self.running: set[Run] = set()
+        self.by_identifier: dict[str, Run] = {}
         self.rates = CallRates()
 
     @contextmanager
@@ -75,18 +85,33 @@
         """Track a run while the instance serves it."""
         started = timer.now()
         self.running.add(run)
+        self.by_identifier[run.identifier] = run
         try:
             yield
         finally:
-            self.running.discard(run)
-            self.rates.record_run(run.route, timer.now() - started)
+            self._end(run, timer.now() - started)
 
-    def record_sent_call(self, service: str, ends: float) -> float:
+    def _end(self, run: Run, seconds: float) -> None:
+        self.running.discard(run)
+        self.by_identifier.pop(run.identifier, None)
+        self.rates.record_run(run.route, seconds)
+
+    def find(self, identifier: str) -> Run | None:
+        """Return the run that serves the request with an identifier."""
+        return self.by_identifier.get(identifier) if identifier else None
+
+    def record_sent_call(
+        self, service: str, ends: float, caller: Run | None = None
+    ) -> float:
         """Return the share of a request from this host that is a retry.
 
         The request is sent to ``service`` and its sender waits until
-        ``ends``.  The share is 0 if no active run can have sent it.
+        ``ends``.  ``caller`` is the run that made it, if that is known.  The
+        share is 0 if no active run can have sent it.
         """
+        if caller is not None:
+            self.rates.record_call(service, (caller.route,))
+            return caller.retry_share
         callers = self._possible_callers(ends)
         if not callers:
             return 0.0
