--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -13,6 +13,7 @@
 from tanagerbend_metrics.names import ANSWER_TIME, REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
+from tanagerbend_proxy.calls import OVERLOAD_CODES
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.results import (
     CRASHES_INSTANCES,
@@ -64,13 +65,6 @@
 NEUTRAL_CODES: Final = frozenset(
     (ResultCode.RETRY_BUDGET_SPENT, ResultCode.REQUEST_CRASHES_BACKEND),
 )
-OVERLOAD_CODES: Final = frozenset(
-    (
-        ResultCode.QUEUE_FULL,
-        ResultCode.DEADLINE_UNREACHABLE,
-        ResultCode.DEADLINE_PASSED,
-    )
-)
 
 
 @attrs.define
@@ -121,7 +115,9 @@
             case Refusal():
                 return route
         state = self._make_state(request, route)
-        state.caused = self.owner.repeats.requested(state.service, request)
+        state.caused = self.owner.repeats.requested(
+            state.service, request, state.caller
+        )
         try:
             result = self.suspicions.refuse(request)
             if result is not None:
@@ -136,6 +132,7 @@
         finally:
             if state.has_crash_evidence:
                 self.suspicions.spread_case(request)
+        self.owner.calls.record_result(state.caller, state.service, result)
         match result:
             case Refusal():
                 self._record_refusal(state, result)
@@ -147,13 +144,18 @@
         seconds_to_target = self.placement.remaining_objective(
             route, request.time_left
         )
-        return RequestState(
+        state = RequestState(
             request,
             route,
             route.pick_service(self.random),
             min(request.arrived + route.timeout, request.deadline),
             request.arrived + seconds_to_target,
         )
+        caller = self.owner.calls.caller_of(request.identifier)
+        if caller is not None:
+            typical = self.placement.work_of(caller.route).seconds
+            state.count_by_caller(caller, typical)
+        return state
 
     def _record_refusal(self, state: RequestState, refusal: Refusal) -> None:
         self.recorder.count(REFUSALS, refusal.code.name)
