Evacuate failure domains that the operator names

Change: the adapter decodes each key as an order, whatever its value, and its removal as the end of the order. Daemons keep the set of evacuated domains, read from the store or with each reply of a peer, up to the revision that reply is complete to. A peer of the previous release reports no evacuations, so the daemon leaves it and reads the store itself.

--- a/packages/proxy/tanagerbend_proxy/applying.py
+++ b/packages/proxy/tanagerbend_proxy/applying.py
@@ -3,7 +3,11 @@
 from tanagerbend_proxy.changes import Batch, Item, Removed, Unreadable
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.relaying import ChangeLog
-from tanagerbend_routing import ListedInstance, RoutingConfiguration
+from tanagerbend_routing import (
+    EvacuationOrder,
+    ListedInstance,
+    RoutingConfiguration,
+)
 
 
 class Applier:
@@ -43,6 +47,7 @@
             # Later changes have been applied already.
             return
         self._adopt_configurations(batch)
+        self.knowledge.set_evacuated(_evacuated(batch, frozenset()))
         # The entries may have been read up to a later revision meanwhile.
         if batch.revision >= self.entries_revision:
             self._replace_entries(batch)
@@ -92,7 +97,9 @@
         complete = batch.revision
         if batch.complete is not None:
             complete = min(batch.complete, complete)
-        self.revision = max(self.revision or 0, complete)
+        if complete > (self.revision or 0):
+            self._apply_evacuations(batch)
+            self.revision = complete
 
     def _follows(self, after: int) -> bool:
         """Return whether all changes up to a revision have been applied."""
@@ -109,6 +116,12 @@
                 self.knowledge.unreadable(item.identity, reason)
                 registry.remove(item.identity)
 
+    def _apply_evacuations(self, batch: Batch) -> None:
+        ordered = self.knowledge.registry.evacuations.ordered
+        evacuated = _evacuated(batch, ordered)
+        if evacuated != ordered:
+            self.knowledge.set_evacuated(evacuated)
+
     def _adopt_configurations(self, batch: Batch) -> None:
         """Adopt the configurations of a batch, the newest of which stays."""
         for item in batch.items:
@@ -127,3 +140,17 @@
     """Return the newest item of each instance."""
     entries = {item.identity: item for item in batch.items if item.identity}
     return tuple(entries.values())
+
+
+def _evacuated(batch: Batch, ordered: frozenset[str]) -> frozenset[str]:
+    """Return the evacuated failure domains after the changes of a batch."""
+    if batch.evacuated is not None:
+        return batch.evacuated
+    domains = set(ordered)
+    for item in batch.items:
+        match item.value:
+            case EvacuationOrder(failure_domain=domain, is_in_force=True):
+                domains.add(domain)
+            case EvacuationOrder(failure_domain=domain):
+                domains.discard(domain)
+    return frozenset(domains)
--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -14,9 +14,14 @@
     finite_float,
     integer_in_range,
 )
-from tanagerbend_proxy.ranges import MAX_IDENTITY_LENGTH, invalid_field
+from tanagerbend_proxy.ranges import (
+    MAX_IDENTITY_LENGTH,
+    invalid_field,
+    is_valid_name,
+)
 from tanagerbend_routing import (
     CallerLimits,
+    EvacuationOrder,
     ListedInstance,
     PrefixRoute,
     Repeat,
@@ -54,7 +59,13 @@
     """A value that was removed."""
 
 
-ItemValue = RoutingConfiguration | ListedInstance | Unreadable | Removed
+ItemValue = (
+    RoutingConfiguration
+    | ListedInstance
+    | EvacuationOrder
+    | Unreadable
+    | Removed
+)
 
 
 @attrs.frozen
@@ -65,8 +76,9 @@
     ==========
 
     identity : str
-        Identity of an instance; empty for a configuration.
-    value : RoutingConfiguration, ListedInstance, Unreadable or Removed
+        Identity of an instance; empty for other values.
+    value : RoutingConfiguration, ListedInstance, EvacuationOrder, Unreadable \
+        or Removed
     """
 
     identity: str
@@ -91,8 +103,11 @@
         Revision after which all changes are included; None if the batch
         follows whatever has been applied.
     complete : int or None
-        Revision up to which configurations are included too; None if it is
-        ``revision``.
+        Revision up to which configurations and evacuations are included too;
+        None if it is ``revision``.
+    evacuated : frozenset of str or None
+        All failure domains that are evacuated at revision ``complete``; None
+        if ``items`` hold the changes.
     """
 
     items: tuple[Item, ...]
@@ -101,6 +116,7 @@
     seconds: float = 0.0
     after: int | None = None
     complete: int | None = None
+    evacuated: frozenset[str] | None = None
 
 
 @attrs.frozen
@@ -224,6 +240,7 @@
     document = {
         'revision': reply.batch.revision,
         'complete': reply.batch.complete,
+        'evacuated': _encode_domains(reply.batch.evacuated),
         'age_ms': round(reply.age * MILLISECONDS),
         'entries_age_ms': _to_milliseconds(reply.entries_age),
         'reader': reply.reader,
@@ -236,6 +253,10 @@
     return zlib.compress(json.dumps(document).encode(), 1)
 
 
+def _encode_domains(domains: frozenset[str] | None) -> list[str] | None:
+    return None if domains is None else sorted(domains)
+
+
 def _to_milliseconds(seconds: float | None) -> int | None:
     return None if seconds is None else round(seconds * MILLISECONDS)
 
@@ -316,6 +337,7 @@
             integer_in_range(document['revision'], MAX_WIRE_NUMBER),
             size,
             complete=_decode_optional(document, 'complete'),
+            evacuated=_decode_domains(document.get('evacuated')),
         ),
         finite_float(document['age_ms']) / MILLISECONDS,
         str(document['reader']),
@@ -325,6 +347,15 @@
     )
 
 
+def _decode_domains(found: Any) -> frozenset[str] | None:
+    # Earlier releases do not send them.
+    if found is None:
+        return None
+    if not isinstance(found, list) or not all(map(is_valid_name, found)):
+        raise ValueError('invalid names of evacuated failure domains')
+    return frozenset(found)
+
+
 def _decode_seconds(document: dict[str, Any], field: str) -> float | None:
     found = _decode_optional(document, field)
     return None if found is None else found / MILLISECONDS
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -275,9 +275,16 @@
                 # Time beyond the wait is transit; it adds to the age.
                 transit = max(self.timer.now() - sent_at - source.wait, 0.0)
                 batch = attrs.evolve(reply.batch, after=request.revision)
+                is_partial = batch.evacuated is None
+                if is_partial:
+                    # Read the evacuations again from another source.
+                    batch = attrs.evolve(batch, complete=0)
                 reply = attrs.evolve(reply, batch=batch).aged(transit)
                 with self.staleness.arriving(peer.identity, batch, transit):
                     self._apply_reply(source, reply)
+                if is_partial:
+                    reason = 'its release does not report evacuations'
+                    self._drop_source(source, reason)
                 return reply
         self._drop_source(source, reply.reason)
         return reply
--- a/packages/proxy/tanagerbend_proxy/knowledge.py
+++ b/packages/proxy/tanagerbend_proxy/knowledge.py
@@ -129,6 +129,26 @@
             **self.arrival_fields,
         )
 
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Put the evacuation of failure domains in force, and no other."""
+        added, lifted = self.registry.evacuations.replace(domains)
+        for domain in added:
+            self.recorder.count('domains_evacuated')
+            self.log.write('domain_evacuated', **self._domain_fields(domain))
+        for domain in lifted:
+            self.recorder.count('domains_readmitted')
+            self.log.write('domain_readmitted', **self._domain_fields(domain))
+
+    def _domain_fields(self, domain: str) -> dict[str, Any]:
+        working = self.registry.working()
+        own = self.registry.near(domain)
+        return {
+            'failure_domain': domain,
+            'instances': len(own),
+            'other_instances': len(working) - len(own),
+            **self.arrival_fields,
+        }
+
     def unreadable(self, identity: str, reason: str) -> None:
         """Count and log an entry whose value cannot be used."""
         self.recorder.count('entries_unreadable')
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -142,15 +142,18 @@
         refusal = self.suspicions.refuse(request)
         if refusal is not None:
             return self._add_evidence(request, Outcome(refusal))
+        refusal = self._refuse_evacuated(placed)
+        if refusal is not None:
+            return Outcome(refusal)
         refusal = self.repeats.refuse(placed)
         if refusal is None:
             refusal = await self.queue.enter(work)
         if refusal is not None:
             return Outcome(refusal, self.report(placed.rank))
-        if not self.registry.takes_work(placed.instance):
+        refusal = self._refuse_departed(placed)
+        if refusal is not None:
             self.queue.leave(work, 0.0, is_complete=False)
-            reason = 'the instance left while the request waited'
-            return Outcome(Refusal(ResultCode.DRAINING, reason))
+            return Outcome(refusal)
         started = self.recorder.timer.now()
         self._record_seconds(QUEUE_TIME, placed, started - now)
         is_whole = False
@@ -178,6 +181,21 @@
         report = self.report(placed.rank, seconds)
         return self._add_evidence(request, Outcome(result, report, is_offered))
 
+    def _refuse_evacuated(self, placed: Placed) -> Refusal | None:
+        """Refuse a request for an instance of an evacuated domain."""
+        if not self.registry.refuses_evacuated(placed.instance):
+            return None
+        self.recorder.count('requests_refused_evacuated')
+        reason = 'the failure domain of the instance is evacuated'
+        return Refusal(ResultCode.DRAINING, reason)
+
+    def _refuse_departed(self, placed: Placed) -> Refusal | None:
+        """Refuse a request whose instance left while it waited."""
+        if self.registry.takes_work(placed.instance):
+            return self._refuse_evacuated(placed)
+        reason = 'the instance left while the request waited'
+        return Refusal(ResultCode.DRAINING, reason)
+
     def _add_evidence(self, request: Request, outcome: Outcome) -> Outcome:
         """Add the crash evidence on a request that may crash instances."""
         match outcome.result:
--- a/packages/proxy/tanagerbend_proxy/poll_answers.py
+++ b/packages/proxy/tanagerbend_proxy/poll_answers.py
@@ -118,6 +118,7 @@
                 items,
                 self.applier.entries_revision,
                 complete=self.applier.revision or 0,
+                evacuated=self.knowledge.registry.evacuations.ordered,
             ),
             self.staleness.seconds,
             self.peers.sources.fastest_reader[0],
--- a/packages/proxy/tanagerbend_proxy/results.py
+++ b/packages/proxy/tanagerbend_proxy/results.py
@@ -34,6 +34,8 @@
         reason = f'all instances of {service!r} refused work just now'
         return Refusal(ResultCode.QUEUE_FULL, reason)
     reason = f'no instance of {service!r} is known'
+    if registry.is_evacuated(service):
+        reason = f'all instances of {service!r} are in evacuated domains'
     return Refusal(ResultCode.NO_INSTANCE, reason)
 
 
--- a/packages/proxy/tanagerbend_proxy/tests/test_applying.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_applying.py
@@ -10,6 +10,7 @@
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_routing import (
     CallerLimits,
+    EvacuationOrder,
     ListedInstance,
     RoutingConfiguration,
 )
@@ -75,3 +76,54 @@
     """Guards against a later faulty version that hides a valid one."""
     applier.apply(Batch((version(4), version(2)), 16, after=10))
     assert applier.knowledge.version == 4
+
+
+def order(domain, *, is_in_force=True):
+    return Item('', EvacuationOrder(domain, is_in_force))
+
+
+def evacuated(applier):
+    return applier.knowledge.registry.evacuations.ordered
+
+
+def test_evacuation_is_kept_until_it_is_taken_back(applier):
+    """Guards against an order that an outage or a new listing drops."""
+    applier.apply(Batch((order('north'), order('south')), 11, after=10))
+    assert evacuated(applier) == {'north', 'south'}
+    applier.knowledge.mark_service_lost('no answer')
+    applier.reset()
+    assert evacuated(applier) == {'north', 'south'}
+    applier.apply_listing(Batch((version(1), order('north')), 30))
+    assert evacuated(applier) == {'north'}
+    applier.apply(
+        Batch((order('north', is_in_force=False),), 31, after=30, complete=31)
+    )
+    assert evacuated(applier) == frozenset()
+
+
+def test_older_answer_does_not_order_an_evacuation_again(applier):
+    """Guards against a late answer that undoes what was read meanwhile."""
+    both = (order('north'), order('north', is_in_force=False))
+    applier.apply(Batch(both, 14, after=10))
+    applier.apply(Batch((order('north'),), 12, after=10))
+    assert evacuated(applier) == frozenset()
+    peer = Batch((), 13, after=13, evacuated=frozenset({'north'}))
+    applier.apply(peer)
+    assert evacuated(applier) == frozenset()
+
+
+def test_entries_read_ahead_do_not_hide_an_evacuation(applier):
+    """Guards against an order that is skipped since entries are newer."""
+    applier.apply(Batch((Item('i-1', READY),), 20, after=10, complete=0))
+    applier.apply(Batch((order('north'),), 15, after=10))
+    assert evacuated(applier) == {'north'}
+
+
+def test_evacuations_of_a_peer_hold_up_to_its_complete_revision(applier):
+    """Guards against a peer whose entries are newer than its orders."""
+    applier.apply(Batch((order('north'),), 15, after=10))
+    behind = Batch((), 20, after=15, complete=12, evacuated=frozenset())
+    applier.apply(behind)
+    assert evacuated(applier) == {'north'}
+    applier.apply(attrs.evolve(behind, revision=25, complete=25))
+    assert evacuated(applier) == frozenset()
--- a/packages/proxy/tanagerbend_proxy/tests/test_changes.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_changes.py
@@ -165,3 +165,35 @@
     request = PollRequest(120, 7, 0.5, 'i-1', 9000.5)
     assert PollRequest.decode(request.encode()) == request
     assert isinstance(PollRequest.decode('[1]'), Refusal)
+
+
+def test_evacuations_arrive_with_each_reply():
+    """Guards against an order that stops at the daemon that reads it."""
+    reply = PollReply(
+        Batch((), 120, evacuated=frozenset({'north', 'süd 1'})), 0.25, 'i-5'
+    )
+    found, _ = relayed(reply, OLD, OLD)
+    assert found.batch.evacuated == {'north', 'süd 1'}
+
+
+@pytest.mark.parametrize('names', ['north', [7], [''], [['north']], {'a': 1}])
+def test_malformed_evacuations_of_a_peer_are_refused(names):
+    """Guards against an exception at a message of another release."""
+    document = json.loads(
+        zlib.decompress(encode_reply(reply_with(), OLD, 10.0))
+    )
+    assert document['evacuated'] is None
+    document['evacuated'] = names
+    compressed = zlib.compress(json.dumps(document).encode())
+    found = decode_reply(compressed, OLD, 50.0)
+    assert isinstance(found, Refusal)
+
+
+def test_reply_of_an_earlier_release_reports_no_evacuations():
+    """Guards against taking a release that can't report for none."""
+    document = json.loads(
+        zlib.decompress(encode_reply(reply_with(), OLD, 10.0))
+    )
+    document.pop('evacuated')
+    compressed = zlib.compress(json.dumps(document).encode())
+    assert decode_reply(compressed, OLD, 50.0).batch.evacuated is None
--- a/packages/proxy/tanagerbend_proxy/tests/test_following.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_following.py
@@ -11,6 +11,10 @@
     WATCH_SECONDS,
 )
 from tanagerbend_proxy.sources import POLL_WAIT_SECONDS
+from tanagerbend_routing.evacuation import (
+    DEPARTURE_SECONDS,
+    REFUSAL_DELAY_SECONDS,
+)
 from tanagerbend_routing.outage import OUTAGE_GRACE_SECONDS
 from tanagerbend_routing.registry import DEPARTURE_GRACE_SECONDS
 
@@ -21,6 +25,20 @@
 # Shortest time that platforms allow from the notice that an instance leaves
 # to the last request it accepts.
 DRAIN_SECONDS = 2.0
+# Time that platforms allow for a new configuration, and for an evacuation.
+APPLY_SECONDS = 2.5
+EVACUATE_SECONDS = 5.0
+
+
+def test_evacuation_is_complete_in_time():
+    """Guards against requests that still move when none may arrive.
+
+    The order arrives like a configuration; its owner refuses what daemons
+    without the news send.
+    """
+    assert DEPARTURE_SECONDS < REFUSAL_DELAY_SECONDS
+    order_after = APPLY_SECONDS + POLL_WAIT_SECONDS
+    assert order_after + REFUSAL_DELAY_SECONDS <= EVACUATE_SECONDS
 
 
 def test_removed_instances_are_dropped_within_the_recovery_time():
--- a/packages/proxy/tanagerbend_proxy/tests/test_owner.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_owner.py
@@ -21,6 +21,7 @@
     ListedInstance,
     Repeat,
 )
+from tanagerbend_routing.evacuation import REFUSAL_DELAY_SECONDS
 from tanagerbend_routing.registry import DEPARTURE_GRACE_SECONDS
 from tanagerbend_timer import ManualTimer
 
@@ -69,3 +70,22 @@
     assert outcome.result.ran is Ran.NO
     assert not outcome.is_offered
     assert owner.queue.running == 0
+
+
+async def test_queued_request_is_refused_in_an_evacuated_domain(owner):
+    """Guards against a queued request that starts after an evacuation."""
+    owner.registry.evacuations.replace(())
+    first = Work('browse', 0, 30.0, 30.0)
+    assert await owner.queue.enter(first) is None
+    request = Request('1', 'GET', 'shop', '/', CIMultiDict(), b'', 30.0, 0.0)
+    placed = Placed('i-1', 'browse', 0, Repeat.FREELY, 30.0, 30.0)
+    waiting = asyncio.create_task(owner.run(request, placed))
+    await asyncio.sleep(0)
+    owner.registry.evacuations.replace({'north'})
+    await owner.recorder.timer.advance(REFUSAL_DELAY_SECONDS)
+    owner.queue.leave(first, 0.1)
+    for outcome in (await waiting, await owner.run(request, placed)):
+        assert outcome.result.code is ResultCode.DRAINING
+        assert outcome.result.ran is Ran.NO
+        assert not outcome.is_offered
+    assert owner.queue.running == 0
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -13,6 +13,7 @@
 import attrs
 
 from tanagerbend_metrics import Recorder
+from tanagerbend_routing.evacuation import Evacuations
 from tanagerbend_routing.outage import Outage
 
 # Time for which queued requests may still start at an instance after the news
@@ -100,8 +101,11 @@
         # Caches that are built from the entries on first use; None after a
         # change.
         self.usable_by_service: dict[str, Instances] | None = None
+        # The same without some failure domains, by these.
+        self.reduced: dict[frozenset[str], dict[str, Instances]] = {}
         self.newest_by_address: dict[str, ListedInstance] | None = None
         self.outage = Outage(recorder.timer)
+        self.evacuations = Evacuations(recorder.timer)
         self.departed_at: dict[str, float] = {}
 
     @property
@@ -198,11 +202,54 @@
         return self.timer.now() - since < DEPARTURE_GRACE_SECONDS
 
     def usable(self, service: str) -> tuple[ListedInstance, ...]:
-        """Return the instances of a service that accept new work."""
+        """Return the instances of a service that accept new work.
+
+        While a failure domain is evacuated, the result differs between calls
+        so that the domain gets its share of the requests.
+        """
+        if self.evacuations.domains:
+            return self._usable_outside(
+                self.evacuations.excluded(), service
+            ) or self._usable_outside(self.evacuations.closed(), service)
+        return self._usable_anywhere(service)
+
+    def _usable_anywhere(self, service: str) -> tuple[ListedInstance, ...]:
         if self.usable_by_service is None:
             self.usable_by_service = by_service(self.entries.values())
         return self.usable_by_service.get(service, ())
 
+    def _usable_outside(
+        self, domains: frozenset[str], service: str
+    ) -> tuple[ListedInstance, ...]:
+        if not domains:
+            return self._usable_anywhere(service)
+        services = self.reduced.setdefault(domains, {})
+        found = services.get(service)
+        if found is None:
+            found = tuple(
+                instance
+                for instance in self._usable_anywhere(service)
+                if instance.failure_domain not in domains
+            )
+            services[service] = found
+        return found
+
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether evacuations leave a service no instance."""
+        return bool(self._usable_anywhere(service)) and not (
+            self._usable_outside(self.evacuations.closed(), service)
+        )
+
+    def refuses_evacuated(self, identity: str) -> bool:
+        """Return whether an instance refuses work by an evacuation.
+
+        An unknown instance may be new, so it takes work.
+        """
+        entry = self.entries.get(identity)
+        return entry is not None and self.evacuations.refuses_work(
+            entry.instance.failure_domain
+        )
+
     def working(self) -> list[ListedInstance]:
         """Return the instances that are not leaving."""
         return [
@@ -239,6 +286,7 @@
 
     def _clear_caches(self) -> None:
         self.usable_by_service = None
+        self.reduced.clear()
         self.newest_by_address = None
 
 
