Limit the requests that a cold instance gets

Cause: nothing kept a cold instance within the rate that its service tolerates (`coldPerS` of the configuration), summed over all hosts; owners granted its slots as if it were warm, and entries only reckoned with twice the time.

Change: the owner, through which every request passes, lets through at most the operator's bound in any one second, by an allowance of half the slack that is filled at the tolerated rate with its overshoot. It checks at arrival and, exactly, right before sending. An instance counts as cold by its entry, while it has none, and for its cold time after it refused a connection. Entries ask a cold owner that refused up to a second later instead of 0.16 s. Without `coldOvershoot` in the settings there is no limit.

--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -68,6 +68,7 @@
         is_changed = settings != self.settings
         self.settings = settings
         self.owner.repeats.allowance.settings = settings.budget
+        self.owner.cold.tolerance = settings.cold
         self.follower.staleness.bound = settings.apply_seconds
         self.log.write('settings_reloaded', is_changed=is_changed)
 
@@ -106,6 +107,7 @@
         settings.budget,
         case_exchange.suspicions,
     )
+    owner.cold.tolerance = settings.cold
     entry = Entry(
         settings,
         knowledge,
--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -14,10 +14,18 @@
     finite_float,
     integer_in_range,
 )
+from tanagerbend_proxy.optional_fields import (
+    decode_cold_rates,
+    decode_domains,
+    decode_optional,
+    decode_seconds,
+    encode_cold_rates,
+    encode_domains,
+    to_milliseconds,
+)
 from tanagerbend_proxy.ranges import (
     MAX_IDENTITY_LENGTH,
     invalid_field,
-    is_valid_name,
 )
 from tanagerbend_routing import (
     CallerLimits,
@@ -240,12 +248,12 @@
     document = {
         'revision': reply.batch.revision,
         'complete': reply.batch.complete,
-        'evacuated': _encode_domains(reply.batch.evacuated),
+        'evacuated': encode_domains(reply.batch.evacuated),
         'age_ms': round(reply.age * MILLISECONDS),
-        'entries_age_ms': _to_milliseconds(reply.entries_age),
+        'entries_age_ms': to_milliseconds(reply.entries_age),
         'reader': reply.reader,
         'settled_ms': round(reply.settled_after * MILLISECONDS),
-        'lost_ms': _to_milliseconds(reply.lost_seconds),
+        'lost_ms': to_milliseconds(reply.lost_seconds),
         'instances': instances,
         'gone': removed,
         'routes': routes,
@@ -253,14 +261,6 @@
     return zlib.compress(json.dumps(document).encode(), 1)
 
 
-def _encode_domains(domains: frozenset[str] | None) -> list[str] | None:
-    return None if domains is None else sorted(domains)
-
-
-def _to_milliseconds(seconds: float | None) -> int | None:
-    return None if seconds is None else round(seconds * MILLISECONDS)
-
-
 def _encode_difference(difference: RouteDifference) -> dict[str, Any]:
     fields = attrs.asdict(difference, recurse=False)
     fields['put'] = [
@@ -273,6 +273,7 @@
     ]
     limits = difference.limits
     fields['limits'] = None if limits is None else attrs.asdict(limits)
+    fields['cold_rates'] = encode_cold_rates(difference.cold_rates)
     return fields
 
 
@@ -336,39 +337,17 @@
             tuple(items),
             integer_in_range(document['revision'], MAX_WIRE_NUMBER),
             size,
-            complete=_decode_optional(document, 'complete'),
-            evacuated=_decode_domains(document.get('evacuated')),
+            complete=decode_optional(document, 'complete'),
+            evacuated=decode_domains(document.get('evacuated')),
         ),
         finite_float(document['age_ms']) / MILLISECONDS,
         str(document['reader']),
         finite_float(document['settled_ms']) / MILLISECONDS,
-        _decode_seconds(document, 'lost_ms'),
-        _decode_seconds(document, 'entries_age_ms'),
+        decode_seconds(document, 'lost_ms'),
+        decode_seconds(document, 'entries_age_ms'),
     )
 
 
-def _decode_domains(found: Any) -> frozenset[str] | None:
-    # Earlier releases do not send them.
-    if found is None:
-        return None
-    if not isinstance(found, list) or not all(map(is_valid_name, found)):
-        raise ValueError('invalid names of evacuated failure domains')
-    return frozenset(found)
-
-
-def _decode_seconds(document: dict[str, Any], field: str) -> float | None:
-    found = _decode_optional(document, field)
-    return None if found is None else found / MILLISECONDS
-
-
-def _decode_optional(document: dict[str, Any], field: str) -> int | None:
-    # Earlier releases do not send these fields.
-    found = document.get(field)
-    if found is None:
-        return None
-    return integer_in_range(found, MAX_WIRE_NUMBER)
-
-
 def _decode_difference(fields: dict[str, Any]) -> RouteDifference:
     limits = fields['limits']
     return RouteDifference(
@@ -377,6 +356,7 @@
         tuple(_decode_route(*row) for row in fields['put']),
         tuple((host, prefix) for host, prefix in fields['removed']),
         None if limits is None else CallerLimits(**limits),
+        decode_cold_rates(fields),
     )
 
 
--- a/packages/proxy/tanagerbend_proxy/daemon_settings.py
+++ b/packages/proxy/tanagerbend_proxy/daemon_settings.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from tanagerbend_routing import RetryBudgetSettings
+from tanagerbend_routing import ColdTolerance, RetryBudgetSettings
 
 
 @attrs.frozen
@@ -66,6 +66,8 @@
     link_bytes_per_second : float
         Bandwidth of this host's link in bytes per second; infinite if
         unknown.
+    cold : ColdTolerance or None
+        Bound of the requests to a cold instance; None for no limit.
     """
 
     host: str
@@ -78,6 +80,7 @@
     budget: RetryBudgetSettings
     apply_seconds: float
     link_bytes_per_second: float = math.inf
+    cold: ColdTolerance | None = None
 
     @property
     def peer_port(self) -> str:
--- a/packages/proxy/tanagerbend_proxy/knowledge.py
+++ b/packages/proxy/tanagerbend_proxy/knowledge.py
@@ -10,10 +10,12 @@
 from tanagerbend_metrics.names import CHANGE_DELAY
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_routing import (
+    ColdRate,
     InstanceRegistry,
     ListedInstance,
     RoutingConfiguration,
 )
+from tanagerbend_routing.cold_limit import DEFAULT_RATE
 
 LOG_DIGITS: Final = 3
 
@@ -93,6 +95,12 @@
         """Configuration version in force, 0 if there is none."""
         return 0 if self.configuration is None else self.configuration.version
 
+    def cold_rate(self, service: str) -> ColdRate:
+        """Return what cold instances of a service tolerate."""
+        if self.configuration is None:
+            return DEFAULT_RATE
+        return self.configuration.cold_rates.get(service, DEFAULT_RATE)
+
     def adopt(self, configuration: RoutingConfiguration) -> bool:
         """Put a configuration in force if it is newer; return whether it is."""
         if configuration.version <= self.version:
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -28,6 +28,7 @@
 from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_quarantine import InstanceProcess
 from tanagerbend_routing import (
+    ColdLimit,
     InstanceRegistry,
     LoadReport,
     Repeat,
@@ -52,6 +53,7 @@
 NOT_SENT_CODES: Final = frozenset(
     (
         ResultCode.INSTANCE_UNREACHABLE,
+        ResultCode.QUEUE_FULL,
         ResultCode.REQUEST_CRASHES_BACKEND,
     ),
 )
@@ -88,6 +90,8 @@
         Statistics on the answer size of each route, in bytes.
     delay : LoopDelay
         Delay of the event loop of this daemon.
+    cold : ColdLimit
+        Limits the requests to the instance while it is cold.
     """
 
     address: str
@@ -104,10 +108,12 @@
     delay: LoopDelay = attrs.field(init=False)
     repeats: Repeats = attrs.field(init=False)
     guard: InstanceGuard = attrs.field(init=False)
+    cold: ColdLimit = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.guard = InstanceGuard(self.suspicions, self.make_process())
         self.delay = LoopDelay(self.recorder.timer)
+        self.cold = ColdLimit(self.recorder.timer)
         self.queue.departures.link = self.uplink
         self.reset_repeats()
 
@@ -142,18 +148,9 @@
         refusal = self.suspicions.refuse(request)
         if refusal is not None:
             return self._add_evidence(request, Outcome(refusal))
-        refusal = self._refuse_evacuated(placed)
-        if refusal is not None:
-            return Outcome(refusal)
-        refusal = self.repeats.refuse(placed)
-        if refusal is None:
-            refusal = await self.queue.enter(work)
+        refusal = await self._admit(placed, work)
         if refusal is not None:
             return Outcome(refusal, self.report(placed.rank))
-        refusal = self._refuse_departed(placed)
-        if refusal is not None:
-            self.queue.leave(work, 0.0, is_complete=False)
-            return Outcome(refusal)
         started = self.recorder.timer.now()
         self._record_seconds(QUEUE_TIME, placed, started - now)
         is_whole = False
@@ -166,6 +163,7 @@
                     deadline,
                     lambda left: self._send(request, placed, left),
                 )
+            self._observe_restart(result)
             result = withhold_promise(result)
             is_whole = (
                 isinstance(result, Answer) and result.status < MISDIRECTED
@@ -181,6 +179,21 @@
         report = self.report(placed.rank, seconds)
         return self._add_evidence(request, Outcome(result, report, is_offered))
 
+    async def _admit(self, placed: Placed, work: Work) -> Refusal | None:
+        """Wait for a slot; return None once the request holds one."""
+        refusal = (
+            self._refuse_evacuated(placed)
+            or self.repeats.refuse(placed)
+            or self._refuse_cold(placed, len(self.queue.waiting))
+            or await self.queue.enter(work)
+        )
+        if refusal is not None:
+            return refusal
+        refusal = self._refuse_departed(placed)
+        if refusal is not None:
+            self.queue.leave(work, 0.0, is_complete=False)
+        return refusal
+
     def _refuse_evacuated(self, placed: Placed) -> Refusal | None:
         """Refuse a request for an instance of an evacuated domain."""
         if not self.registry.refuses_evacuated(placed.instance):
@@ -189,6 +202,23 @@
         reason = 'the failure domain of the instance is evacuated'
         return Refusal(ResultCode.DRAINING, reason)
 
+    def _refuse_cold(self, placed: Placed, ahead: int) -> Refusal | None:
+        """Refuse a request that a cold instance doesn't tolerate now.
+
+        ``ahead`` is the number of requests that start before it.
+        """
+        entry = self.registry.entries.get(placed.instance)
+        instance = None if entry is None else entry.instance
+        if not self.cold.applies(instance) or self.cold.has_room(ahead):
+            return None
+        self.recorder.count('requests_refused_cold')
+        reason = (
+            'the instance is cold,'
+            f' {self.cold.available():.1f} requests may start now'
+            f' and {ahead} wait'
+        )
+        return Refusal(ResultCode.QUEUE_FULL, reason)
+
     def _refuse_departed(self, placed: Placed) -> Refusal | None:
         """Refuse a request whose instance left while it waited."""
         if self.registry.takes_work(placed.instance):
@@ -204,6 +234,13 @@
                 return attrs.evolve(outcome, evidence=evidence)
         return outcome
 
+    def _observe_restart(self, result: Answer | Refusal) -> None:
+        match result:
+            case Answer():
+                self.cold.record_answer()
+            case Refusal(code=ResultCode.INSTANCE_UNREACHABLE):
+                self.cold.record_refused_connection()
+
     def _observe_size(self, route: str, result: Answer | Refusal) -> None:
         match result:
             case Answer(body=body):
@@ -245,6 +282,10 @@
         if limit <= 0:
             reason = 'no time is left for the instance'
             return Refusal(ResultCode.DEADLINE_PASSED, reason)
+        refusal = self._refuse_cold(placed, 0)
+        if refusal is not None:
+            return refusal
+        self.cold.record()
         headers = CIMultiDict(request.headers)
         headers[self.names.expected_instance] = placed.instance
         headers[self.names.time_left] = str(int(limit * MILLISECONDS))
--- a/packages/proxy/tanagerbend_proxy/ranges.py
+++ b/packages/proxy/tanagerbend_proxy/ranges.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from tanagerbend_model.addresses import MAX_WIRE_NUMBER, is_address, is_name
-from tanagerbend_routing import ListedInstance
+from tanagerbend_routing import ColdRate, ListedInstance
 
 # Each running request takes two file descriptors of the daemon; hosts allow
 # up to 8,192.
@@ -16,6 +16,9 @@
 MAX_BUSY: Final = 1_000_000
 # Instances warm up within seconds; an hour cannot be a warm-up.
 MAX_COLD_SECONDS: Final = 3600.0
+# Requests a second; a lower rate than the minimum is no rate.
+MIN_COLD_RATE: Final = 0.001
+MAX_COLD_RATE: Final = 1_000_000.0
 # Longest duration of a request: a day.
 MAX_REQUEST_SECONDS: Final = 86_400.0
 # Length of the identity of an instance, in characters.
@@ -64,6 +67,15 @@
     return is_number(value, MAX_REQUEST_SECONDS)
 
 
+def is_valid_cold_rate(rate: ColdRate) -> bool:
+    """Return whether the fields of a rate are in range."""
+    return (
+        is_number(rate.per_second, MAX_COLD_RATE)
+        and rate.per_second >= MIN_COLD_RATE
+        and is_number(rate.start_seconds, MAX_COLD_SECONDS)
+    )
+
+
 def invalid_field(instance: ListedInstance, now: float) -> str:
     """Return the first field out of range in an entry, else empty.
 
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -14,6 +14,7 @@
 from tanagerbend_proxy.following_limits import EXPIRY_CHECK_SECONDS
 from tanagerbend_proxy.endpoint import Endpoint
 from tanagerbend_proxy.quarantine_view import QUARANTINE_PATH, QuarantineView
+from tanagerbend_routing import ListedInstance
 from tanagerbend_timer import Timer, combine_callbacks
 
 # Interval at which the delay of the event loop, the expiry of retained
@@ -51,6 +52,8 @@
         shared = (recorder, uplink, components.lifetime)
         self.ready_endpoint = Endpoint(self.answer_ready, *shared)
         self.metrics_endpoint = Endpoint(self.answer_metrics, *shared)
+        # Whether the own instance was cold at the last check.
+        self.is_cold = False
 
     async def on_start(self) -> None:
         """Open the endpoints; callers are served once configured."""
@@ -76,20 +79,40 @@
                 self.check_delay,
                 components.follower.expire,
                 components.follower.staleness.check,
-                self.refresh_slots,
+                self.refresh_own_instance,
             ),
         )
         timer.every(PRUNE_SECONDS, self.prune)
         timer.every(CLOCK_CHECK_SECONDS, components.log.check_clock)
         timer.on_pause(components.log.paused)
 
-    async def refresh_slots(self) -> None:
-        """Apply the slots of the own instance from its entry."""
+    async def refresh_own_instance(self) -> None:
+        """Apply the slots and the cold rate of the own instance."""
         components = self.components
         registry = components.knowledge.registry
         own = registry.at_address(components.settings.instance_address)
         if own is not None and own.slots != components.owner.queue.slots:
             components.owner.queue.resize(own.slots)
+        components.owner.cold.rate = components.knowledge.cold_rate(
+            components.settings.service
+        )
+        if own is not None:
+            self._log_cold(own)
+
+    def _log_cold(self, own: ListedInstance) -> None:
+        """Log that the own instance becomes cold or warm."""
+        cold = self.components.owner.cold
+        if cold.applies(own) == self.is_cold:
+            return
+        self.is_cold = not self.is_cold
+        self.components.log.write(
+            'instance_cold' if self.is_cold else 'instance_warm',
+            instance=own.identity,
+            per_second=cold.rate.per_second,
+            refused=self.components.recorder.counters.get(
+                'requests_refused_cold'
+            ),
+        )
 
     async def check_delay(self) -> None:
         """Record the delay of the event loop."""
--- a/packages/proxy/tanagerbend_proxy/tests/test_changes.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_changes.py
@@ -19,6 +19,7 @@
 )
 from tanagerbend_routing import (
     CallerLimits,
+    ColdRate,
     ListedInstance,
     WeightedService,
     PrefixRoute,
@@ -58,6 +59,7 @@
         route('added'),
     ),
     attrs.evolve(LIMITS, body_bytes=5),
+    {'shop': ColdRate(4.8, 3.0)},
 )
 
 
@@ -197,3 +199,23 @@
     document.pop('evacuated')
     compressed = zlib.compress(json.dumps(document).encode())
     assert decode_reply(compressed, OLD, 50.0).batch.evacuated is None
+
+
+@pytest.mark.parametrize('rates', [{'shop': [0, 3]}, {'shop': ['x', 3]}, [7]])
+def test_malformed_cold_rates_of_a_peer_are_refused(rates):
+    """Guards against a division by a rate that is none."""
+    reply = encode_reply(reply_with(Item('', NEW)), OLD, 10.0)
+    document = json.loads(zlib.decompress(reply))
+    document['routes']['cold_rates'] = rates
+    compressed = zlib.compress(json.dumps(document).encode())
+    assert isinstance(decode_reply(compressed, OLD, 50.0), Refusal)
+
+
+def test_configuration_of_an_earlier_release_has_no_cold_rates():
+    """Guards against refusing a configuration without the new field."""
+    reply = encode_reply(reply_with(Item('', NEW)), OLD, 10.0)
+    document = json.loads(zlib.decompress(reply))
+    document['routes'].pop('cold_rates')
+    compressed = zlib.compress(json.dumps(document).encode())
+    (item,) = decode_reply(compressed, OLD, 50.0).batch.items
+    assert item.value == attrs.evolve(NEW, cold_rates={})
--- a/packages/proxy/tanagerbend_proxy/tests/test_owner.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_owner.py
@@ -16,6 +16,7 @@
 from tanagerbend_proxy.crash_exchange import make_suspicions
 from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_routing import (
+    ColdTolerance,
     RetryBudgetSettings,
     InstanceRegistry,
     ListedInstance,
@@ -89,3 +90,31 @@
         assert outcome.result.ran is Ran.NO
         assert not outcome.is_offered
     assert owner.queue.running == 0
+
+
+async def test_cold_instance_gets_no_more_than_it_tolerates(owner):
+    """Guards against an instance that crashes under its first requests.
+
+    A request that waits for a slot counts, so the next one is sent elsewhere
+    at once.
+    """
+    owner.cold.tolerance = ColdTolerance(1.0, 4.0)
+    owner.registry.put(attrs.evolve(INSTANCE, cold_until=60.0))
+    request = Request('1', 'GET', 'shop', '/', CIMultiDict(), b'', 30.0, 0.0)
+    placed = Placed('i-1', 'browse', 0, Repeat.FREELY, 30.0, 30.0)
+    first = Work('browse', 0, 30.0, 30.0)
+    assert await owner.queue.enter(first) is None
+    owner.cold.record()
+    waiting = asyncio.create_task(owner.run(request, placed))
+    await asyncio.sleep(0)
+    refused = await owner.run(request, placed)
+    assert refused.result.code is ResultCode.QUEUE_FULL
+    assert refused.result.ran is Ran.NO
+    assert not refused.is_offered
+    # The allowance is spent elsewhere before the waiting one gets its slot.
+    owner.cold.record()
+    owner.queue.leave(first, 0.1)
+    late = await waiting
+    assert late.result.code is ResultCode.QUEUE_FULL
+    assert not late.is_offered
+    assert owner.queue.running == 0
--- a/packages/routing/tanagerbend_routing/__init__.py
+++ b/packages/routing/tanagerbend_routing/__init__.py
@@ -9,6 +9,7 @@
         'allowance': ('RetryBudgetSettings', 'RetryAllowance'),
         'balancer': ('Balancer',),
         'budget': ('RetryBudget',),
+        'cold_limit': ('ColdLimit', 'ColdRate', 'ColdTolerance'),
         'evacuation': ('EvacuationOrder', 'Evacuations'),
         'placement': ('Placement',),
         'prefixes': (
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -57,6 +57,9 @@
 # as much as a served one.
 REFUSAL_BACKOFF_SECONDS: Final = 0.04
 MAX_REFUSAL_BACKOFF_SECONDS: Final = 0.16
+# The same for an owner whose instance is cold: it takes a few requests a second
+# from all daemons together, so with many daemons each has to ask seldom.
+MAX_COLD_BACKOFF_SECONDS: Final = 1.0
 # A transfer between failure domains is costly if it takes more than this ratio
 # of the objective.  It is avoided while an instance of the own domain is
 # expected to answer within ``NEARBY_OBJECTIVE_RATIO`` of the objective.
@@ -349,8 +352,12 @@
             REFUSAL_BACKOFF_SECONDS,
             0.0 if is_large else 2 * load.backoff_seconds,
         )
-        load.backoff_seconds = min(backoff, MAX_REFUSAL_BACKOFF_SECONDS)
-        load.refusing_until = self.timer.now() + load.backoff_seconds
+        now = self.timer.now()
+        maximum = MAX_REFUSAL_BACKOFF_SECONDS
+        if now < instance.cold_until:
+            maximum = MAX_COLD_BACKOFF_SECONDS
+        load.backoff_seconds = min(backoff, maximum)
+        load.refusing_until = now + load.backoff_seconds
 
     def record_answer(
         self,
--- a/packages/routing/tanagerbend_routing/prefixes.py
+++ b/packages/routing/tanagerbend_routing/prefixes.py
@@ -8,6 +8,7 @@
 
 from tanagerbend_interfaces import Randomness
 from tanagerbend_model import Refusal, ResultCode
+from tanagerbend_routing.cold_limit import NO_RATES, ColdRate
 
 
 class Repeat(enum.Enum):
@@ -116,6 +117,8 @@
     removed : tuple of pair of str
         Host and prefix of each route that was removed.
     limits : CallerLimits or None
+    cold_rates : mapping of str to ColdRate
+        All of them, also those that did not change.
     """
 
     version: int
@@ -123,6 +126,7 @@
     put: Routes
     removed: tuple[tuple[str, str], ...]
     limits: CallerLimits | None
+    cold_rates: Mapping[str, ColdRate] = NO_RATES
 
 
 @attrs.frozen
@@ -148,11 +152,14 @@
     hosts : mapping of str to mapping of str to PrefixRoute
         Routes by host and prefix.
     limits : CallerLimits or None
+    cold_rates : mapping of str to ColdRate
+        What cold instances tolerate, by service, where it is known.
     """
 
     version: int
     hosts: Mapping[str, Mapping[str, PrefixRoute]]
     limits: CallerLimits | None = None
+    cold_rates: Mapping[str, ColdRate] = NO_RATES
 
     @classmethod
     def build(
@@ -160,12 +167,13 @@
         version: int,
         routes: Routes,
         limits: CallerLimits | None,
+        cold_rates: Mapping[str, ColdRate] = NO_RATES,
     ) -> 'RoutingConfiguration':
         """Index the routes by host and prefix."""
         hosts: dict[str, dict[str, PrefixRoute]] = {}
         for route in routes:
             hosts.setdefault(route.host, {})[route.prefix] = route
-        return cls(version, hosts, limits)
+        return cls(version, hosts, limits, cold_rates)
 
     @property
     def routes(self) -> dict[tuple[str, str], PrefixRoute]:
@@ -193,6 +201,7 @@
             ),
             tuple(before.keys() - after.keys()),
             self.limits,
+            self.cold_rates,
         )
 
     @classmethod
@@ -211,6 +220,7 @@
             difference.version,
             tuple(routes.values()),
             difference.limits,
+            difference.cold_rates,
         )
 
     def with_shared_routes(
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -21,6 +21,7 @@
 from tanagerbend_routing.placement import (
     REFUSAL_BACKOFF_SECONDS,
     JITTER,
+    MAX_COLD_BACKOFF_SECONDS,
     MAX_REFUSAL_BACKOFF_SECONDS,
 )
 from tanagerbend_timer import ManualTimer
@@ -203,6 +204,17 @@
     assert placement.choose(BOTH, BROWSE, NO_EXCLUSIONS) is not None
 
 
+def test_cold_instance_is_asked_seldom(placement):
+    """Guards against asking for the few requests that it tolerates."""
+    cold = attrs.evolve(NEAR, cold_until=60.0)
+    for _ in range(10):
+        placement.back_off(cold, 0)
+    asyncio.run(placement.timer.advance(MAX_COLD_BACKOFF_SECONDS - 0.1))
+    assert placement.choose((cold,), BROWSE, NO_EXCLUSIONS) is None
+    asyncio.run(placement.timer.advance(0.2))
+    assert placement.choose((cold,), BROWSE, NO_EXCLUSIONS) is cold
+
+
 def test_backoff_applies_to_one_rank_only(placement):
     """Guards against refusing urgent work because less urgent work waits."""
     placement.back_off(NEAR, 2)
