Take only a refused connection as the end of an instance

Cause: a connection that a busy host opens late is unreachable too, so a warm instance would have been limited as cold for three seconds.

Change: the owner checks whether the instance refuses a connection, beside the request, and only where a limit is set.

--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -1,5 +1,6 @@
 """Runs requests at the instance on this host; its daemon is the owner."""
 
+import asyncio
 import math
 from typing import Final
 
@@ -92,6 +93,8 @@
         Delay of the event loop of this daemon.
     cold : ColdLimit
         Limits the requests to the instance while it is cold.
+    down_check : asyncio.Task or None
+        The check whether the instance is down that is running.
     """
 
     address: str
@@ -109,6 +112,7 @@
     repeats: Repeats = attrs.field(init=False)
     guard: InstanceGuard = attrs.field(init=False)
     cold: ColdLimit = attrs.field(init=False)
+    down_check: 'asyncio.Task[None] | None' = None
 
     def __attrs_post_init__(self) -> None:
         self.guard = InstanceGuard(self.suspicions, self.make_process())
@@ -124,6 +128,8 @@
     async def close(self) -> None:
         """Close the connections to the instance."""
         self.guard.watch.close()
+        if self.down_check is not None:
+            self.down_check.cancel()
         await self.session.close()
 
     def reset_repeats(self) -> None:
@@ -163,7 +169,7 @@
                     deadline,
                     lambda left: self._send(request, placed, left),
                 )
-            self._observe_restart(result)
+            self.observe_restart(result)
             result = withhold_promise(result)
             is_whole = (
                 isinstance(result, Answer) and result.status < MISDIRECTED
@@ -234,12 +240,22 @@
                 return attrs.evolve(outcome, evidence=evidence)
         return outcome
 
-    def _observe_restart(self, result: Answer | Refusal) -> None:
+    def observe_restart(self, result: Answer | Refusal) -> None:
+        """Observe by a result whether the instance is down, or back."""
         match result:
             case Answer():
                 self.cold.record_answer()
             case Refusal(code=ResultCode.INSTANCE_UNREACHABLE):
+                # A busy host may also be late to open a connection.
+                if self.cold.tolerance and self.down_check is None:
+                    self.down_check = asyncio.create_task(self._check_down())
+
+    async def _check_down(self) -> None:
+        try:
+            if await self.guard.process.is_down():
                 self.cold.record_refused_connection()
+        finally:
+            self.down_check = None
 
     def _observe_size(self, route: str, result: Answer | Refusal) -> None:
         match result:
