Limit an instance without an entry for its cold time only

Cause: a daemon that restarts while the store is away can't read the entry of the instance beside it, and would have limited a warm instance as cold until the store returned.

Change: an instance without an entry counts as cold for the cold time of its service after the first request for it.

--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -214,8 +214,12 @@
         ``ahead`` is the number of requests that start before it.
         """
         entry = self.registry.entries.get(placed.instance)
-        instance = None if entry is None else entry.instance
-        if not self.cold.applies(instance) or self.cold.has_room(ahead):
+        is_cold = (
+            self.cold.applies_unlisted(placed.instance)
+            if entry is None
+            else self.cold.applies(entry.instance)
+        )
+        if not is_cold or self.cold.has_room(ahead):
             return None
         self.recorder.count('requests_refused_cold')
         reason = (
--- a/packages/routing/tanagerbend_routing/cold_limit.py
+++ b/packages/routing/tanagerbend_routing/cold_limit.py
@@ -101,6 +101,10 @@
         Whether the instance refused the last connection.
     assumed_until : float
         Monotonic seconds until which it counts as cold since it came back.
+    unlisted : str
+        Identity of the instance without an entry that was asked for last.
+    unlisted_since : float
+        Monotonic seconds of the first such request.
 
     References
     ==========
@@ -118,17 +122,31 @@
         self.full_at = 0.0
         self.is_down = False
         self.assumed_until = 0.0
+        self.unlisted = ''
+        self.unlisted_since = 0.0
 
-    def applies(self, instance: ListedInstance | None) -> bool:
-        """Return whether an instance is cold.
+    def applies(self, instance: ListedInstance) -> bool:
+        """Return whether a listed instance is cold."""
+        return self._applies_until(instance.cold_until)
 
-        One without an entry may have just started.
+    def applies_unlisted(self, identity: str) -> bool:
+        """Return whether an instance without an entry may be cold.
+
+        It may have just started, or this daemon has started and can't read
+        the entries yet.  Called for each request to such an instance.
         """
+        if identity != self.unlisted:
+            self.unlisted = identity
+            self.unlisted_since = self.timer.now()
+        return self._applies_until(
+            self.unlisted_since + self.rate.start_seconds
+        )
+
+    def _applies_until(self, cold_until: float) -> bool:
         if self.tolerance is None:
             return False
-        if instance is None or self.is_down:
-            return True
-        return self.timer.now() < max(instance.cold_until, self.assumed_until)
+        is_cold = self.timer.now() < max(cold_until, self.assumed_until)
+        return is_cold or self.is_down
 
     def available(self) -> float:
         """Return the number of requests that may start now."""
