--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -1,5 +1,6 @@
 """Runs requests at the instance on this host; its daemon is the owner."""
 
+import asyncio
 import math
 from typing import Final
 
@@ -29,6 +30,7 @@
 from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_quarantine import InstanceProcess
 from tanagerbend_routing import (
+    ColdLimit,
     InstanceRegistry,
     LoadReport,
     Repeat,
@@ -54,6 +56,7 @@
 NOT_SENT_CODES: Final = frozenset(
     (
         ResultCode.INSTANCE_UNREACHABLE,
+        ResultCode.QUEUE_FULL,
         ResultCode.REQUEST_CRASHES_BACKEND,
     ),
 )
@@ -90,6 +93,10 @@
         Statistics on the answer size of each route, in bytes.
     delay : LoopDelay
         Delay of the event loop of this daemon.
+    cold : ColdLimit
+        Limits the requests to the instance while it is cold.
+    down_check : asyncio.Task or None
+        The check whether the instance is down that is running.
     """
 
     address: str
@@ -107,10 +114,13 @@
     repeats: Repeats = attrs.field(init=False)
     calls: Calls = attrs.field(init=False)
     guard: InstanceGuard = attrs.field(init=False)
+    cold: ColdLimit = attrs.field(init=False)
+    down_check: 'asyncio.Task[None] | None' = None
 
     def __attrs_post_init__(self) -> None:
         self.guard = InstanceGuard(self.suspicions, self.make_process())
         self.delay = LoopDelay(self.recorder.timer)
+        self.cold = ColdLimit(self.recorder.timer)
         self.queue.departures.link = self.uplink
         self.reset_repeats()
 
@@ -121,6 +131,8 @@
     async def close(self) -> None:
         """Close the connections to the instance."""
         self.guard.watch.close()
+        if self.down_check is not None:
+            self.down_check.cancel()
         await self.session.close()
 
     def reset_repeats(self) -> None:
@@ -148,18 +160,9 @@
         refusal = self.suspicions.refuse(request)
         if refusal is not None:
             return self._add_evidence(request, Outcome(refusal))
-        refusal = self._refuse_absent(placed)
-        if refusal is not None:
-            return Outcome(refusal)
-        refusal = self.repeats.refuse(placed) or self.calls.refuse(placed)
-        if refusal is None:
-            refusal = await self.queue.enter(work)
+        refusal = await self._admit(placed, work)
         if refusal is not None:
             return Outcome(refusal, self.report(placed.rank))
-        refusal = self._refuse_departed(placed)
-        if refusal is not None:
-            self.queue.leave(work, 0.0, is_complete=False)
-            return Outcome(refusal)
         started = self.recorder.timer.now()
         self._record_seconds(QUEUE_TIME, placed, started - now)
         is_whole = False
@@ -179,6 +182,7 @@
                     deadline,
                     lambda left: self._send(request, placed, left),
                 )
+            self.observe_restart(result)
             result = withhold_promise(result)
             is_whole = (
                 isinstance(result, Answer) and result.status < MISDIRECTED
@@ -194,6 +198,28 @@
         report = self.report(placed.rank, seconds)
         return self._add_evidence(request, Outcome(result, report, is_offered))
 
+    async def _admit(self, placed: Placed, work: Work) -> Refusal | None:
+        """Wait for a slot; return None once the request holds one."""
+        refusal = (
+            self._refuse_absent(placed)
+            or self._refuse_without_room(placed)
+            or await self.queue.enter(work)
+        )
+        if refusal is not None:
+            return refusal
+        refusal = self._refuse_departed(placed)
+        if refusal is not None:
+            self.queue.leave(work, 0.0, is_complete=False)
+        return refusal
+
+    def _refuse_without_room(self, placed: Placed) -> Refusal | None:
+        """Refuse a request for which a budget or a limit has no room."""
+        return (
+            self.repeats.refuse(placed)
+            or self.calls.refuse(placed)
+            or self._refuse_cold(placed, len(self.queue.waiting))
+        )
+
     def _refuse_absent(self, placed: Placed) -> Refusal | None:
         """Refuse a request for an instance that may get none at all.
 
@@ -207,6 +233,27 @@
         reason = 'the failure domain of the instance is evacuated'
         return Refusal(ResultCode.DRAINING, reason)
 
+    def _refuse_cold(self, placed: Placed, ahead: int) -> Refusal | None:
+        """Refuse a request that a cold instance doesn't tolerate now.
+
+        ``ahead`` is the number of requests that start before it.
+        """
+        entry = self.registry.entries.get(placed.instance)
+        is_cold = (
+            self.cold.applies_unlisted(placed.instance)
+            if entry is None
+            else self.cold.applies(entry.instance)
+        )
+        if not is_cold or self.cold.has_room(ahead):
+            return None
+        self.recorder.count('requests_refused_cold')
+        reason = (
+            'the instance is cold,'
+            f' {self.cold.available():.1f} requests may start now'
+            f' and {ahead} wait'
+        )
+        return Refusal(ResultCode.QUEUE_FULL, reason)
+
     def _refuse_departed(self, placed: Placed) -> Refusal | None:
         """Refuse a request whose instance left while it waited."""
         absent = self._refuse_absent(placed)
@@ -223,6 +270,23 @@
                 return attrs.evolve(outcome, evidence=evidence)
         return outcome
 
+    def observe_restart(self, result: Answer | Refusal) -> None:
+        """Observe by a result whether the instance is down, or back."""
+        match result:
+            case Answer():
+                self.cold.record_answer()
+            case Refusal(code=ResultCode.INSTANCE_UNREACHABLE):
+                # A busy host may also be late to open a connection.
+                if self.cold.tolerance and self.down_check is None:
+                    self.down_check = asyncio.create_task(self._check_down())
+
+    async def _check_down(self) -> None:
+        try:
+            if await self.guard.process.is_down():
+                self.cold.record_refused_connection()
+        finally:
+            self.down_check = None
+
     def _observe_size(self, route: str, result: Answer | Refusal) -> None:
         match result:
             case Answer(body=body):
@@ -264,6 +328,10 @@
         if limit <= 0:
             reason = 'no time is left for the instance'
             return Refusal(ResultCode.DEADLINE_PASSED, reason)
+        refusal = self._refuse_cold(placed, 0)
+        if refusal is not None:
+            return refusal
+        self.cold.record()
         headers = CIMultiDict(request.headers)
         headers[self.names.expected_instance] = placed.instance
         headers[self.names.time_left] = str(int(limit * MILLISECONDS))
--- a/packages/routing/tanagerbend_routing/tests/test_evacuation.py
+++ b/packages/routing/tanagerbend_routing/tests/test_evacuation.py
@@ -116,8 +116,8 @@
     assert registry.usable('shop')
     advance_time(registry, DEPARTURE_SECONDS)
     assert not registry.usable('shop')
-    assert registry.is_evacuated('shop')
-    assert not registry.is_evacuated('other')
+    assert registry.usable_instances.is_evacuated('shop')
+    assert not registry.usable_instances.is_evacuated('other')
     # Nobody else takes the requests, so the first ones return at once.
     registry.evacuations.replace({'north'})
     assert registry.usable('shop') == (SOUTH,)
