Remove entries that vanished during an outage once it is over

An entry that was removed during an outage was kept for ever: its end was computed from the end of the grace period, which is infinite during an outage, and nothing lowered it afterwards. Callers' requests were then offered to an instance that is gone, again and again.

An entry now holds since when it is missing, and all missing entries go as soon as the outage and its grace period are over. A grace period that a peer shortens ends for entries that are kept already, too.

--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -69,10 +69,13 @@
 
 @attrs.define
 class RegistryEntry:
-    """Listed instance, and until when it is usable if its entry is missing."""
+    """Listed instance, and since when its entry is missing.
+
+    ``missing_since`` is in monotonic seconds; None if the entry is listed.
+    """
 
     instance: ListedInstance
-    usable_until: float = float('inf')
+    missing_since: float | None = None
 
 
 class InstanceRegistry:
@@ -95,7 +98,8 @@
         self.notify = notify
         self.timer = recorder.timer
         self.entries: dict[str, RegistryEntry] = {}
-        # Missing entries that are still in their grace period.
+        # Missing entries that are kept until their outage is over and its
+        # grace period has passed.
         self.missing: dict[str, RegistryEntry] = {}
         # Caches that are built from the entries on first use; None after a
         # change.
@@ -144,19 +148,13 @@
         if self.is_settled or entry.instance.is_leaving:
             self._drop(identity)
         else:
-            entry.usable_until = min(
-                entry.usable_until, self.missing_usable_until
-            )
+            if entry.missing_since is None:
+                entry.missing_since = self.timer.now()
             self.missing[identity] = entry
             self.recorder.count('entries_kept_after_outage')
             self.notify('instance_kept', entry.instance)
         self._clear_caches()
 
-    @property
-    def missing_usable_until(self) -> float:
-        """Monotonic seconds until which missing entries stay usable."""
-        return max(self.outage.settled_from, self.timer.now())
-
     def replace(self, listed: Mapping[str, ListedInstance]) -> None:
         """Replace all entries by a listing.
 
@@ -171,18 +169,14 @@
 
     def expire(self) -> None:
         """Remove missing entries after their grace period."""
-        now = self.timer.now()
-        expired = [
-            identity
-            for identity, entry in self.missing.items()
-            if entry.usable_until <= now and self.is_settled
-        ]
+        expired = tuple(self.missing) if self.is_settled else ()
         for identity in expired:
             self._drop(identity)
             self.recorder.count('entries_dropped_after_outage')
         if expired:
             self._clear_caches()
         if self.departed_at:
+            now = self.timer.now()
             self.departed_at = {
                 identity: since
                 for identity, since in self.departed_at.items()
@@ -235,7 +229,10 @@
         entry = self.entries.pop(identity)
         self.missing.pop(identity, None)
         self.notify('instance_removed', entry.instance)
-        self.departed_at.setdefault(identity, self.timer.now())
+        since = entry.missing_since
+        self.departed_at.setdefault(
+            identity, self.timer.now() if since is None else since
+        )
 
     def _clear_caches(self) -> None:
         self.usable_by_service = None
--- a/packages/routing/tanagerbend_routing/tests/test_registry.py
+++ b/packages/routing/tanagerbend_routing/tests/test_registry.py
@@ -60,6 +60,40 @@
     assert identities(registry) == {'i-2'}
 
 
+def test_entry_removed_during_an_outage_goes_after_it(registry):
+    """Guards against keeping an instance for ever that left in an outage."""
+    registry.outage.begin()
+    registry.remove('i-1')
+    advance_time(registry, 2 * OUTAGE_GRACE_SECONDS)
+    assert identities(registry) == {'i-1', 'i-2'}
+    registry.outage.end()
+    advance_time(registry, OUTAGE_GRACE_SECONDS - 0.1)
+    assert identities(registry) == {'i-1', 'i-2'}
+    advance_time(registry, 0.2)
+    assert identities(registry) == {'i-2'}
+
+
+def test_kept_entry_goes_when_a_peer_ends_the_grace_period(registry):
+    """Guards against an entry that outlasts the grace period of its outage."""
+    registry.outage.begin()
+    registry.outage.end()
+    registry.remove('i-1')
+    advance_time(registry, 0.1)
+    registry.outage.adopt_grace_period(0.0, registry.timer.now())
+    advance_time(registry, 0.0)
+    assert identities(registry) == {'i-2'}
+
+
+def test_queued_work_does_not_start_after_the_grace_period(registry):
+    """Guards against queued requests that follow a kept instance's end."""
+    registry.outage.begin()
+    registry.outage.end()
+    registry.remove('i-1')
+    assert registry.takes_work('i-1')
+    advance_time(registry, OUTAGE_GRACE_SECONDS + 0.1)
+    assert not registry.takes_work('i-1')
+
+
 def test_entry_written_again_in_grace_period_stays(registry):
     """Guards against removing an entry that was written again."""
     registry.outage.begin()
