Take a store that refuses some hosts for one that is not away

While the store turned away the hosts of a failure domain, a failed call of the domain's reader began an outage for all of it, although the domain heard from daemons of other domains, whose calls were answered, each 0.25 to 0.6 s. Each such reply ended the outage and the next failed call began it again, so that a removal was taken for an entry that lapsed, and the reader's own next answer started a grace period of 1.95 s.

The state of the outage now follows the news: contact of a peer that is newer than the failure shows that the service answers others. From then on failed calls begin no outage, until nobody had contact for 2.7 s: daemons that watch the service are in contact at least that often, and entries last longer without renewal. A daemon in contact that knows an outage only from the report of a refused peer starts no grace period for it either, if it was shorter.

--- a/packages/routing/tanagerbend_routing/outage.py
+++ b/packages/routing/tanagerbend_routing/outage.py
@@ -3,6 +3,9 @@
 Entries may expire during an outage only because their instances could not
 renew them.  Daemons tell one another when the outage began and how much of
 the grace period is left, so that no daemon begins either anew.
+
+A service that refuses some daemons and answers others is not away: an entry
+that disappears from it meanwhile names an instance that is gone.
 """
 
 from typing import Final
@@ -14,6 +17,10 @@
 # its service returns.  The period begins when this daemon reaches the service
 # again, which is up to 0.9 s later.
 OUTAGE_GRACE_SECONDS: Final = 1.95
+# Contact of any daemon with the service within this time shows that the
+# service is not away.  Daemons that watch it are in contact this often, and
+# entries last longer without renewal.
+RECENT_CONTACT_SECONDS: Final = 2.7
 
 
 class Outage:
@@ -44,27 +51,47 @@
     settled_from : float
         Monotonic seconds from which a missing entry means that its instance
         is gone; infinite during an outage.
+    others_reached_at : float
+        Monotonic time of the latest contact of a peer with the service since
+        calls of this daemon began to fail.
+    is_confirmed : bool
+        Whether a call of this daemon failed in the outage.
     """
 
     def __init__(self, timer: Timer) -> None:
         self.timer = timer
         self.began_at: float | None = None
         self.settled_from = 0.0
+        self.others_reached_at = float('-inf')
+        self.is_confirmed = False
 
     def begin(self, since: float | None = None) -> None:
         """Record that the service does not answer.
 
-        ``since`` is the beginning in monotonic seconds, now by default.  An
-        outage that is known already keeps its beginning.
+        ``since`` is the beginning in monotonic seconds that a peer reports;
+        by default a call of this daemon failed now.  An outage that is known
+        already keeps its beginning.  While the service answers other
+        daemons, it is no outage.
         """
+        if self.answers_others:
+            return
         if self.began_at is None:
             self.began_at = self.timer.now() if since is None else since
+            self.is_confirmed = False
+        self.is_confirmed = self.is_confirmed or since is None
         self.settled_from = float('inf')
 
     def end(self) -> None:
-        """Record that the service answers, and start the grace period."""
-        if self.began_at is not None:
-            self._settle_after(OUTAGE_GRACE_SECONDS)
+        """Record that the service answers this daemon.
+
+        The grace period starts, unless only a peer reported the outage and
+        it was shorter than entries last.
+        """
+        self.others_reached_at = float('-inf')
+        seconds = self.seconds
+        if seconds is not None:
+            is_outage = self.is_confirmed or seconds > RECENT_CONTACT_SECONDS
+            self._settle_after(OUTAGE_GRACE_SECONDS if is_outage else 0.0)
 
     def adopt_grace_period(self, seconds: float, reached_at: float) -> None:
         """Adopt the grace period that a peer reports.
@@ -79,9 +106,18 @@
         peer that reached the service only before the outage began here may
         not have noticed it yet.
         """
-        if self.began_at is None or reached_at > self.began_at:
+        is_answered = self.began_at is not None and reached_at > self.began_at
+        if is_answered or self.answers_others:
+            self.others_reached_at = max(self.others_reached_at, reached_at)
+        if is_answered or self.began_at is None:
             self._settle_after(seconds)
 
+    @property
+    def answers_others(self) -> bool:
+        """Whether the service refuses this daemon and answers others."""
+        passed = self.timer.now() - self.others_reached_at
+        return passed <= RECENT_CONTACT_SECONDS
+
     @property
     def seconds(self) -> float | None:
         """Duration of the outage so far, None without one."""
--- a/packages/routing/tanagerbend_routing/tests/test_registry.py
+++ b/packages/routing/tanagerbend_routing/tests/test_registry.py
@@ -8,7 +8,10 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_routing import InstanceRegistry, ListedInstance
 from tanagerbend_routing import registry as registry_module
-from tanagerbend_routing.outage import OUTAGE_GRACE_SECONDS
+from tanagerbend_routing.outage import (
+    OUTAGE_GRACE_SECONDS,
+    RECENT_CONTACT_SECONDS,
+)
 from tanagerbend_routing.registry import (
     DEPARTURE_GRACE_SECONDS,
     DEPARTURE_MEMORY_SECONDS,
@@ -245,3 +248,44 @@
     registry.outage.end()
     left = OUTAGE_GRACE_SECONDS - 1.0
     assert registry.outage.grace_seconds_left == pytest.approx(left)
+
+
+def test_refused_daemon_takes_a_removal_for_one(registry):
+    """Guards against an outage that each failed call of one daemon begins."""
+    outage = registry.outage
+    outage.begin()
+    advance_time(registry, 0.2)
+    outage.adopt_grace_period(0.0, registry.timer.now())
+    advance_time(registry, 0.5)
+    outage.begin()
+    registry.remove('i-1')
+    assert identities(registry) == {'i-2'}
+    outage.end()
+    registry.remove('i-2')
+    assert not identities(registry)
+
+
+def test_refused_daemon_notices_that_the_service_is_away(registry):
+    """Guards against dropping live instances if nobody has contact."""
+    outage = registry.outage
+    outage.begin()
+    advance_time(registry, 0.2)
+    outage.adopt_grace_period(0.0, registry.timer.now())
+    advance_time(registry, RECENT_CONTACT_SECONDS + 0.1)
+    outage.begin()
+    outage.end()
+    registry.remove('i-1')
+    assert identities(registry) == {'i-1', 'i-2'}
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'kept'),
+    [(0.5, {'i-2'}), (RECENT_CONTACT_SECONDS + 0.1, {'i-1', 'i-2'})],
+)
+def test_outage_that_only_a_peer_reports_needs_time(registry, seconds, kept):
+    """Guards against a refused peer whose report delays a removal here."""
+    registry.outage.begin(registry.timer.now())
+    advance_time(registry, seconds)
+    registry.outage.end()
+    registry.remove('i-1')
+    assert identities(registry) == kept
