Let the stand-in store return from an older copy

It gives out the lost revisions again, answers 410 to a watch of a revision that it does not have, and states its era in all answers from the first return on. Without a return its answers are as before.

--- a/packages/standins/tanagerbend_standins/item_store.py
+++ b/packages/standins/tanagerbend_standins/item_store.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 from typing import Any, Final
 
+import attrs
 from aiohttp import web
 
 PAGE_SIZE: Final = 50
@@ -13,6 +14,16 @@
 FIRST_REVISION: Final = 100
 # A watch returns when less than this remains of its wait time.
 MIN_WAIT_SECONDS: Final = 0.001
+ERA_HEADER: Final = 'Store-Era'
+
+
+@attrs.frozen
+class StoreCopy:
+    """Items and history of a store at one revision."""
+
+    items: dict[str, dict[str, Any]]
+    log: list[dict[str, Any]]
+    revision: int
 
 
 class StandinItemStore:
@@ -31,6 +42,9 @@
         Body of every answer, or None for the correct one.
     compacted_revision : int
         Changes up to this revision are no longer available to watches.
+    era : int or None
+        Number of returns from a copy, stated in all answers; None if answers
+        state none.
     """
 
     def __init__(self) -> None:
@@ -38,6 +52,7 @@
         self.log: list[dict[str, Any]] = []
         self.revision = FIRST_REVISION
         self.compacted_revision = FIRST_REVISION
+        self.era: int | None = None
         self.calls = 0
         self.forced_status = 0
         self.is_silent = False
@@ -92,6 +107,18 @@
         self.log.clear()
         self._notify_watches()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the store, to be restored later."""
+        return StoreCopy(dict(self.items), list(self.log), self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to an older copy; later revisions are given out again."""
+        self.items = dict(copy.items)
+        self.log = list(copy.log)
+        self.revision = copy.revision
+        self.era = (self.era or 0) + 1
+        self._notify_watches()
+
     def cut_watches(self) -> None:
         """Close the connections of the watches that wait."""
         for transport in self.waiting_watches:
@@ -110,6 +137,12 @@
 
     async def serve(self, request: web.BaseRequest) -> web.Response:
         """Handle one request."""
+        answer = await self._answer(request)
+        if self.era is not None:
+            answer.headers[ERA_HEADER] = str(self.era)
+        return answer
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
         self.calls += 1
         if self.is_silent:
             await asyncio.Event().wait()
@@ -148,7 +181,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + int(query['waitMs']) / 1000
         while True:
-            if after < self.compacted_revision:
+            if not self.compacted_revision <= after <= self.revision:
                 return web.Response(status=HTTPStatus.GONE)
             events = [
                 event
