Order what the store says by its era first, then by its revision

A store that returns from an older copy gives its revisions out again. A daemon that compared them as numbers watched on from its old revision and never saw what the store had written below it: a removed instance stayed in use and a version was missed, until the next change of the same key. Entries that the copy lacks were dropped at once, although their live instances write them again within about two seconds.

Era and revision are one value now, StorePosition, whose order all modules use. An answer of a watch in another era is a lost history; a listing of a later era starts the grace period; replies and listings of an earlier era are refused. The version in force only grows, as before. A poll states its era in a header of its own and a reply in a new field, as daemons of the previous release refuse unknown fields of a poll. Such daemons follow, and are followed, in era 0 only: later they would take lower revisions for old ones without noticing, so they get a refusal and read the store.

--- a/packages/proxy/tanagerbend_proxy/__init__.py
+++ b/packages/proxy/tanagerbend_proxy/__init__.py
@@ -15,6 +15,7 @@
 )
 from tanagerbend_proxy.following import ItemService
 from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.positions import StorePosition
 from tanagerbend_proxy.service import ProxyService
 
 __all__ = (
@@ -29,6 +30,7 @@
     'ProxyService',
     'Removed',
     'StopSettings',
+    'StorePosition',
     'Unreadable',
     'assemble',
 )
--- a/packages/proxy/tanagerbend_proxy/applying.py
+++ b/packages/proxy/tanagerbend_proxy/applying.py
@@ -2,12 +2,13 @@
 
 from tanagerbend_proxy.changes import Batch, Item, Removed, Unreadable
 from tanagerbend_proxy.knowledge import DeploymentState
+from tanagerbend_proxy.positions import START, StorePosition
 from tanagerbend_proxy.relaying import ChangeLog
 from tanagerbend_routing import ListedInstance, RoutingConfiguration
 
 
 class Applier:
-    """Applies each change once, in the order of the service's revisions.
+    """Applies each change once, in the order of the service's positions.
 
     Parameters
     ==========
@@ -17,36 +18,59 @@
     Attributes
     ==========
 
-    revision : int or None
+    position : StorePosition or None
         Up to which all changes have been applied; None before a listing.
-    entries_revision : int
+    entries_position : StorePosition
         Up to which the changes of instances have been applied; they may be
         ahead of the configuration.
+    era : int or None
+        Latest era of the service; None before a listing.
     log : ChangeLog
         Recent changes of instances, for polls of peers.
     """
 
     def __init__(self, knowledge: DeploymentState) -> None:
         self.knowledge = knowledge
-        self.revision: int | None = None
-        self.entries_revision = 0
+        self.position: StorePosition | None = None
+        self.entries_position = START
+        self.era: int | None = None
         self.log = ChangeLog()
 
     def reset(self) -> None:
         """Require a listing, since changes may be missing."""
-        self.revision = None
-        self.entries_revision = 0
+        self.position = None
+        self.entries_position = START
+
+    def is_outdated(self, position: StorePosition) -> bool:
+        """Return whether a position is of an earlier era than known here."""
+        return self.era is not None and position.era < self.era
 
     def apply_listing(self, batch: Batch) -> None:
         """Apply a full listing; entries missing in it are removed."""
-        if batch.revision < (self.revision or 0):
+        if batch.position < (self.position or START):
             # Later changes have been applied already.
             return
+        is_copy = self._begin_era(batch.position)
+        if is_copy:
+            # Entries that the copy lacks are written again.
+            self.knowledge.registry.outage.begin_grace_period()
         self._adopt_configurations(batch)
-        # The entries may have been read up to a later revision meanwhile.
-        if batch.revision >= self.entries_revision:
+        # The entries may have been read up to a later position meanwhile.
+        if batch.position >= self.entries_position:
             self._replace_entries(batch)
-        self.revision = batch.revision
+        self.position = batch.position
+
+    def _begin_era(self, position: StorePosition) -> bool:
+        """Adopt the era of a position; return whether it is a later one."""
+        known = self.era
+        self.era = max(position.era, known or 0)
+        if known is None or position.era <= known:
+            return False
+        self.knowledge.recorder.count('eras_begun')
+        self.knowledge.log.write(
+            'era_begun', era=position.era, revision=position.revision
+        )
+        return True
 
     def _replace_entries(self, batch: Batch) -> None:
         listed = {}
@@ -62,41 +86,43 @@
         self.knowledge.log.write(
             'service_listed',
             instances=len(listed),
-            revision=batch.revision,
+            era=batch.position.era,
+            revision=batch.position.revision,
         )
         removed = tuple(Item(identity, Removed()) for identity in unlisted)
-        complete = Batch((*removed, *_newest_entries(batch)), batch.revision)
-        # The first listing does not cover changes before its revision.
-        previous = self.log.batches[-1].revision if self.log.batches else None
-        self.log.add(batch.revision if previous is None else previous, complete)
-        self.entries_revision = batch.revision
+        complete = Batch((*removed, *_newest_entries(batch)), batch.position)
+        # The first listing does not cover changes before its position.
+        previous = self.log.batches[-1].position if self.log.batches else None
+        self.log.add(batch.position if previous is None else previous, complete)
+        self.entries_position = batch.position
 
     def apply(self, batch: Batch) -> None:
-        """Apply the changes up to a revision.
+        """Apply the changes up to a position.
 
         Concurrent exchanges may deliver the same changes, and entries may be
-        delivered before the configuration of the same revision.
+        delivered before the configuration of the same position.
         """
         if batch.after is not None and not self._follows(batch.after):
             return
+        self._begin_era(batch.position)
         self._adopt_configurations(batch)
-        if batch.revision > self.entries_revision:
+        if batch.position > self.entries_position:
             entries = _newest_entries(batch)
             for item in entries:
                 self._apply_entry(item)
             if entries:
                 self.log.add(
-                    self.entries_revision, Batch(entries, batch.revision)
+                    self.entries_position, Batch(entries, batch.position)
                 )
-            self.entries_revision = batch.revision
-        complete = batch.revision
+            self.entries_position = batch.position
+        complete = batch.position
         if batch.complete is not None:
             complete = min(batch.complete, complete)
-        self.revision = max(self.revision or 0, complete)
+        self.position = max(self.position or START, complete)
 
-    def _follows(self, after: int) -> bool:
-        """Return whether all changes up to a revision have been applied."""
-        return self.revision is not None and after <= self.entries_revision
+    def _follows(self, after: StorePosition) -> bool:
+        """Return whether all changes up to a position have been applied."""
+        return self.position is not None and after <= self.entries_position
 
     def _apply_entry(self, item: Item) -> None:
         registry = self.knowledge.registry
--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -14,7 +14,8 @@
     finite_float,
     integer_in_range,
 )
-from tanagerbend_proxy.ranges import MAX_IDENTITY_LENGTH, invalid_field
+from tanagerbend_proxy.positions import StorePosition
+from tanagerbend_proxy.ranges import invalid_field
 from tanagerbend_routing import (
     CallerLimits,
     ListedInstance,
@@ -75,90 +76,37 @@
 
 @attrs.frozen
 class Batch:
-    """Items up to one revision of the service.
+    """Items up to one position in the history of the service.
 
     Parameters
     ==========
 
     items : tuple of Item
-    revision : int
-        Revision up to which all changes of instances are included.
+    position : StorePosition
+        Up to which all changes of instances are included.
     size : int
         Bytes of the transfer.
     seconds : float
         Duration of the transfer.
-    after : int or None
-        Revision after which all changes are included; None if the batch
-        follows whatever has been applied.
-    complete : int or None
-        Revision up to which configurations are included too; None if it is
-        ``revision``.
+    after : StorePosition or None
+        After which all changes are included; None if the batch follows
+        whatever has been applied.
+    complete : StorePosition or None
+        Up to which configurations are included too; None if it is
+        ``position``.
     """
 
     items: tuple[Item, ...]
-    revision: int
+    position: StorePosition
     size: int = 0
     seconds: float = 0.0
-    after: int | None = None
-    complete: int | None = None
+    after: StorePosition | None = None
+    complete: StorePosition | None = None
 
 
 @attrs.frozen
 class HistoryUnavailable:
-    """The changes since a revision are no longer available."""
-
-
-@attrs.frozen
-class PollRequest:
-    """Poll of a peer for changes.
-
-    Parameters
-    ==========
-
-    revision : int
-        Revision up to which the sender holds all changes of instances.
-    version : int
-        Configuration version in force at the sender.
-    wait : float
-        Seconds to wait for a change.
-    host : str
-        Identity of the instance on the host of the sender.
-    speed : float
-        Speed at which the sender reads the service, in bytes per second;
-        0 if unknown.
-    is_reader : bool
-        Whether the sender has been told that the peer is the reader.
-    """
-
-    revision: int
-    version: int
-    wait: float
-    host: str
-    speed: float
-    is_reader: bool = False
-
-    def encode(self) -> str:
-        """Return the value of the header."""
-        return json.dumps(attrs.astuple(self))
-
-    @classmethod
-    def decode(cls, text: str) -> 'PollRequest | Refusal':
-        """Decode the header of another daemon."""
-        try:
-            fields = attrs.fields_dict(cls)
-            by_name = dict(zip(fields, json.loads(text), strict=True))
-            if len(by_name['host']) > MAX_IDENTITY_LENGTH:
-                raise ValueError('identity out of range')
-            return cls(
-                integer_in_range(by_name['revision'], MAX_WIRE_NUMBER),
-                integer_in_range(by_name['version'], MAX_WIRE_NUMBER),
-                finite_float(by_name['wait']),
-                str(by_name['host']),
-                finite_float(by_name['speed']),
-                bool(by_name['is_reader']),
-            )
-        except MALFORMED_ERRORS as error:
-            return Refusal(ResultCode.HEADER_INVALID, f'poll request: {error}')
+    """The changes since a position are no longer available."""
 
 
 @attrs.frozen
@@ -222,8 +170,9 @@
             case _:
                 removed.append(item.identity)
     document = {
-        'revision': reply.batch.revision,
-        'complete': reply.batch.complete,
+        'era': reply.batch.position.era,
+        'revision': reply.batch.position.revision,
+        'complete': _encode_complete(reply.batch),
         'age_ms': round(reply.age * MILLISECONDS),
         'entries_age_ms': _to_milliseconds(reply.entries_age),
         'reader': reply.reader,
@@ -236,6 +185,14 @@
     return zlib.compress(json.dumps(document).encode(), 1)
 
 
+def _encode_complete(batch: Batch) -> int | None:
+    """Return the revision of the configurations, 0 if of an earlier era."""
+    if batch.complete is None:
+        return None
+    is_current = batch.complete.era == batch.position.era
+    return batch.complete.revision if is_current else 0
+
+
 def _to_milliseconds(seconds: float | None) -> int | None:
     return None if seconds is None else round(seconds * MILLISECONDS)
 
@@ -310,12 +267,16 @@
         base = current if difference.base else None
         configuration = RoutingConfiguration.apply(difference, base)
         items.append(Item('', configuration))
+    position = StorePosition(
+        _decode_optional(document, 'era') or 0,
+        integer_in_range(document['revision'], MAX_WIRE_NUMBER),
+    )
     return PollReply(
         Batch(
             tuple(items),
-            integer_in_range(document['revision'], MAX_WIRE_NUMBER),
+            position,
             size,
-            complete=_decode_optional(document, 'complete'),
+            complete=_decode_complete(document, position),
         ),
         finite_float(document['age_ms']) / MILLISECONDS,
         str(document['reader']),
@@ -325,6 +286,15 @@
     )
 
 
+def _decode_complete(
+    document: dict[str, Any], position: StorePosition
+) -> StorePosition | None:
+    revision = _decode_optional(document, 'complete')
+    if revision is None:
+        return None
+    return attrs.evolve(position, revision=revision)
+
+
 def _decode_seconds(document: dict[str, Any], field: str) -> float | None:
     found = _decode_optional(document, field)
     return None if found is None else found / MILLISECONDS
--- a/packages/proxy/tanagerbend_proxy/entries_watch.py
+++ b/packages/proxy/tanagerbend_proxy/entries_watch.py
@@ -14,6 +14,7 @@
     READER_WATCH_SECONDS,
 )
 from tanagerbend_proxy.link_use import SERVICE
+from tanagerbend_proxy.positions import StorePosition
 from tanagerbend_proxy.staleness import Staleness
 
 
@@ -22,11 +23,11 @@
 
     async def instance_changes(
         self,
-        after: int,
+        after: StorePosition,
         wait: float,
         limit: float,
     ) -> Batch | HistoryUnavailable | Refusal:
-        """Return the changes of instances after a revision.
+        """Return the changes of instances after a position.
 
         Waits until there is one; times are in seconds.
         """
@@ -68,7 +69,7 @@
     def begin(self) -> None:
         """Start to watch soon, since an answer has begun to arrive."""
         # Before the first listing nothing is known that could change.
-        if self.applier.revision is not None:
+        if self.applier.position is not None:
             self.is_arriving = True
             if not self.attempts.running:
                 self.attempts.start(self._watch_safely())
@@ -87,7 +88,7 @@
         """Watch; log an unexpected exception.
 
         Changes that are applied only in part are read again by the next call,
-        as their revision is not reached.
+        as their position is not reached.
         """
         try:
             return await self._watch()
@@ -103,7 +104,7 @@
         wait = MIN_SECONDS
         while self.is_arriving:
             found = await self.service.instance_changes(
-                self.applier.entries_revision, wait, wait + ANSWER_SECONDS
+                self.applier.entries_position, wait, wait + ANSWER_SECONDS
             )
             wait = READER_WATCH_SECONDS
             match found:
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -19,7 +19,6 @@
     Batch,
     HistoryUnavailable,
     PollReply,
-    PollRequest,
 )
 from tanagerbend_proxy.entries_watch import EntriesWatch, EntryService
 from tanagerbend_proxy.exchange import CONNECT_SECONDS
@@ -42,6 +41,8 @@
 from tanagerbend_proxy.link_use import CHANGES, SERVICE
 from tanagerbend_proxy.peers import Peers
 from tanagerbend_proxy.poll_answers import PollAnswers
+from tanagerbend_proxy.poll_request import PollRequest
+from tanagerbend_proxy.positions import StorePosition
 from tanagerbend_proxy.sources import Source
 from tanagerbend_proxy.staleness import Staleness
 
@@ -61,12 +62,15 @@
 
     async def changes(
         self,
-        after: int,
+        after: StorePosition,
         wait: float,
         limit: float,
         on_headers: Callable[[], None],
     ) -> Batch | HistoryUnavailable | Refusal:
-        """Return the changes after a revision; wait until there is one."""
+        """Return the changes after a position; wait until there is one.
+
+        A service of another era does not have them.
+        """
 
     async def close(self) -> None:
         """Close the connections to the service."""
@@ -169,7 +173,7 @@
             await self.attempts.first(HEDGE_DELAY_SECONDS, *polls)
 
     def _choose_peer(self) -> Source | None:
-        if self.applier.revision is None:
+        if self.applier.position is None:
             return None
         peer = self.peers.choose(self.knowledge.registry)
         if peer is not None and peer.is_check:
@@ -224,12 +228,12 @@
     async def _read_changes(self) -> Batch | HistoryUnavailable | Refusal:
         is_check = self.is_watch_cut
         self.is_watch_cut = False
-        if self.applier.revision is None or self.prefers_listing:
+        if self.applier.position is None or self.prefers_listing:
             return await self._read_listing()
         began = self.timer.now()
         wait = MIN_SECONDS if is_check else self.watch_seconds
         result = await self.service.changes(
-            self.applier.revision,
+            self.applier.position,
             wait,
             wait + ANSWER_SECONDS,
             self.entries_watch.begin,
@@ -254,7 +258,7 @@
         """Poll a peer once and apply its reply."""
         peer = source.instance
         request = PollRequest(
-            self.applier.entries_revision,
+            self.applier.entries_position,
             self.knowledge.version,
             source.wait,
             self.peers.own_identity(self.knowledge.registry),
@@ -268,13 +272,18 @@
             self.knowledge.configuration,
         )
         match reply:
+            case PollReply(batch=batch) if self.applier.is_outdated(
+                batch.position
+            ):
+                reason = f'era {batch.position.era} of the service is over'
+                reply = Refusal(ResultCode.VERSION_OLDER, reason)
             case PollReply(age=age) if not is_recent(reply):
                 reason = f'no contact with the service for {age:.1f} s'
                 reply = Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
             case PollReply():
                 # Time beyond the wait is transit; it adds to the age.
                 transit = max(self.timer.now() - sent_at - source.wait, 0.0)
-                batch = attrs.evolve(reply.batch, after=request.revision)
+                batch = attrs.evolve(reply.batch, after=request.position)
                 reply = attrs.evolve(reply, batch=batch).aged(transit)
                 with self.staleness.arriving(peer.identity, batch, transit):
                     self._apply_reply(source, reply)
@@ -317,6 +326,9 @@
         match result:
             case Refusal():
                 return result
+        if self.applier.is_outdated(result.position):
+            reason = f'listing of era {result.position.era}, which is over'
+            return Refusal(ResultCode.SERVICE_UNAVAILABLE, reason)
         version = self.knowledge.version
         with self.staleness.arriving('', result, result.seconds):
             self._record_service_contact(result)
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -13,7 +13,6 @@
 from tanagerbend_metrics.names import REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
-from tanagerbend_proxy.changes import PollRequest
 from tanagerbend_proxy.crash_exchange import CrashCaseExchange
 from tanagerbend_proxy.endpoint import DUE, IDENTIFIER, status_of
 from tanagerbend_proxy.entry import Entry
@@ -30,6 +29,7 @@
     Request,
 )
 from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.poll_request import PollRequest
 from tanagerbend_proxy.results import sending_limits
 from tanagerbend_proxy.uplink import SendingLimits
 
@@ -207,7 +207,8 @@
         """Answer one request of another daemon."""
         poll = http.headers.get(own_headers.FOLLOW)
         if poll is not None:
-            return await self.answer_poll(poll)
+            era = http.headers.get(own_headers.FOLLOW_ERA, '')
+            return await self.answer_poll(PollRequest.decode(poll, era))
         if own_headers.CRASH_NEWS in http.headers:
             return await self.receive_crash_cases(http)
         return await self.run(http)
@@ -227,9 +228,8 @@
                 return web.Response(status=HTTPStatus.BAD_REQUEST, text=reason)
         return web.Response(text=reply)
 
-    async def answer_poll(self, text: str) -> web.Response:
+    async def answer_poll(self, request: PollRequest | Refusal) -> web.Response:
         """Return the changes that another daemon polls for."""
-        request = PollRequest.decode(text)
         match request:
             case PollRequest():
                 reply = await self.follower.answer(request)
--- a/packages/proxy/tanagerbend_proxy/peers.py
+++ b/packages/proxy/tanagerbend_proxy/peers.py
@@ -8,10 +8,11 @@
 
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Refusal
-from tanagerbend_proxy.changes import PollReply, PollRequest
+from tanagerbend_proxy.changes import PollReply
 from tanagerbend_proxy.daemon_settings import DaemonSettings
 from tanagerbend_proxy.exchange import make_session
 from tanagerbend_proxy.messages import MILLISECONDS
+from tanagerbend_proxy.poll_request import PollRequest
 from tanagerbend_proxy.relaying import poll_peer
 from tanagerbend_proxy.sources import (
     MIN_RELAY_HOSTS,
--- a/packages/proxy/tanagerbend_proxy/poll_answers.py
+++ b/packages/proxy/tanagerbend_proxy/poll_answers.py
@@ -9,7 +9,6 @@
     Batch,
     Item,
     PollReply,
-    PollRequest,
     encode_reply,
 )
 from tanagerbend_proxy.following_limits import (
@@ -19,6 +18,8 @@
 )
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.peers import Peers
+from tanagerbend_proxy.poll_request import PollRequest
+from tanagerbend_proxy.positions import START
 from tanagerbend_proxy.sources import POLL_WAIT_SECONDS
 from tanagerbend_proxy.staleness import Staleness
 
@@ -70,6 +71,9 @@
         self.peers.sources.record_speed(request.host, request.speed)
         if request.is_reader:
             self.peers.sources.hold_reader_role()
+        if self.applier.era and not request.knows_eras:
+            reason = 'revisions of this era mislead a daemon without eras'
+            return Refusal(ResultCode.VERSION_OLDER, reason)
         deadline = self.timer.now() + min(request.wait, POLL_WAIT_SECONDS)
         while True:
             if self.seconds_left < MIN_SECONDS:
@@ -81,7 +85,8 @@
             items = self._items_for(request)
             if items is None:
                 reason = (
-                    f'changes after revision {request.revision}'
+                    f'changes after revision {request.position.revision}'
+                    f' of era {request.position.era}'
                     ' are not retained'
                 )
                 return Refusal(ResultCode.VERSION_OLDER, reason)
@@ -102,7 +107,7 @@
 
     def _items_for(self, request: PollRequest) -> tuple[Item, ...] | None:
         """Return what the sender of a poll lacks, None if not retained."""
-        entries = self.applier.log.since(request.revision)
+        entries = self.applier.log.since(request.position)
         configuration = self.knowledge.configuration
         if entries is None or self.knowledge.version <= request.version:
             return entries
@@ -116,8 +121,8 @@
         reply = PollReply(
             Batch(
                 items,
-                self.applier.entries_revision,
-                complete=self.applier.revision or 0,
+                self.applier.entries_position,
+                complete=self.applier.position or START,
             ),
             self.staleness.seconds,
             self.peers.sources.fastest_reader[0],
--- a/packages/proxy/tanagerbend_proxy/relaying.py
+++ b/packages/proxy/tanagerbend_proxy/relaying.py
@@ -13,11 +13,12 @@
     Batch,
     Item,
     PollReply,
-    PollRequest,
     decode_reply,
 )
 from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.messages import Answer
+from tanagerbend_proxy.poll_request import PollRequest
+from tanagerbend_proxy.positions import StorePosition
 from tanagerbend_routing import RoutingConfiguration
 
 # Batches and versions that are retained for peers; a peer that lags further
@@ -36,8 +37,8 @@
     Attributes
     ==========
 
-    complete_after : int or None
-        Revision after which the log holds all changes of instances.
+    complete_after : StorePosition or None
+        After which the log holds all changes of instances.
     changed : asyncio.Event
         Set, and replaced by a new event, at each change.
     """
@@ -45,16 +46,16 @@
     def __init__(self) -> None:
         self.batches: collections.deque[Batch] = collections.deque()
         self.versions: dict[int, RoutingConfiguration] = {}
-        self.complete_after: int | None = None
+        self.complete_after: StorePosition | None = None
         self.changed = asyncio.Event()
 
-    def add(self, after: int, batch: Batch) -> None:
-        """Append a batch that follows the revision ``after``."""
+    def add(self, after: StorePosition, batch: Batch) -> None:
+        """Append a batch that follows the position ``after``."""
         if self.complete_after is None:
             self.complete_after = after
         self.batches.append(batch)
         if len(self.batches) > MAX_BATCHES:
-            self.complete_after = self.batches.popleft().revision
+            self.complete_after = self.batches.popleft().position
         self._notify()
 
     def add_version(self, configuration: RoutingConfiguration) -> None:
@@ -68,13 +69,13 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def since(self, revision: int) -> tuple[Item, ...] | None:
-        """Return the newest entries after a revision, None if not retained."""
-        if self.complete_after is None or revision < self.complete_after:
+    def since(self, position: StorePosition) -> tuple[Item, ...] | None:
+        """Return the newest entries after a position, None if not retained."""
+        if self.complete_after is None or position < self.complete_after:
             return None
         newest = {}
         for batch in self.batches:
-            if batch.revision > revision:
+            if batch.position > position:
                 newest.update({item.identity: item for item in batch.items})
         return tuple(newest.values())
 
@@ -92,7 +93,12 @@
     ``limit`` and ``connect_limit`` are in seconds; ``current`` is the
     configuration in force here.
     """
-    headers = CIMultiDict({own_headers.FOLLOW: request.encode()})
+    headers = CIMultiDict(
+        {
+            own_headers.FOLLOW: request.encode(),
+            own_headers.FOLLOW_ERA: request.encode_era(),
+        }
+    )
     response = await send(
         session,
         Outgoing(
--- a/packages/proxy/tanagerbend_proxy/tests/test_applying.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_applying.py
@@ -8,6 +8,7 @@
 from tanagerbend_proxy.changes import Batch, Item, Removed
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.knowledge import DeploymentState
+from tanagerbend_proxy.positions import START, StorePosition
 from tanagerbend_routing import (
     CallerLimits,
     ListedInstance,
@@ -20,6 +21,10 @@
 LIMITS = CallerLimits(16384, 100000, 3, 15)
 
 
+def at(revision, era=0):
+    return StorePosition(era, revision)
+
+
 def version(number):
     return Item('', RoutingConfiguration(number, {}, LIMITS))
 
@@ -29,7 +34,7 @@
     """Applier after a listing at revision 10."""
     recorder = Recorder(ManualTimer())
     found = Applier(DeploymentState(recorder, DecisionLog('host', recorder)))
-    found.apply_listing(Batch((version(1), Item('i-1', READY)), 10))
+    found.apply_listing(Batch((version(1), Item('i-1', READY)), at(10)))
     return found
 
 
@@ -39,39 +44,61 @@
 
 def test_older_answer_does_not_bring_an_instance_back(applier):
     """Guards against a slow answer that undoes what was read meanwhile."""
-    applier.apply(Batch((Item('i-1', LEAVING),), 14, after=10, complete=0))
+    applier.apply(
+        Batch((Item('i-1', LEAVING),), at(14), after=at(10), complete=START)
+    )
     assert usable(applier) == []
-    assert (applier.revision, applier.entries_revision) == (10, 14)
+    assert (applier.position, applier.entries_position) == (at(10), at(14))
     older = (version(2), Item('i-1', READY))
-    applier.apply(Batch(older, 12, after=10))
+    applier.apply(Batch(older, at(12), after=at(10)))
     assert usable(applier) == []
     assert applier.knowledge.version == 2
-    assert (applier.revision, applier.entries_revision) == (12, 14)
-    applier.apply_listing(Batch((version(3), Item('i-1', READY)), 13))
+    assert (applier.position, applier.entries_position) == (at(12), at(14))
+    applier.apply_listing(Batch((version(3), Item('i-1', READY)), at(13)))
     assert usable(applier) == []
     assert applier.knowledge.version == 3
 
 
 def test_only_the_newest_change_of_an_instance_is_applied(applier):
     """Guards against a departure that an answer repeats with its past."""
-    applier.apply(Batch((Item('i-1', LEAVING),), 14, after=10, complete=0))
+    applier.apply(
+        Batch((Item('i-1', LEAVING),), at(14), after=at(10), complete=START)
+    )
     departed_at = dict(applier.knowledge.registry.departed_at)
     past = (Item('i-1', READY), version(2), Item('i-1', LEAVING))
-    applier.apply(Batch(past, 15, after=10))
+    applier.apply(Batch(past, at(15), after=at(10)))
     assert usable(applier) == []
     assert applier.knowledge.registry.departed_at == departed_at
 
 
 def test_changes_after_a_gap_are_not_applied(applier):
     """Guards against a change that is missing for good."""
-    applier.apply(Batch((Item('i-1', LEAVING),), 20, after=15))
-    assert (applier.revision, usable(applier)) == (10, ['i-1'])
+    applier.apply(Batch((Item('i-1', LEAVING),), at(20), after=at(15)))
+    assert (applier.position, usable(applier)) == (at(10), ['i-1'])
     applier.reset()
-    applier.apply(Batch((Item('i-1', Removed()),), 20, after=10))
-    assert applier.revision is None
+    applier.apply(Batch((Item('i-1', Removed()),), at(20), after=at(10)))
+    assert applier.position is None
 
 
 def test_every_valid_version_of_an_answer_is_adopted(applier):
     """Guards against a later faulty version that hides a valid one."""
-    applier.apply(Batch((version(4), version(2)), 16, after=10))
+    applier.apply(Batch((version(4), version(2)), at(16), after=at(10)))
     assert applier.knowledge.version == 4
+
+
+def test_earlier_era_teaches_nothing(applier):
+    """Guards against daemons that bring back what the store has lost."""
+    applier.apply_listing(Batch((Item('i-1', LEAVING),), at(5, era=1)))
+    assert applier.position == at(5, era=1)
+    applier.apply(Batch((Item('i-1', READY),), at(90), after=at(10)))
+    assert usable(applier) == []
+    assert applier.is_outdated(at(90))
+    applier.reset()
+    assert applier.is_outdated(at(90))
+
+
+def test_peers_get_the_changes_across_an_era(applier):
+    """Guards against followers that miss what a copy lacks."""
+    applier.apply_listing(Batch((version(1),), at(5, era=1)))
+    assert applier.log.since(at(10)) == (Item('i-1', Removed()),)
+    assert applier.log.since(at(5, era=1)) == ()
--- a/packages/proxy/tanagerbend_proxy/tests/test_changes.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_changes.py
@@ -11,12 +11,13 @@
     MAX_REPLY_BYTES,
     Batch,
     Item,
-    PollRequest,
     Removed,
     PollReply,
     decode_reply,
     encode_reply,
 )
+from tanagerbend_proxy.poll_request import PollRequest
+from tanagerbend_proxy.positions import StorePosition
 from tanagerbend_routing import (
     CallerLimits,
     ListedInstance,
@@ -26,6 +27,7 @@
     RoutingConfiguration,
 )
 
+AT = StorePosition(2, 120)
 LIMITS = CallerLimits(16384, 100000, 3.0, 15.0)
 INSTANCE = ListedInstance('i-1', '10.0.0.1:80', 'shop', 'north', 3)
 
@@ -62,7 +64,7 @@
 
 
 def reply_with(*items):
-    return PollReply(Batch(items, 120), 0.25, 'i-5')
+    return PollReply(Batch(items, AT), 0.25, 'i-5')
 
 
 def relayed(found, base, known, now=50.0):
@@ -75,7 +77,7 @@
     """Guards against routes that are altered when they are relayed."""
     found, _ = relayed(reply_with(Item('', NEW)), base, known)
     assert found.batch.items == (Item('', NEW),)
-    assert (found.batch.revision, found.reader, found.age) == (120, 'i-5', 0.25)
+    assert (found.batch.position, found.reader, found.age) == (AT, 'i-5', 0.25)
 
 
 def test_instances_arrive_unchanged():
@@ -162,6 +164,22 @@
 
 def test_poll_request_arrives_unchanged():
     """Guards against a poll request that is altered when it is sent."""
-    request = PollRequest(120, 7, 0.5, 'i-1', 9000.5)
-    assert PollRequest.decode(request.encode()) == request
+    request = PollRequest(AT, 7, 0.5, 'i-1', 9000.5)
+    header, era = request.encode(), request.encode_era()
+    assert PollRequest.decode(header, era) == request
+    assert isinstance(PollRequest.decode(header, 'x'), Refusal)
     assert isinstance(PollRequest.decode('[1]'), Refusal)
+
+
+def test_earlier_releases_state_no_era():
+    """Guards against polls between daemons of two releases that fail."""
+    request = PollRequest(AT, 7, 0.5, 'i-1', 9000.5)
+    fields = json.loads(request.encode())
+    assert fields == [120, 7, 0.5, 'i-1', 9000.5, False]
+    found = PollRequest.decode(request.encode())
+    assert found.position == StorePosition(0, 120)
+    document = json.loads(zlib.decompress(encode_reply(reply_with(), None, 0)))
+    document.pop('era')
+    compressed = zlib.compress(json.dumps(document).encode())
+    reply = decode_reply(compressed, None, 0)
+    assert reply.batch.position == StorePosition(0, 120)
--- a/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_link_use.py
@@ -12,6 +12,7 @@
 from tanagerbend_proxy.following_limits import HEDGE_DELAY_SECONDS
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.link_use import ANSWERS, LinkUse
+from tanagerbend_proxy.positions import StorePosition
 from tanagerbend_proxy.staleness import Staleness
 from tanagerbend_routing import ListedInstance
 from tanagerbend_timer import ManualTimer
@@ -33,7 +34,7 @@
     """Service that answers the listing and fails all later calls."""
 
     async def listing(self, *_call):
-        return Batch((), 1)
+        return Batch((), StorePosition(0, 1))
 
     async def changes(self, *_call):
         reason = '10.0.0.1:1: TimeoutError, no connection, 0.40 s'
@@ -108,7 +109,7 @@
     """Guards against late changes whose source and delay nobody can tell."""
     await follower._read_listing()
     await follower.timer.advance(0.7)
-    batch = Batch((Item('i-1', INSTANCE),), 2, seconds=0.5)
+    batch = Batch((Item('i-1', INSTANCE),), StorePosition(0, 2), seconds=0.5)
     with follower.staleness.arriving('i-9', batch, batch.seconds):
         follower.applier.apply(batch)
     event, fields = lines[-1]
--- a/packages/proxy/tanagerbend_proxy/tests/test_sources.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_sources.py
@@ -7,6 +7,7 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_proxy.changes import Batch, Item, Removed
 from tanagerbend_proxy.relaying import MAX_BATCHES, ChangeLog
+from tanagerbend_proxy.positions import StorePosition
 from tanagerbend_proxy.sources import (
     READER_CHECK_SECONDS,
     FAILED_PEER_SECONDS,
@@ -115,6 +116,10 @@
     assert sources.choose(LOCAL).is_check
 
 
+def at(revision):
+    return StorePosition(0, revision)
+
+
 def item(identity, fact=None):
     return Item(identity, fact or Removed())
 
@@ -122,22 +127,22 @@
 def test_peer_gets_the_newest_of_each_item():
     """Guards against changes sent twice or in the wrong order."""
     log = ChangeLog()
-    log.add(100, Batch((item('i-1', LOCAL[1]), item('i-2')), 102))
-    log.add(102, Batch((item('i-1'),), 103))
-    assert set(log.since(100)) == {item('i-1'), item('i-2')}
-    assert log.since(102) == (item('i-1'),)
-    assert log.since(103) == ()
-    assert log.since(99) is None
+    log.add(at(100), Batch((item('i-1', LOCAL[1]), item('i-2')), at(102)))
+    log.add(at(102), Batch((item('i-1'),), at(103)))
+    assert set(log.since(at(100))) == {item('i-1'), item('i-2')}
+    assert log.since(at(102)) == (item('i-1'),)
+    assert log.since(at(103)) == ()
+    assert log.since(at(99)) is None
 
 
 def test_log_of_changes_is_bounded():
     """Guards against memory that grows with the number of changes."""
     log = ChangeLog()
     for revision in range(MAX_BATCHES + 5):
-        log.add(revision, Batch((item('i-1'),), revision + 1))
+        log.add(at(revision), Batch((item('i-1'),), at(revision + 1)))
     assert len(log.batches) == MAX_BATCHES
-    assert log.since(4) is None
-    assert log.since(5) == (item('i-1'),)
+    assert log.since(at(4)) is None
+    assert log.since(at(5)) == (item('i-1'),)
 
 
 def test_reader_that_became_slow_is_replaced(sources):
--- a/packages/routing/tanagerbend_routing/outage.py
+++ b/packages/routing/tanagerbend_routing/outage.py
@@ -93,6 +93,10 @@
             is_outage = self.is_confirmed or seconds > RECENT_CONTACT_SECONDS
             self._settle_after(OUTAGE_GRACE_SECONDS if is_outage else 0.0)
 
+    def begin_grace_period(self) -> None:
+        """Start the grace period of an outage that may not have been seen."""
+        self._settle_after(OUTAGE_GRACE_SECONDS)
+
     def adopt_grace_period(self, seconds: float, reached_at: float) -> None:
         """Adopt the grace period that a peer reports.
 
