Keep departures when the store returns from an older copy

The copy may be older than the entry that says that an instance leaves, or than its removal. Its listing then brought the instance back as ready, and requests reached an instance that had left. An instance that left before the return is listed as leaving until its entry is written anew, and it is passed on to followers so.

--- a/packages/proxy/tanagerbend_proxy/applying.py
+++ b/packages/proxy/tanagerbend_proxy/applying.py
@@ -1,5 +1,7 @@
 """Applies changes of the service to the state of a daemon."""
 
+import attrs
+
 from tanagerbend_proxy.changes import Batch, Item, Removed, Unreadable
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.positions import START, StorePosition
@@ -54,6 +56,7 @@
         if is_copy:
             # Entries that the copy lacks are written again.
             self.knowledge.registry.outage.begin_grace_period()
+            batch = self._without_returned(batch)
         self._adopt_configurations(batch)
         # The entries may have been read up to a later position meanwhile.
         if batch.position >= self.entries_position:
@@ -72,6 +75,20 @@
         )
         return True
 
+    def _without_returned(self, batch: Batch) -> Batch:
+        """Return a batch in which instances that have left stay so.
+
+        The copy may be older than their departures.
+        """
+        registry = self.knowledge.registry
+        items = tuple(
+            Item(item.identity, registry.retain_departure(item.value))
+            if isinstance(item.value, ListedInstance)
+            else item
+            for item in batch.items
+        )
+        return attrs.evolve(batch, items=items)
+
     def _replace_entries(self, batch: Batch) -> None:
         listed = {}
         for item in batch.items:
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -183,6 +183,19 @@
                 if now - since < DEPARTURE_MEMORY_SECONDS
             }
 
+    def retain_departure(self, instance: ListedInstance) -> ListedInstance:
+        """Return a listed instance as leaving if it has left before.
+
+        A start after that, which has another time of birth, has not left.
+        """
+        known = self.entries.get(instance.identity)
+        if known is None:
+            has_left = instance.identity in self.departed_at
+        else:
+            is_same_start = known.instance.born == instance.born
+            has_left = known.instance.is_leaving and is_same_start
+        return attrs.evolve(instance, is_leaving=True) if has_left else instance
+
     def takes_work(self, identity: str) -> bool:
         """Return whether a queued request may still start at an instance.
 
