Read the first listing while a start imports its modules

After a loss of power a daemon needed 0.95 s from its start to the applied configuration and entries over links of 10 Mbit/s, after 1.1 to 2.1 s of imports that leave the link idle.

The changes since are read at once, and the age of the answer counts from the question.

--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -93,6 +93,9 @@
     complete : int or None
         Revision up to which configurations are included too; None if it is
         ``revision``.
+    age : float
+        Seconds between the transfer and its use; 0 unless it was begun
+        before the daemon could use it.
     """
 
     items: tuple[Item, ...]
@@ -101,6 +104,7 @@
     seconds: float = 0.0
     after: int | None = None
     complete: int | None = None
+    age: float = 0.0
 
 
 @attrs.frozen
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -192,7 +192,7 @@
                 self._record_service_failure(result)
                 await self._ask_fallback_peers()
                 await self._back_off()
-            case Batch(items=items) if items:
+            case Batch(items=items, age=0.0) if items:
                 self.backoff = INITIAL_BACKOFF_SECONDS
                 await self.timer.sleep(self.coalesce_seconds)
             case _:
@@ -303,11 +303,12 @@
 
     def _record_service_contact(self, batch: Batch) -> None:
         self.staleness.link.received(SERVICE, batch.size)
-        if batch.size >= MIN_MEASURED_BYTES:
+        # A transfer during the start also waits for the processor.
+        if batch.size >= MIN_MEASURED_BYTES and not batch.age:
             self.poll_answers.measured_speed = batch.size / max(
                 batch.seconds, MIN_SECONDS
             )
-        self.staleness.record_contact(batch.seconds)
+        self.staleness.record_contact(batch.seconds + batch.age)
         self.knowledge.mark_service_available()
 
     async def _read_listing(self) -> Batch | Refusal:
