Read what changed during a start before polling others

The listing that is read during the imports is up to two seconds old when it is used, and instances that start at the same time list themselves in these seconds. The follower polled another daemon at once after it, which often would not have started yet after a loss of power: it would have been left for 5 s, and the store read instead.

The changes are now read from the store without waiting, then the usual pause follows. One call more at a start.

Hosts are counted by the addresses of all entries, also where the instance is known to be absent; otherwise the other daemons' part of the retry budget would grow with each 421.

--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -102,7 +102,8 @@
         self.timer = recorder.timer
         self.rng = rng
         self.staleness = staleness
-        # Whether the last call was a watch that ended while it waited.
+        # Whether the next call doesn't wait, since the last one was a watch
+        # that ended while it waited, or an old listing.
         self.is_watch_cut = False
         # Whether reading changes is too slow to keep up with new versions.
         self.prefers_listing = False
@@ -192,12 +193,23 @@
                 self._record_service_failure(result)
                 await self._ask_fallback_peers()
                 await self._back_off()
-            case Batch(items=items, age=0.0) if items:
+            case Batch(items=items, age=age) if items:
                 self.backoff = INITIAL_BACKOFF_SECONDS
+                if age:
+                    await self._catch_up()
                 await self.timer.sleep(self.coalesce_seconds)
             case _:
                 self.backoff = INITIAL_BACKOFF_SECONDS
 
+    async def _catch_up(self) -> None:
+        """Read the changes since an old listing, without waiting for more.
+
+        The usual pause follows, after which other daemons that started at
+        the same time can be polled.
+        """
+        self.is_watch_cut = True
+        await self._read()
+
     async def _read(self) -> Batch | HistoryUnavailable | Refusal:
         """Read the service once; poll peers while the answer is late."""
         timeout = self.watch_seconds + HEDGE_DELAY_SECONDS
--- a/packages/proxy/tanagerbend_proxy/repeats.py
+++ b/packages/proxy/tanagerbend_proxy/repeats.py
@@ -49,7 +49,7 @@
     @property
     def daemons(self) -> int:
         """Number of daemons in the deployment, one beside each instance."""
-        return max(len(self.registry.occupancy.holders), 1)
+        return max(self.registry.occupancy.address_count, 1)
 
     def requested(self, service: str, request: Request) -> float:
         """Count a request that begins on this host.
--- a/packages/routing/tanagerbend_routing/occupancy.py
+++ b/packages/routing/tanagerbend_routing/occupancy.py
@@ -5,7 +5,7 @@
 which only the later one can be alive: an address has one listening process.
 """
 
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Collection, Container, Mapping
 from typing import Protocol
 
 import attrs
@@ -40,14 +40,17 @@
     displaced : mapping of str to str
         Identities of the earlier starts, with that of the latest one; of
         absent instances, with an empty text.
+    address_count : int
+        Number of addresses, also of absent instances.
     """
 
     holders: Mapping[str, Entry]
     displaced: Mapping[str, str]
+    address_count: int
 
     @classmethod
     def of(
-        cls, entries: Iterable[Entry], absent: Container[str]
+        cls, entries: Collection[Entry], absent: Container[str]
     ) -> 'Occupancy':
         """Compare the entries at each address.
 
@@ -71,7 +74,8 @@
             holder = holders[entry.instance.address]
             if is_later(holder, entry):
                 displaced[entry.instance.identity] = holder.instance.identity
-        return cls(holders, displaced)
+        addresses = {entry.instance.address for entry in entries}
+        return cls(holders, displaced, len(addresses))
 
 
 def is_later(entry: Entry, other: Entry) -> bool:
--- a/packages/routing/tanagerbend_routing/tests/test_shared_addresses.py
+++ b/packages/routing/tanagerbend_routing/tests/test_shared_addresses.py
@@ -141,9 +141,11 @@
 
 
 def test_hosts_are_counted_once(registry):
-    """Guards against a smaller share of the retry budget after restarts."""
+    """Guards against a wrong share of the retry budget after restarts."""
     registry.put(NEW)
-    assert len(registry.occupancy.holders) == 2
+    assert registry.occupancy.address_count == 2
+    registry.absences.record('i-other', OTHER.address)
+    assert registry.occupancy.address_count == 2
 
 
 def advance_time(registry, seconds):
