--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -114,6 +114,9 @@
     evacuated : frozenset of str or None
         All failure domains that are evacuated at position ``complete``; None
         if ``items`` hold the changes.
+    age : float
+        Seconds between the transfer and its use; 0 unless it was begun
+        before the daemon could use it.
     """
 
     items: tuple[Item, ...]
@@ -123,6 +126,7 @@
     after: StorePosition | None = None
     complete: StorePosition | None = None
     evacuated: frozenset[str] | None = None
+    age: float = 0.0
 
 
 @attrs.frozen
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -106,7 +106,8 @@
         self.timer = recorder.timer
         self.rng = rng
         self.staleness = staleness
-        # Whether the last call was a watch that ended while it waited.
+        # Whether the next call doesn't wait, since the last one was a watch
+        # that ended while it waited, or an old listing.
         self.is_watch_cut = False
         # Whether reading changes is too slow to keep up with new versions.
         self.prefers_listing = False
@@ -196,12 +197,23 @@
                 self._record_service_failure(result)
                 await self._ask_fallback_peers()
                 await self._back_off()
-            case Batch(items=items) if items:
+            case Batch(items=items, age=age) if items:
                 self.backoff = INITIAL_BACKOFF_SECONDS
+                if age:
+                    await self._catch_up()
                 await self.timer.sleep(self.coalesce_seconds)
             case _:
                 self.backoff = INITIAL_BACKOFF_SECONDS
 
+    async def _catch_up(self) -> None:
+        """Read the changes since an old listing, without waiting for more.
+
+        The usual pause follows, after which other daemons that started at
+        the same time can be polled.
+        """
+        self.is_watch_cut = True
+        await self._read()
+
     async def _read(self) -> Batch | HistoryUnavailable | Refusal:
         """Read the service once; poll peers while the answer is late."""
         timeout = self.watch_seconds + HEDGE_DELAY_SECONDS
@@ -319,11 +331,12 @@
 
     def _record_service_contact(self, batch: Batch) -> None:
         self.staleness.link.received(SERVICE, batch.size)
-        if batch.size >= MIN_MEASURED_BYTES:
+        # A transfer during the start also waits for the processor.
+        if batch.size >= MIN_MEASURED_BYTES and not batch.age:
             self.poll_answers.measured_speed = batch.size / max(
                 batch.seconds, MIN_SECONDS
             )
-        self.staleness.record_contact(batch.seconds)
+        self.staleness.record_contact(batch.seconds + batch.age)
         self.knowledge.mark_service_available()
 
     async def _read_listing(self) -> Batch | Refusal:
