--- a/packages/standins/tanagerbend_standins/instance.py
+++ b/packages/standins/tanagerbend_standins/instance.py
@@ -222,7 +222,8 @@
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Run one request, or refuse it and report that it did not run."""
         identifier = request.headers.get('Request-Id', '')
-        body = await request.read()
+        # `request.read` refuses more than 1 MiB.
+        body = await request.content.read()
         expected = request.headers.get('Expect-Instance')
         if expected not in {None, self.identity}:
             return web.Response(
