Bound what a process reads and holds for its clients

Cause: bodies were kept whole whatever the memory of the host; a head was bounded line by line only; errors of invalid input held 256 KB each in reference cycles; empty lines were read for ever; all chunks of a read were parsed in one step of the event loop. Change: one budget of bytes for bodies, 0.3 of memoryMb, in which a body counts twice; what does not fit is refused with 503 and a time to come back before it is read, and stalled bodies give way. A single large body is always taken. A body ends after idleTimeoutS without a byte, or at its deadline. A connection may send 128 KiB of a head within twice headerTimeoutS, else 431 or 408 and the end; both listeners have at most 0.35 of the free descriptors each as connections and replace idle ones; at most 1,024 lines are parsed in a turn. A placement that is invalid is refused before its body is read.

--- a/packages/daemon/tanagerbend_daemon/listener.py
+++ b/packages/daemon/tanagerbend_daemon/listener.py
@@ -7,6 +7,8 @@
 
 from aiohttp import web
 
+from tanagerbend_daemon.bounded_server import BoundedServer, InputLimits
+
 BACKLOG: Final = 1024
 POLL_SECONDS: Final = 0.02
 SETTLE_ROUNDS: Final = 5
@@ -17,14 +19,16 @@
 def make_runner(
     serve: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     shutdown_seconds: float,
+    limits: InputLimits | None = None,
     **options: Any,
 ) -> web.ServerRunner:
     """Return a runner that answers requests with ``serve``.
 
     ``options`` are passed to ``web.Server``.
     """
-    server = web.Server(
+    server = BoundedServer(
         serve,
+        limits or InputLimits(),
         # Frees the slot of a caller that disconnects.
         handler_cancellation=True,
         auto_decompress=False,
--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -1,7 +1,6 @@
 """Builds the components of a daemon and connects them."""
 
 import random
-from collections.abc import Callable
 from typing import Final
 
 import attrs
@@ -17,10 +16,11 @@
 from tanagerbend_proxy.delivery import DeliveryLog
 from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.exchange import make_session
-from tanagerbend_proxy.following import Follower, ItemService
+from tanagerbend_proxy.following import Connect, Follower
 from tanagerbend_proxy.endpoint import Endpoint
 from tanagerbend_proxy.front import CallerHandler, PeerHandler
 from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.input_limits import ClientLimits, make_client_limits
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.lifetime import Lifetime
 from tanagerbend_proxy.link_use import ANSWERS, PLACED, LinkUse
@@ -56,6 +56,7 @@
     link: LinkUse
     lifetime: Lifetime
     case_exchange: CrashCaseExchange
+    client_limits: ClientLimits
     is_stopping: bool = False
 
     @property
@@ -75,7 +76,7 @@
 def assemble(
     settings: DaemonSettings,
     names: HeaderNames,
-    connect: Callable[[Recorder], ItemService],
+    connect: Connect,
 ) -> Components:
     """Build the components of a daemon; needs a running event loop.
 
@@ -127,23 +128,26 @@
         Staleness(knowledge, link, settings.apply_seconds),
     )
     lifetime = Lifetime(recorder.timer)
-    caller_handler = CallerHandler(
-        entry, names, recorder, settings.service, lifetime
-    )
+    limits = make_client_limits(settings, recorder)
     callers = Endpoint(
-        caller_handler.handle,
+        CallerHandler(
+            entry, names, recorder, settings.service, lifetime, limits.memory
+        ).handle,
         recorder,
         uplink,
         lifetime,
         DeliveryLog(ANSWERS, recorder, log),
+        limits.inputs,
     )
-    peer_handler = PeerHandler(owner, follower, names, case_exchange)
     peers = Endpoint(
-        peer_handler.handle,
+        PeerHandler(
+            owner, follower, names, case_exchange, limits.memory
+        ).handle,
         recorder,
         uplink,
         lifetime,
         DeliveryLog(PLACED, recorder, log),
+        limits.inputs,
     )
     link.count_unsent = lambda: (
         callers.unsent + peers.unsent + int(uplink.expected_bytes)
@@ -161,4 +165,5 @@
         link,
         lifetime,
         case_exchange,
+        limits,
     )
--- a/packages/proxy/tanagerbend_proxy/daemon_settings.py
+++ b/packages/proxy/tanagerbend_proxy/daemon_settings.py
@@ -66,6 +66,10 @@
     link_bytes_per_second : float
         Bandwidth of this host's link in bytes per second; infinite if
         unknown.
+    memory_megabytes : float
+        Memory that the process may use; 0 if unknown.
+    descriptors : int
+        Descriptors that the process may have open; 0 if unknown.
     """
 
     host: str
@@ -78,6 +82,8 @@
     budget: RetryBudgetSettings
     apply_seconds: float
     link_bytes_per_second: float = math.inf
+    memory_megabytes: float = 0.0
+    descriptors: int = 0
 
     @property
     def peer_port(self) -> str:
--- a/packages/proxy/tanagerbend_proxy/endpoint.py
+++ b/packages/proxy/tanagerbend_proxy/endpoint.py
@@ -9,6 +9,7 @@
 import attrs
 from aiohttp import web
 
+from tanagerbend_daemon.bounded_server import InputLimits
 from tanagerbend_daemon.listener import Listener, make_runner, unsent_bytes
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode
@@ -43,6 +44,7 @@
     lifetime : Lifetime
     deliveries : DeliveryLog or None
         Records each large answer.
+    limits : InputLimits
     active : int
         Number of requests that are being answered.
     started_numbers : set of int
@@ -58,6 +60,7 @@
     uplink: Uplink
     lifetime: Lifetime
     deliveries: DeliveryLog | None = None
+    limits: InputLimits = attrs.field(factory=InputLimits)
     active: int = 0
     started_numbers: set[int] = attrs.field(factory=set)
     is_refusing: bool = False
@@ -70,6 +73,7 @@
         self.runner = make_runner(
             self.serve,
             SHUTDOWN_SECONDS,
+            self.limits,
             keepalive_timeout=KEEPALIVE_SECONDS,
             max_line_size=HEADER_LIMIT_BYTES,
             max_field_size=HEADER_LIMIT_BYTES,
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -72,6 +72,10 @@
         """Close the connections to the service."""
 
 
+# Returns the client of the configuration service.
+Connect = Callable[[Recorder], ItemService]
+
+
 class Follower:
     """Keeps a daemon's configuration and instance registry up to date.
 
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -13,13 +13,13 @@
 from tanagerbend_metrics.names import REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
+from tanagerbend_proxy.body_memory import BodyMemory, HeldBody
 from tanagerbend_proxy.changes import PollRequest
 from tanagerbend_proxy.crash_exchange import CrashCaseExchange
 from tanagerbend_proxy.endpoint import DUE, IDENTIFIER, status_of
 from tanagerbend_proxy.entry import Entry
 from tanagerbend_proxy.exchange import without_connection
 from tanagerbend_proxy.following import Follower
-from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.lifetime import Lifetime
 from tanagerbend_proxy.link_use import ANSWERS, CHANGES, PLACED
 from tanagerbend_proxy.messages import (
@@ -30,6 +30,7 @@
     Request,
 )
 from tanagerbend_proxy.owner import Owner
+from tanagerbend_proxy.reading import read_body, refuse_body
 from tanagerbend_proxy.results import sending_limits
 from tanagerbend_proxy.uplink import SendingLimits
 
@@ -49,20 +50,27 @@
     """Handles the HTTP requests of callers."""
 
     entry: Entry
-    names: HeaderNames
+    names: own_headers.HeaderNames
     recorder: Recorder
     caller_service: str
     lifetime: Lifetime
+    memory: BodyMemory
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
+        with self.memory.hold() as held:
+            return await self._handle(http, held)
+
+    async def _handle(
+        self, http: web.BaseRequest, held: HeldBody
+    ) -> web.StreamResponse:
         begun = self.begin(http)
         request = self._refuse_early(http, begun)
         if request is None:
-            request = await self.read(http, begun)
+            request = await self.read(http, begun, held)
         match request:
             case Refusal():
-                return self.refuse(request, begun)
+                return refuse_unread(http, self.refuse(request, begun))
         result = await self._answer_in_time(request)
         match result:
             case Refusal():
@@ -141,11 +149,13 @@
         self,
         http: web.BaseRequest,
         begun: Request,
+        held: HeldBody,
     ) -> Request | Refusal:
         """Return a request with its body, or a refusal."""
         if not http.body_exists:
             return begun
-        body = await read_body(http, self._max_body_bytes())
+        seconds_left = begun.deadline - self.recorder.timer.now()
+        body = await read_body(http, held, self._max_body_bytes(), seconds_left)
         match body:
             case Refusal():
                 return body
@@ -200,8 +210,9 @@
 
     owner: Owner
     follower: Follower
-    names: HeaderNames
+    names: own_headers.HeaderNames
     case_exchange: CrashCaseExchange
+    memory: BodyMemory
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of another daemon."""
@@ -210,11 +221,13 @@
             return await self.answer_poll(poll)
         if own_headers.CRASH_NEWS in http.headers:
             return await self.receive_crash_cases(http)
-        return await self.run(http)
+        with self.memory.hold() as held:
+            return await self.run(http, held)
 
     async def receive_crash_cases(self, http: web.BaseRequest) -> web.Response:
         """Take the crash evidence that another daemon reports."""
-        text = await read_body(http, MAX_CASES_BYTES)
+        with self.memory.hold() as held:
+            text = await read_body(http, held, MAX_CASES_BYTES)
         reply = (
             self.case_exchange.answer(text) if isinstance(text, bytes) else text
         )
@@ -242,7 +255,9 @@
         self.follower.staleness.link.sent(CHANGES, len(reply))
         return web.Response(body=reply)
 
-    async def run(self, http: web.BaseRequest) -> web.StreamResponse:
+    async def run(
+        self, http: web.BaseRequest, held: HeldBody
+    ) -> web.StreamResponse:
         """Run a request that another daemon placed at the instance here."""
         arrived = self.owner.recorder.timer.now()
         placed = Placed.decode(
@@ -251,10 +266,18 @@
             http.headers.get(own_headers.CRASHES, ''),
         )
         identifier = http.headers.get(self.names.request_id, '')
-        body = await http.content.read(-1)
         match placed:
             case Refusal():
-                return self._respond(identifier, Outcome(placed))
+                return refuse_unread(
+                    http, self._respond(identifier, Outcome(placed))
+                )
+        # The daemon that sends it has checked its size.
+        body = await read_body(http, held, seconds_left=placed.time_left)
+        match body:
+            case Refusal():
+                return refuse_unread(
+                    http, self._respond(identifier, Outcome(body))
+                )
         if self.owner.is_leaving:
             reason = 'the daemon beside the instance is stopping'
             refusal = Refusal(ResultCode.DRAINING, reason)
@@ -299,6 +322,15 @@
         return response
 
 
+def refuse_unread(
+    http: web.BaseRequest, response: web.Response
+) -> web.Response:
+    """Close the connection after a refusal before the body was read."""
+    if not http.content.is_eof():
+        response.force_close()
+    return response
+
+
 def respond(answer: Answer) -> web.Response:
     """Return the response that passes an answer on unchanged."""
     headers = without_connection(answer.headers, NOT_COPIED)
@@ -318,23 +350,3 @@
         return math.inf if text is None else float(text) / MILLISECONDS
     except ValueError:
         return math.inf
-
-
-def refuse_body(max_bytes: int) -> Refusal:
-    """Refuse a body of more than ``max_bytes`` bytes."""
-    reason = f'body of more than {max_bytes} bytes'
-    return Refusal(ResultCode.BODY_TOO_LARGE, reason)
-
-
-async def read_body(http: web.BaseRequest, max_bytes: int) -> bytes | Refusal:
-    """Read a body of at most ``max_bytes`` bytes."""
-    if not http.body_exists:
-        return b''
-    chunks = []
-    size = 0
-    async for chunk in http.content.iter_any():
-        size += len(chunk)
-        if size > max_bytes:
-            return refuse_body(max_bytes)
-        chunks.append(chunk)
-    return b''.join(chunks)
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -77,6 +77,7 @@
                 components.follower.expire,
                 components.follower.staleness.check,
                 self.refresh_slots,
+                self.refresh_limits,
             ),
         )
         timer.every(PRUNE_SECONDS, self.prune)
@@ -91,6 +92,11 @@
         if own is not None and own.slots != components.owner.queue.slots:
             components.owner.queue.resize(own.slots)
 
+    async def refresh_limits(self) -> None:
+        """Apply the limits of the configuration in force."""
+        components = self.components
+        components.client_limits.apply(components.knowledge.configuration)
+
     async def check_delay(self) -> None:
         """Record the delay of the event loop."""
         recorder = self.components.recorder
@@ -142,6 +148,9 @@
             ('convicts', ''): {
                 '': len(components.case_exchange.cases.convicted)
             },
+            ('body_memory_bytes', ''): {
+                '': components.client_limits.memory.used
+            },
             ('unsent_bytes', ''): {'': components.link.count_unsent()},
             ('link_unused_bytes', ''): {
                 '': int(components.owner.uplink.unused)
