Take no status that no answer has for an answer

Cause: the status of an instance was passed on whatever it was: 000, 099, 600 and 999 reached callers, and 101, which answers an Upgrade that is never sent. Change: RFC 9110, 15: a status is in the range 100 to 599, and one below 200 is no final answer. Others, and 101, are garbled answers: ANSWER_TRUNCATED, may have run, so 502, and sent again where that is allowed. Both the exchange of the platform's daemon and the client of the own one check it. 100, 103 and 199 are passed over as before.

--- a/packages/daemon/tanagerbend_daemon/connections.py
+++ b/packages/daemon/tanagerbend_daemon/connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextvars import ContextVar
+from http import HTTPStatus
 from typing import Any, Final
 
 import aiohttp
@@ -40,6 +41,26 @@
     aiohttp.ConnectionTimeoutError,
 )
 
+SWITCHING_PROTOCOLS: Final = int(HTTPStatus.SWITCHING_PROTOCOLS)
+# RFC 9110, 15: a status is in the range 100 to 599.
+LOWEST_STATUS: Final = 100
+HIGHEST_STATUS: Final = 599
+
+
+def is_answer_status(status: int) -> bool:
+    """Return whether an answer, or an interim answer, has such a status.
+
+    Status 101 answers an ``Upgrade``, which no request of a daemon has.
+
+    Examples
+    ========
+
+    >>> [is_answer_status(status) for status in (0, 99, 100, 101, 599, 600)]
+    [False, False, True, False, True, False]
+    """
+    is_in_range = LOWEST_STATUS <= status <= HIGHEST_STATUS
+    return is_in_range and status != SWITCHING_PROTOCOLS
+
 
 @attrs.define
 class Attempt:
--- a/packages/daemon/tanagerbend_daemon/outbound.py
+++ b/packages/daemon/tanagerbend_daemon/outbound.py
@@ -14,6 +14,7 @@
     HOP_BY_HOP,
     NOT_SENT_ERRORS,
     Attempt,
+    is_answer_status,
     make_session,
 )
 from tanagerbend_interfaces import BackendRequest, BackendResponse
@@ -74,6 +75,10 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             # TimeoutError is an OSError.
             return self._refuse(error, attempt)
+        if not is_answer_status(response.status):
+            response.close()
+            reason = f'{self.address}: status {response.status}'
+            return Refusal(ResultCode.ANSWER_TRUNCATED, reason, Ran.UNKNOWN)
         return BackendResponse(
             response.status,
             _end_to_end_headers(response.raw_headers),
--- a/packages/daemon/tanagerbend_daemon/tests/test_outbound.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_outbound.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from tanagerbend_daemon.tests.call_path import answering, plain, read_head
 from tanagerbend_interfaces import BackendRequest, BackendResponse
 from tanagerbend_model import Ran, Refusal, ResultCode
@@ -118,3 +120,18 @@
         assert isinstance(response, BackendResponse)
         await response.chunks.aclose()
     assert connections == 1
+
+
+@pytest.mark.parametrize('status', [b'000', b'099', b'101', b'600', b'999'])
+async def test_status_that_is_none_is_no_answer(loopback, status):
+    """Guards against passing on a status that no answer has."""
+
+    async def serve(reader, writer):
+        await read_head(reader)
+        writer.write(b'HTTP/1.1 ' + status + b' X\r\nContent-Length: 0\r\n\r\n')
+        await reader.read()
+
+    server = loopback.http(await loopback.raw(serve))
+    got = await server.exchange(request(), in_seconds(30))
+    assert isinstance(got, Refusal)
+    assert (got.code, got.ran) == (ResultCode.ANSWER_TRUNCATED, Ran.UNKNOWN)
--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -21,14 +21,13 @@
     NOT_SENT_ERRORS,
     Attempt,
     Connector,
+    is_answer_status,
 )
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.answer_body import limited_parts, skip_body
 from tanagerbend_proxy.messages import Answer
 
 Headers = CIMultiDict[str]
-CONTINUE: Final = int(HTTPStatus.CONTINUE)
-SWITCHING_PROTOCOLS: Final = int(HTTPStatus.SWITCHING_PROTOCOLS)
 OK: Final = int(HTTPStatus.OK)
 # A connection is closed when sent bytes stay unacknowledged for this time.
 # A host that lost power sends no reset, and enough time must remain to send
@@ -53,6 +52,10 @@
 )
 
 
+class InvalidStatusError(aiohttp.ClientPayloadError):
+    """The status line has a status that no answer has."""
+
+
 @attrs.define
 class IdentifiedAttempt(Attempt):
     """Attempt whose answer must carry an identifier.
@@ -97,17 +100,20 @@
         if due > (self.limit.when() or math.inf):
             self.limit.reschedule(due)
 
-    def count_interim(self, status: int) -> None:
-        """Count an interim answer.
+    def check_status(self, status: int) -> None:
+        """Check the status of an answer and count interim answers.
 
         Raises
         ======
 
+        InvalidStatusError
+            If no answer has this status.
         aiohttp.ClientPayloadError
-            If there are too many.
+            If there are too many interim answers.
         """
-        is_interim = CONTINUE <= status < OK and status != SWITCHING_PROTOCOLS
-        self.interim_answers += is_interim
+        if not is_answer_status(status):
+            raise InvalidStatusError(f'status {status}')
+        self.interim_answers += status < OK
         if self.interim_answers > MAX_INTERIM_ANSWERS:
             raise aiohttp.ClientPayloadError('too many interim answers')
 
@@ -148,7 +154,7 @@
             attempt = CURRENT_ATTEMPT.get()
             if not isinstance(attempt, IdentifiedAttempt):
                 return message, payload
-            attempt.count_interim(message.code)
+            attempt.check_status(message.code)
             if not attempt.is_mismatched(message.headers):
                 return message, payload
             attempt.shorten_limit()
--- a/packages/proxy/tanagerbend_proxy/tests/test_broken_answers.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_broken_answers.py
@@ -203,3 +203,54 @@
                 answered += 1
                 assert body == identifier.encode()
     assert answered
+
+
+# RFC 9110, 15: a status has three digits from 100 to 599.  Those below 200
+# come before an answer, and 101 answers an `Upgrade`, which is never sent.
+NO_ANSWERS = (b'000', b'099', b'101', b'600', b'999')
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+@pytest.mark.parametrize('status', NO_ANSWERS)
+async def test_status_that_is_none_is_no_answer(
+    server, session, status, method
+):
+    """Guards against passing on a status that no answer has.
+
+    An instance in trouble sent status 000, which its caller got.
+    """
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 ' + status + b' X\r\nContent-Length: 2\r\n\r\n')
+        writer.write(b'ok')
+        await reader.read()
+
+    got = await send(
+        session,
+        Outgoing(
+            await server(serve),
+            method,
+            '/',
+            CIMultiDict(),
+            b'',
+            LONG_LIMIT_SECONDS,
+        ),
+    )
+    assert isinstance(got, Refusal)
+    assert (got.code, got.ran) == (ResultCode.ANSWER_TRUNCATED, Ran.UNKNOWN)
+
+
+@pytest.mark.parametrize('status', [b'100', b'103', b'199'])
+async def test_interim_status_is_passed_over(server, session, status):
+    """Guards against taking an interim answer for the final one."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(b'HTTP/1.1 ' + status + b' X\r\nLink: a\r\n\r\n')
+        writer.write(OK + b'Content-Length: 2\r\n\r\nok')
+        await reader.read()
+
+    got = await send_with_long_limit(session, await server(serve))
+    assert (got.status, got.body) == (200, b'ok')
+    assert 'Link' not in got.headers
