Account for answers that callers do not read

Cause: answers that callers leave unread pile up in a process. Besides, the body of an answer stayed after it had been read: cancelled timers keep the context of a request, which leads to its task and so to its result, until the event loop drops them; and the error of a cancelled task keeps all frames. Change: an answer over 64 KiB counts twice in the budget for bodies until it is written. While the budget is used up, what waits for a slot is refused, not run, and connections are reset of which nothing was read for 0.5 s, those with most first; without a shortage after idleTimeoutS. A body is dropped once it is sent, and the traceback of a cancelled request is cut at the endpoint.

--- a/packages/daemon/tanagerbend_daemon/call_server.py
+++ b/packages/daemon/tanagerbend_daemon/call_server.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from tanagerbend_daemon.body import close_body
+from tanagerbend_daemon.bounded_server import InputLimits
 from tanagerbend_daemon.call import Answer, Call, header_of, read_limits
 from tanagerbend_daemon.connection_reset import reset_connection
 from tanagerbend_daemon.connections import HOP_BY_HOP
@@ -82,7 +83,8 @@
 
     async def start(self, address: str, port: int) -> str:
         """Start to listen and return ``address:port``."""
-        self.runner = make_runner(self.serve, SHUTDOWN_SECONDS)
+        limits = InputLimits(count=self.recorder.count)
+        self.runner = make_runner(self.serve, SHUTDOWN_SECONDS, limits)
         await self.runner.setup()
         self.listener = Listener(self.runner)
         return await self.listener.start(address, port)
--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -62,6 +62,7 @@
     'retries': 'service',
     'retries_beyond_budget': 'service',
     'hosts_refused': 'reason',
+    'input_refused': 'reason',
     'records_refused': 'reason',
     'orders_ended': 'state',
     'store_calls': 'call',
--- a/packages/proxy/tanagerbend_proxy/assembly.py
+++ b/packages/proxy/tanagerbend_proxy/assembly.py
@@ -129,6 +129,7 @@
     )
     lifetime = Lifetime(recorder.timer)
     limits = make_client_limits(settings, recorder)
+    owner.has_room = limits.memory.has_room
     callers = Endpoint(
         CallerHandler(
             entry, names, recorder, settings.service, lifetime, limits.memory
@@ -138,6 +139,7 @@
         lifetime,
         DeliveryLog(ANSWERS, recorder, log),
         limits.inputs,
+        limits.answers,
     )
     peers = Endpoint(
         PeerHandler(
@@ -148,6 +150,7 @@
         lifetime,
         DeliveryLog(PLACED, recorder, log),
         limits.inputs,
+        limits.answers,
     )
     link.count_unsent = lambda: (
         callers.unsent + peers.unsent + int(uplink.expected_bytes)
--- a/packages/proxy/tanagerbend_proxy/body_memory.py
+++ b/packages/proxy/tanagerbend_proxy/body_memory.py
@@ -116,7 +116,7 @@
     capacity : int
         Bytes, of which each byte of a body takes ``COPIES``.
     used : int
-        Bytes of the capacity that are in use.
+        Bytes of the capacity that are in use, by answers too.
     idle_seconds : float
         Longest time without any byte of a body.
 
@@ -141,6 +141,10 @@
         default=lambda _name: None, repr=False
     )
 
+    def has_room(self) -> bool:
+        """Whether requests are taken whose answers are not known yet."""
+        return self.used <= self.capacity
+
     @contextmanager
     def hold(self) -> Iterator[HeldBody]:
         """Account for the body of one request until the block ends."""
--- a/packages/proxy/tanagerbend_proxy/endpoint.py
+++ b/packages/proxy/tanagerbend_proxy/endpoint.py
@@ -13,6 +13,7 @@
 from tanagerbend_daemon.listener import Listener, make_runner, unsent_bytes
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode
+from tanagerbend_proxy.answer_memory import HELD_ANSWER_BYTES, AnswerMemory
 from tanagerbend_proxy.delivery import Delivery, DeliveryLog
 from tanagerbend_proxy.lifetime import Lifetime
 from tanagerbend_proxy.uplink import SendingLimits, Transfer, Uplink, split_body
@@ -45,6 +46,8 @@
     deliveries : DeliveryLog or None
         Records each large answer.
     limits : InputLimits
+    answers : AnswerMemory or None
+        Accounts for answers that are not read yet.
     active : int
         Number of requests that are being answered.
     started_numbers : set of int
@@ -61,6 +64,7 @@
     lifetime: Lifetime
     deliveries: DeliveryLog | None = None
     limits: InputLimits = attrs.field(factory=InputLimits)
+    answers: AnswerMemory | None = None
     active: int = 0
     started_numbers: set[int] = attrs.field(factory=set)
     is_refusing: bool = False
@@ -92,10 +96,45 @@
             response = await self.handler(request)
             if self.is_closing:
                 response.force_close()
-            return await self._send(request, response)
+            return await self._send_held(request, response)
+        except asyncio.CancelledError as error:
+            # The task keeps the error until the garbage collector runs, and
+            # its traceback the frames with the bodies.
+            raise error.with_traceback(None)
         finally:
             self.active -= 1
 
+    async def _send_held(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+    ) -> web.StreamResponse:
+        """Send an answer; account for its memory until it is written."""
+        size = len(body_of(response))
+        if self.answers is None or size <= HELD_ANSWER_BYTES:
+            return await self._send(request, response)
+        with self.answers.hold(size, request.transport):
+            try:
+                return await self._send_whole(request, response)
+            finally:
+                # Cancelled timers of the request refer to its task, and so
+                # to its result, until the event loop drops them.
+                drop_body(response)
+
+    async def _send_whole(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+    ) -> web.StreamResponse:
+        """Send an answer; the server would write a small one later."""
+        sent = await self._send(request, response)
+        try:
+            await sent.prepare(request)
+            await sent.write_eof()
+        except ConnectionError:
+            self.recorder.count('answers_cut')
+        return sent
+
     async def _send(
         self,
         request: web.BaseRequest,
@@ -272,6 +311,13 @@
     return b''
 
 
+def drop_body(response: web.StreamResponse) -> None:
+    """Release the body of a response that has been sent or given up."""
+    match response:
+        case web.Response():
+            response.body = None
+
+
 def status_of(refusal: Refusal) -> int:
     """Return the HTTP status of a refusal; 503 means that it did not run.
 
--- a/packages/proxy/tanagerbend_proxy/input_limits.py
+++ b/packages/proxy/tanagerbend_proxy/input_limits.py
@@ -6,6 +6,7 @@
 
 from tanagerbend_daemon.bounded_server import HEAD_BYTES, InputLimits
 from tanagerbend_metrics import Recorder
+from tanagerbend_proxy.answer_memory import AnswerMemory
 from tanagerbend_proxy.body_memory import BodyMemory, body_capacity
 from tanagerbend_proxy.daemon_settings import DaemonSettings
 from tanagerbend_routing import RoutingConfiguration
@@ -44,10 +45,12 @@
 
     inputs : InputLimits
     memory : BodyMemory
+    answers : AnswerMemory
     """
 
     inputs: InputLimits
     memory: BodyMemory
+    answers: AnswerMemory
 
     def apply(self, configuration: RoutingConfiguration | None) -> None:
         """Allow at least what the configuration in force allows."""
@@ -73,4 +76,4 @@
         body_capacity(settings.memory_megabytes),
         count=recorder.count,
     )
-    return ClientLimits(inputs, memory)
+    return ClientLimits(inputs, memory, AnswerMemory(memory))
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -1,6 +1,7 @@
 """Runs requests at the instance on this host; its daemon is the owner."""
 
 import math
+from collections.abc import Callable
 from typing import Final
 
 import aiohttp
@@ -61,6 +62,11 @@
 }
 
 
+def has_always_room() -> bool:
+    """Return true: the memory of this process is not limited."""
+    return True
+
+
 @attrs.define
 class Owner:
     """Allocates the slots of the instance on this host to requests.
@@ -86,6 +92,8 @@
         Whether requests of other hosts are refused.
     sizes : ServiceTimes
         Statistics on the answer size of each route, in bytes.
+    has_room : callable
+        Whether this process has memory for the answer of a request.
     delay : LoopDelay
         Delay of the event loop of this daemon.
     """
@@ -101,6 +109,7 @@
     suspicions: Suspicions
     is_leaving: bool = False
     sizes: ServiceTimes = attrs.field(factory=ServiceTimes)
+    has_room: Callable[[], bool] = has_always_room
     delay: LoopDelay = attrs.field(init=False)
     repeats: Repeats = attrs.field(init=False)
     guard: InstanceGuard = attrs.field(init=False)
@@ -227,6 +236,9 @@
         if limit <= 0:
             reason = 'no time is left for the instance'
             return Refusal(ResultCode.DEADLINE_PASSED, reason)
+        if not self.has_room():
+            reason = 'no memory is left for the answer'
+            return Refusal(ResultCode.QUEUE_FULL, reason)
         headers = CIMultiDict(request.headers)
         headers[self.names.expected_instance] = placed.instance
         headers[self.names.time_left] = str(int(limit * MILLISECONDS))
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -93,9 +93,10 @@
             components.owner.queue.resize(own.slots)
 
     async def refresh_limits(self) -> None:
-        """Apply the limits of the configuration in force."""
+        """Apply the limits of the configuration, also to unread answers."""
         components = self.components
         components.client_limits.apply(components.knowledge.configuration)
+        components.client_limits.answers.check()
 
     async def check_delay(self) -> None:
         """Record the delay of the event loop."""
--- a/packages/proxy/tanagerbend_proxy/tests/test_body_memory.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_body_memory.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from tanagerbend_proxy.answer_memory import AnswerMemory
 from tanagerbend_proxy.body_memory import (
     PROGRESS_BYTES,
     SMALL_BODY_BYTES,
@@ -88,3 +89,44 @@
     memory.release(whole)
     assert memory.used == 0
     assert begin(memory, BODY_BYTES)[2]
+
+
+class Unread:
+    """Transport whose caller reads as much as the test says."""
+
+    def __init__(self):
+        self.unsent = BODY_BYTES
+
+    def get_write_buffer_size(self):
+        return self.unsent
+
+
+async def test_unread_answer_is_reset_only_for_lack_of_memory(memory):
+    """Guards against callers that fill the memory by not reading."""
+    resets = []
+    answers = AnswerMemory(memory, reset=resets.append)
+    silent, slow = Unread(), Unread()
+    with answers.hold(BODY_BYTES, silent), answers.hold(BODY_BYTES, slow):
+        answers.check()
+        await memory.timer.advance(STALL_SECONDS)
+        answers.check()
+        assert not resets
+        assert memory.has_room()
+        with answers.hold(BODY_BYTES, None):
+            slow.unsent -= 1
+            assert not memory.has_room()
+            answers.check()
+    assert resets == [silent]
+    assert memory.used == 0
+
+
+async def test_answer_that_waits_for_its_turn_is_kept(memory):
+    """Guards against taking the own link for a caller that does not read."""
+    resets = []
+    answers = AnswerMemory(memory, reset=resets.append)
+    waiting = Unread()
+    waiting.unsent = 0
+    with answers.hold(CAPACITY, waiting):
+        await memory.timer.advance(2 * memory.idle_seconds)
+        answers.check()
+    assert not resets
