--- a/packages/proxy/tanagerbend_proxy/daemon_settings.py
+++ b/packages/proxy/tanagerbend_proxy/daemon_settings.py
@@ -68,6 +68,10 @@
         unknown.
     cold : ColdTolerance or None
         Bound of the requests to a cold instance; None for no limit.
+    memory_megabytes : float
+        Memory that the process may use; 0 if unknown.
+    descriptors : int
+        Descriptors that the process may have open; 0 if unknown.
     """
 
     host: str
@@ -81,6 +85,8 @@
     apply_seconds: float
     link_bytes_per_second: float = math.inf
     cold: ColdTolerance | None = None
+    memory_megabytes: float = 0.0
+    descriptors: int = 0
 
     @property
     def peer_port(self) -> str:
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -80,6 +80,7 @@
                 components.follower.expire,
                 components.follower.staleness.check,
                 self.refresh_own_instance,
+                self.refresh_limits,
             ),
         )
         timer.every(PRUNE_SECONDS, self.prune)
@@ -114,6 +115,12 @@
             ),
         )
 
+    async def refresh_limits(self) -> None:
+        """Apply the limits of the configuration, also to unread answers."""
+        components = self.components
+        components.client_limits.apply(components.knowledge.configuration)
+        components.client_limits.answers.check()
+
     async def check_delay(self) -> None:
         """Record the delay of the event loop."""
         recorder = self.components.recorder
@@ -165,6 +172,9 @@
             ('convicts', ''): {
                 '': len(components.case_exchange.cases.convicted)
             },
+            ('body_memory_bytes', ''): {
+                '': components.client_limits.memory.used
+            },
             ('unsent_bytes', ''): {'': components.link.count_unsent()},
             ('link_unused_bytes', ''): {
                 '': int(components.owner.uplink.unused)
