--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -7,14 +7,26 @@
 import attrs
 from multidict import CIMultiDict
 
-from tanagerbend_admission import ObjectiveQueue, ServiceTimes, Work
+from tanagerbend_admission import (
+    Features,
+    ObjectiveQueue,
+    ServiceTimes,
+    WaitingRequest,
+    Work,
+)
 from tanagerbend_daemon.process_connection import ProcessConnection
 from tanagerbend_metrics import Recorder
-from tanagerbend_metrics.names import BACKEND_TIME, QUEUE_TIME
+from tanagerbend_metrics.names import (
+    BACKEND_TIME,
+    BACKEND_TIME_ERROR,
+    QUEUE_TIME,
+    QUEUE_TIME_ERROR,
+)
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.guard import CONNECTION_LOST_CODES, InstanceGuard
 from tanagerbend_proxy.headers import HeaderNames
+from tanagerbend_proxy.instance_load import InstanceLoad
 from tanagerbend_proxy.loop_delay import LoopDelay
 from tanagerbend_proxy.messages import (
     MILLISECONDS,
@@ -109,6 +121,7 @@
         self.guard = InstanceGuard(self.suspicions, self.make_process())
         self.delay = LoopDelay(self.recorder.timer)
         self.queue.departures.link = self.uplink
+        self.queue.on_granted = self._record_wait
         self.reset_repeats()
 
     def make_process(self) -> InstanceProcess:
@@ -130,14 +143,7 @@
         """Wait for a slot and run the request once."""
         now = self.recorder.timer.now()
         deadline = now + placed.time_left
-        work = Work(
-            placed.route,
-            placed.rank,
-            now + placed.on_time,
-            deadline - RETURN_MARGIN_SECONDS,
-            self.sizes.mean(placed.route),
-            self.sizes.deviation(placed.route),
-        )
+        work = self._make_work(request, placed, now)
         self.suspicions.merge_evidence(placed.evidence)
         refusal = self.suspicions.refuse(request)
         if refusal is not None:
@@ -152,6 +158,7 @@
             reason = 'the instance left while the request waited'
             return Outcome(Refusal(ResultCode.DRAINING, reason))
         started = self.recorder.timer.now()
+        expected = self.queue.instance.seconds(work)
         self._record_seconds(QUEUE_TIME, placed, started - now)
         is_whole = False
         run = Run(placed.route, deadline, placed.repeated)
@@ -164,6 +171,7 @@
                     lambda left: self._send(request, placed, left),
                 )
             result = withhold_promise(result)
+            self._observe_load(result)
             is_whole = (
                 isinstance(result, Answer) and result.status < MISDIRECTED
             )
@@ -171,6 +179,9 @@
             seconds = self.recorder.timer.now() - started
             self.queue.leave(work, seconds, is_complete=is_whole)
         self._record_seconds(BACKEND_TIME, placed, seconds)
+        self._record_seconds(
+            BACKEND_TIME_ERROR, placed, abs(seconds - expected)
+        )
         self._observe_size(placed.route, result)
         is_offered = not (
             isinstance(result, Refusal) and result.code in NOT_SENT_CODES
@@ -178,6 +189,34 @@
         report = self.report(placed.rank, seconds)
         return self._add_evidence(request, Outcome(result, report, is_offered))
 
+    def _make_work(self, request: Request, placed: Placed, now: float) -> Work:
+        """Return the resources that a request needs, as estimated now."""
+        features = Features.of_request(
+            placed.route,
+            request.headers.get(self.names.caller_service, ''),
+            request.path,
+            len(request.body),
+        )
+        return Work(
+            placed.route,
+            placed.rank,
+            now + placed.on_time,
+            now + placed.time_left - RETURN_MARGIN_SECONDS,
+            self.sizes.mean(placed.route),
+            self.sizes.deviation(placed.route),
+            features,
+            self.queue.instance.costs.estimate(features),
+        )
+
+    def _observe_load(self, result: Answer | Refusal) -> None:
+        """Record the load that the instance states with its answer."""
+        match result:
+            case Answer(headers=headers):
+                load = InstanceLoad.parse(headers.get(self.names.load))
+                if load is not None and load.speed is not None:
+                    now = self.recorder.timer.now()
+                    self.queue.instance.speed.report(load.speed, now)
+
     def _add_evidence(self, request: Request, outcome: Outcome) -> Outcome:
         """Add the crash evidence on a request that may crash instances."""
         match outcome.result:
@@ -198,6 +237,14 @@
         histograms = self.recorder.histograms
         histograms.record(name, placed.route, placed.rank, seconds)
 
+    def _record_wait(self, waiting: WaitingRequest) -> None:
+        """Record how far the wait of a request differed from its estimate."""
+        error = abs(self.recorder.timer.now() - waiting.expected_at)
+        work = waiting.work
+        self.recorder.histograms.record(
+            QUEUE_TIME_ERROR, work.kind, work.rank, error
+        )
+
     def free_slots(self) -> int:
         """Return the number of slots that no request holds or waits for."""
         return self.queue.slots - self.queue.busy
