--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -143,14 +143,13 @@
         waits_for_link = self.departures.waits_for_link(work, service, queued)
         if not wait.mean and not waits_for_link:
             return None
-        margin = self.departures.margin(work, queued)
         left = work.on_time_until - now
-        if until_sent + margin > left:
+        if until_sent + self.departures.margin(work, queued) > left:
             return self._refusal(ResultCode.QUEUE_FULL, work)
-        sending = until_sent - wait.mean - service
-        if self._is_behind_same_tier(
-            work
-        ) and not self.instance.is_likely_on_time(work, wait, left - sending):
+        if not self._is_behind_same_tier(work):
+            return None
+        left -= until_sent - wait.mean - service
+        if not self.instance.is_likely_on_time(work, wait, left):
             return self._refusal(ResultCode.QUEUE_FULL, work)
         return None
 
