Report the work ahead and the speed of an instance; place by them

Cause: an entry knew another host by the number of busy slots in its last answer. A slot that a heavy request holds and an instance that is 2.5 times slower at this moment counted like any other, and the local instance was compared by its last answer though its daemon is the owner.

Change: owners add the seconds until a slot is free for the rank, and the speed relative to the average, in a header of their own, since daemons of the previous release refuse unknown fields. The entry compares expected wait and work in seconds and asks the local owner directly; a local instance that is slow now is compared with others.

The four tests of placement fail without it.

--- a/packages/admission/tanagerbend_admission/speed.py
+++ b/packages/admission/tanagerbend_admission/speed.py
@@ -70,6 +70,10 @@
         """Return the expected speed now."""
         return self.ratio * self._reported_speed(now)
 
+    def relative_at(self, now: float) -> float:
+        """Return the expected speed now, relative to the average."""
+        return self._reported_speed(now) / self.average
+
     def work_done(self, now: float) -> float:
         """Return the seconds of work that one slot can have done so far.
 
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -113,6 +113,7 @@
         self.placement.local_address = self.settings.instance_address
         self.placement.link_delay = self.owner.uplink.seconds_for
         self.placement.local_free_slots = self.owner.free_slots
+        self.placement.local_report = self.owner.report
 
     async def handle(self, request: Request) -> Answer | Refusal:
         """Return the answer to a request, or a refusal with a reason."""
@@ -336,7 +337,8 @@
         self.link.received(PLACED, len(result.body))
         encoded = result.headers.pop(own_headers.OUTCOME, '')
         evidence = result.headers.pop(own_headers.CRASHES, '')
-        return Outcome.decode(encoded, result, evidence)
+        work = result.headers.pop(own_headers.WORK, '')
+        return Outcome.decode(encoded, result, evidence, work)
 
     def _apply_outcome(
         self,
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -262,6 +262,8 @@
             sending,
             per_kilobyte,
             self.delay.request_wait,
+            self.queue.wait(Work('', rank, math.inf, math.inf)).mean,
+            self.queue.instance.speed.relative_at(self.recorder.timer.now()),
         )
 
     async def _send(
--- a/packages/routing/tanagerbend_routing/observations.py
+++ b/packages/routing/tanagerbend_routing/observations.py
@@ -8,6 +8,8 @@
 # Half-life of the reported load: about the time of three requests at an
 # instance.
 REPORT_HALF_LIFE_SECONDS: Final = 0.25
+# Half-life of the reported speed, which changes several times a second.
+SPEED_HALF_LIFE_SECONDS: Final = 0.4
 FAILURE_HALF_LIFE_SECONDS: Final = 2.0
 # Failure ratio above which an instance is used only if all are avoided.
 MAX_FAILURE_RATIO: Final = 0.5
@@ -33,6 +35,11 @@
         Seconds that the link needs for a kilobyte; 0 if unknown.
     owner_delay : float
         Seconds that a request waits until the owner daemon handles it.
+    wait : float or None
+        Seconds until a new request of this rank would get a slot, by the
+        work ahead; None if the owner does not report it.
+    speed : float
+        Time of work at this moment, relative to the average of the instance.
     """
 
     busy: int
@@ -41,6 +48,8 @@
     link_busy_seconds: float = 0.0
     link_seconds_per_kilobyte: float = 0.0
     owner_delay: float = 0.0
+    wait: float | None = None
+    speed: float = 1.0
 
 
 @attrs.define
@@ -57,6 +66,8 @@
         a new one of this rank.
     reported_at : float
         Monotonic seconds of the report.
+    wait : float or None
+        Seconds until a slot, as the owner reported; None if it did not.
     refusing_until : float
         Monotonic seconds until which the owner is expected to refuse
         requests of this rank.
@@ -67,6 +78,7 @@
     outstanding: int = 0
     reported: float = 0.0
     reported_at: float = -math.inf
+    wait: float | None = None
     refusing_until: float = -math.inf
     backoff_seconds: float = 0.0
 
@@ -77,6 +89,13 @@
         age = now - self.reported_at
         return self.reported * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
 
+    def decayed_wait(self, now: float) -> float | None:
+        """Return the reported wait, decayed by the age of the report."""
+        if not self.wait:
+            return self.wait
+        age = now - self.reported_at
+        return self.wait * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
+
 
 @attrs.define(eq=False)
 class ObservedInstance:
@@ -102,6 +121,9 @@
     owner_delay, owner_delay_at : float
         Seconds that a request waits until the owner daemon handles it, and
         the monotonic seconds of that report.
+    speed, speed_at : float
+        Time of work at this moment, relative to the average of the instance,
+        and the monotonic seconds of that report.
     ranks : dict of int to RankLoad
     """
 
@@ -114,6 +136,8 @@
     link_seconds_per_kilobyte: float = 0.0
     owner_delay: float = 0.0
     owner_delay_at: float = 0.0
+    speed: float = 1.0
+    speed_at: float = 0.0
     ranks: dict[int, RankLoad] = attrs.field(factory=dict)
 
     def rank_load(self, rank: int) -> RankLoad:
@@ -136,6 +160,27 @@
             return outstanding_ahead
         return max(load_of_rank.decayed_report(now), outstanding_ahead)
 
+    def own_requests_ahead(self, rank: int) -> int:
+        """Return the requests of this daemon ahead of a new one."""
+        return sum(
+            load.outstanding
+            for other, load in self.ranks.items()
+            if other <= rank
+        )
+
+    def reported_wait(self, rank: int, now: float) -> float | None:
+        """Return the expected wait for a slot by the report of the owner."""
+        load = self.ranks.get(rank)
+        return None if load is None else load.decayed_wait(now)
+
+    def current_slowdown(self, now: float) -> float:
+        """Return the slowdown at this moment, if a report tells it."""
+        if self.speed == 1:
+            return self.slowdown
+        age = now - self.speed_at
+        weight = 0.5 ** (age / SPEED_HALF_LIFE_SECONDS)
+        return self.slowdown * (1 + weight * (self.speed - 1))
+
     def is_refusing(self, rank: int, now: float) -> bool:
         """Return whether the owner is expected to refuse requests of a rank."""
         load = self.ranks.get(rank)
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -71,6 +71,30 @@
 MAX_AVOID_SECONDS: Final = 2.0
 
 
+def _with_wait(
+    seconds: float,
+    instance: ListedInstance,
+    observed: ObservedInstance,
+    rank: int,
+    now: float,
+) -> float:
+    """Return the seconds of work and of the wait for a slot.
+
+    The wait is the reported one, or that behind the requests of this daemon
+    if it is longer.  Owners of earlier releases report only how many requests
+    are ahead.
+    """
+    wait = observed.reported_wait(rank, now)
+    if wait is None:
+        busy = observed.requests_ahead(rank, now)
+    else:
+        busy = observed.own_requests_ahead(rank)
+    load = (busy + 1) / max(instance.slots, 1)
+    behind_own = seconds * (load - 1) if load > 1 else 0.0
+    wait = max(wait or 0.0, behind_own)
+    return seconds * (1 + QUEUEING_FACTOR * load) + wait
+
+
 def no_delay(_size: float) -> float:
     """Return the time to send over an unknown link, which is 0."""
     return 0.0
@@ -90,6 +114,8 @@
         left this host.
     local_free_slots : callable
         Returns the number of free slots of the local instance.
+    local_report : callable or None
+        Returns the load of the local instance now, for a rank.
 
     Parameters
     ==========
@@ -114,6 +140,7 @@
         self.local_address = ''
         self.link_delay: Callable[[float], float] = no_delay
         self.local_free_slots: Callable[[], int] = int
+        self.local_report: Callable[[int], LoadReport] | None = None
         # By the ``id`` of each tuple of instances that was chosen from.
         self.cached_candidates: dict[int, Candidates] = {}
 
@@ -137,6 +164,9 @@
             route.rank, self.local_free_slots(), now
         ):
             return candidate_set.local[0]
+        if candidate_set.local is not None and self.local_report is not None:
+            local = candidate_set.local[0]
+            self.record_report(local, route.rank, self.local_report(route.rank))
         if is_first and self._is_costly_to_transfer(route):
             eligible = list(
                 eligible_candidates(
@@ -196,7 +226,7 @@
             # The cost is never less than the time of the work itself.
             if (
                 cheapest is not None
-                and work.seconds * observed.slowdown >= least_cost
+                and work.seconds * observed.current_slowdown(now) >= least_cost
             ):
                 continue
             jittered_cost = (
@@ -246,13 +276,10 @@
         now: float,
     ) -> float:
         """Return the expected seconds until an answer reaches its caller."""
-        seconds = work.seconds * observed.slowdown
+        seconds = work.seconds * observed.current_slowdown(now)
         if now < instance.cold_until:
             seconds *= COLD_FACTOR
-        busy = observed.requests_ahead(route.rank, now)
-        load = (busy + 1) / max(instance.slots, 1)
-        occupancy = load if load > 1 else 1.0
-        seconds *= occupancy + QUEUEING_FACTOR * load
+        seconds = _with_wait(seconds, instance, observed, route.rank, now)
         if observed.failure_ratio:
             seconds *= 1 + FAILURE_FACTOR * observed.current_failure_ratio(now)
         if observed.owner_delay:
@@ -307,6 +334,9 @@
         load = observed.rank_load(rank)
         load.reported = report.busy
         load.reported_at = now
+        load.wait = report.wait
+        observed.speed = report.speed
+        observed.speed_at = now
         if report.service_seconds:
             load.backoff_seconds = 0.0
         observed.link_busy_until = now + report.link_busy_seconds
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -453,3 +453,36 @@
     """Guards against refusing small requests by their remaining time."""
     placement.remaining_objective(BROWSE, 2.0)
     assert placement.remaining_objective(BROWSE, 0.5) == BROWSE.objective
+
+
+def test_instance_behind_heavy_work_is_not_chosen(placement):
+    """Guards against a light request behind a few heavy ones.
+
+    As many requests run at both instances.
+    """
+    placement.record_report(NEAR, 0, LoadReport(6, 6, wait=0.7))
+    placement.record_report(FAR, 0, LoadReport(6, 6, wait=0.02))
+    assert share_of_near(placement) == 0
+
+
+def test_reported_wait_fades(placement):
+    """Guards against avoiding an instance by a report of long ago."""
+    placement.record_report(NEAR, 0, LoadReport(6, 6, wait=0.7))
+    placement.timer.time += 5.0
+    assert share_of_near(placement) > 0.9
+
+
+def test_instance_that_is_slow_now_is_not_chosen(placement):
+    """Guards against placing by an average that hides a slow moment."""
+    placement.record_report(NEAR, 0, LoadReport(0, 6, wait=0.0, speed=2.5))
+    assert share_of_near(placement) == 0
+    placement.timer.time += 5.0
+    assert share_of_near(placement) > 0.9
+
+
+def test_wait_of_the_local_instance_is_known_at_once(placement):
+    """Guards against comparing the local instance by an old report."""
+    placement.local_address = NEAR.address
+    placement.local_report = lambda _rank: LoadReport(6, 6, wait=0.0)
+    placement.record_report(NEAR, 0, LoadReport(6, 6, wait=0.7))
+    assert share_of_near(placement) > 0.9
