Place each request by its own expected cost

Cause: placement knew the mean of a route only; a heavy request and a light one went to the same instance, and each of this daemon's requests at an instance counted alike.

Change: the entry learns a cost model of its own, from times divided by the slowdown of the instance. A heavy request is compared with more work, so it goes where work is fast, and it counts by its cost for later ones. The expected time of an instance has a module of its own.

Both new tests of placement fail without it (choose has no weight).

--- a/packages/admission/tanagerbend_admission/cost.py
+++ b/packages/admission/tanagerbend_admission/cost.py
@@ -243,6 +243,13 @@
             return CostEstimate()
         return found.estimate(_refining_values(features))
 
+    def weight(self, features: Features) -> float:
+        """Return the expected cost relative to the mean of the route."""
+        found = self.routes.get(features.route)
+        if found is None or not found.mean:
+            return 1.0
+        return found.estimate(_refining_values(features)).mean / found.mean
+
     def observe(
         self, features: Features, seconds: float, speed: float = 1.0
     ) -> None:
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -34,6 +34,7 @@
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.repeats import CERTAIN_SHARE
 from tanagerbend_proxy.suspicions import Suspicions
+from tanagerbend_proxy.request_costs import RequestCosts
 from tanagerbend_proxy.request_lines import RequestLines, RequestState
 from tanagerbend_proxy.daemon_settings import DaemonSettings
 from tanagerbend_routing import (
@@ -91,6 +92,7 @@
     log : DecisionLog
     random : random.Random
     link : LinkUse
+    costs : RequestCosts
     """
 
     settings: DaemonSettings
@@ -103,12 +105,14 @@
     log: DecisionLog
     random: random.Random
     link: LinkUse
+    costs: RequestCosts = attrs.field(init=False)
     lines: RequestLines = attrs.field(init=False)
     suspicions: Suspicions = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         timer = self.recorder.timer
         self.suspicions = self.owner.suspicions
+        self.costs = RequestCosts(self.owner, self.placement)
         self.lines = RequestLines(self.log, self.knowledge, timer)
         self.placement.local_address = self.settings.instance_address
         self.placement.link_delay = self.owner.uplink.seconds_for
@@ -216,11 +220,13 @@
         self.lines.write(kind, state)
 
     async def _try_instances(self, state: RequestState) -> Answer | Refusal:
+        state.weight = self.costs.weight(state)
         while True:
             instance = self.placement.choose(
                 self.knowledge.registry.usable(state.service),
                 state.route,
                 state.tried,
+                state.weight,
             )
             if instance is None:
                 state.stopped_by = 'no other instance accepts work now'
@@ -262,13 +268,13 @@
         load = self.placement.observed_instance(instance).rank_load(
             state.route.rank
         )
-        load.outstanding += 1
+        load.begin(state.weight)
         try:
             if instance.address == self.settings.instance_address:
                 return await self.owner.run(state.request, placed)
             return await self._ask_remote_owner(state, instance, placed)
         finally:
-            load.outstanding -= 1
+            load.end(state.weight)
 
     async def _ask_remote_owner(
         self,
@@ -364,6 +370,7 @@
                     self.placement.record_failure(instance)
                     return
                 self._log_recovery(instance)
+                self.costs.observe(state)
                 self.placement.record_answer(
                     instance,
                     state.route.name,
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -189,14 +189,18 @@
         report = self.report(placed.rank, seconds)
         return self._add_evidence(request, Outcome(result, report, is_offered))
 
-    def _make_work(self, request: Request, placed: Placed, now: float) -> Work:
-        """Return the resources that a request needs, as estimated now."""
-        features = Features.of_request(
-            placed.route,
+    def features(self, request: Request, route: str) -> Features:
+        """Return what is known of a request before it runs."""
+        return Features.of_request(
+            route,
             request.headers.get(self.names.caller_service, ''),
             request.path,
             len(request.body),
         )
+
+    def _make_work(self, request: Request, placed: Placed, now: float) -> Work:
+        """Return the resources that a request needs, as estimated now."""
+        features = self.features(request, placed.route)
         return Work(
             placed.route,
             placed.rank,
--- a/packages/proxy/tanagerbend_proxy/request_lines.py
+++ b/packages/proxy/tanagerbend_proxy/request_lines.py
@@ -47,6 +47,8 @@
     has_crash_evidence : bool
         Whether an owner returned evidence that the request crashes
         instances.
+    weight : float
+        Expected cost relative to the mean of the route.
     lines : list of dict
         Log lines that are written when the request ends.
     """
@@ -66,6 +68,7 @@
     stopped_by: str = ''
     caused: float = 0.0
     has_crash_evidence: bool = False
+    weight: float = 1.0
     lines: list[dict[str, Any]] = attrs.field(factory=list)
 
 
--- a/packages/routing/tanagerbend_routing/observations.py
+++ b/packages/routing/tanagerbend_routing/observations.py
@@ -61,6 +61,8 @@
 
     outstanding : int
         Requests of this daemon at the instance.
+    outstanding_work : float
+        Their expected cost, in that of a typical request.
     reported : float
         Requests that the owner reported as running, or as queued ahead of
         a new one of this rank.
@@ -76,12 +78,26 @@
     """
 
     outstanding: int = 0
+    outstanding_work: float = 0.0
     reported: float = 0.0
     reported_at: float = -math.inf
     wait: float | None = None
     refusing_until: float = -math.inf
     backoff_seconds: float = 0.0
 
+    def begin(self, weight: float) -> None:
+        """Record that this daemon sends a request."""
+        self.outstanding += 1
+        self.outstanding_work += weight
+
+    def end(self, weight: float) -> None:
+        """Record that a request has ended."""
+        self.outstanding -= 1
+        self.outstanding_work -= weight
+        if not self.outstanding:
+            # Removes what rounding left.
+            self.outstanding_work = 0.0
+
     def decayed_report(self, now: float) -> float:
         """Return the reported load, decayed by the age of the report."""
         if not self.reported:
@@ -160,13 +176,16 @@
             return outstanding_ahead
         return max(load_of_rank.decayed_report(now), outstanding_ahead)
 
-    def own_requests_ahead(self, rank: int) -> int:
-        """Return the requests of this daemon ahead of a new one."""
-        return sum(
-            load.outstanding
-            for other, load in self.ranks.items()
-            if other <= rank
-        )
+    def own_work_ahead(self, rank: int) -> float:
+        """Return the work of this daemon's requests ahead of a new one.
+
+        The unit is the work of a typical request.
+        """
+        work = 0.0
+        for other, load in self.ranks.items():
+            if other <= rank and load.outstanding:
+                work += load.outstanding_work
+        return work
 
     def reported_wait(self, rank: int, now: float) -> float | None:
         """Return the expected wait for a slot by the report of the owner."""
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -27,6 +27,7 @@
     Instances,
     eligible_candidates,
 )
+from tanagerbend_routing.expected_time import seconds_until_answered
 from tanagerbend_routing.observations import LoadReport, ObservedInstance
 from tanagerbend_routing.prefixes import PrefixRoute
 from tanagerbend_routing.registry import ListedInstance
@@ -34,13 +35,6 @@
 
 # Weight of one request in the moving average of failures.
 FAILURE_WEIGHT: Final = 0.15
-# The expected time of an instance is increased by this factor times its failure
-# ratio, and multiplied by ``COLD_FACTOR`` while it is cold.
-FAILURE_FACTOR: Final = 20.0
-COLD_FACTOR: Final = 2.0
-# Requests arrive at random, so the expected waiting time grows before all
-# slots are taken: by this ratio of the work at full load.
-QUEUEING_FACTOR: Final = 0.25
 # Round trip between failure domains, and the cost of each kilobyte between
 # them in seconds; the platform charges for these bytes.
 CROSS_DOMAIN_SECONDS: Final = 0.005
@@ -71,30 +65,6 @@
 MAX_AVOID_SECONDS: Final = 2.0
 
 
-def _with_wait(
-    seconds: float,
-    instance: ListedInstance,
-    observed: ObservedInstance,
-    rank: int,
-    now: float,
-) -> float:
-    """Return the seconds of work and of the wait for a slot.
-
-    The wait is the reported one, or that behind the requests of this daemon
-    if it is longer.  Owners of earlier releases report only how many requests
-    are ahead.
-    """
-    wait = observed.reported_wait(rank, now)
-    if wait is None:
-        busy = observed.requests_ahead(rank, now)
-    else:
-        busy = observed.own_requests_ahead(rank)
-    load = (busy + 1) / max(instance.slots, 1)
-    behind_own = seconds * (load - 1) if load > 1 else 0.0
-    wait = max(wait or 0.0, behind_own)
-    return seconds * (1 + QUEUEING_FACTOR * load) + wait
-
-
 def no_delay(_size: float) -> float:
     """Return the time to send over an unknown link, which is 0."""
     return 0.0
@@ -149,13 +119,15 @@
         instances: Instances,
         route: PrefixRoute,
         exclude: frozenset[str],
+        weight: float = 1.0,
     ) -> ListedInstance | None:
         """Return the instance that is expected to answer first.
 
-        ``exclude`` holds identities.  The local instance is preferred while
-        it has a free slot.  An avoided instance is used only if there is no
-        other.  Large answers cross to another failure domain only if no
-        instance of the own domain is likely to answer on time.
+        ``exclude`` holds identities.  ``weight`` is the expected cost of the
+        request relative to the mean of its route.  The local instance is
+        preferred while it has a free slot.  An avoided instance is used only
+        if there is no other.  Large answers cross to another failure domain
+        only if no instance of the own domain is likely to answer on time.
         """
         now = self.timer.now()
         candidate_set = self._candidates(instances)
@@ -164,9 +136,9 @@
             route.rank, self.local_free_slots(), now
         ):
             return candidate_set.local[0]
-        if candidate_set.local is not None and self.local_report is not None:
-            local = candidate_set.local[0]
-            self.record_report(local, route.rank, self.local_report(route.rank))
+        if candidate_set.local and self.local_report:
+            report = self.local_report(route.rank)
+            self.record_report(candidate_set.local[0], route.rank, report)
         if is_first and self._is_costly_to_transfer(route):
             eligible = list(
                 eligible_candidates(
@@ -174,11 +146,13 @@
                 )
             )
             on_time = self._on_time_in_own_domain(eligible, route, now)
-            return self._select_cheapest(on_time or eligible, route, now)
+            return self._select_cheapest(
+                on_time or eligible, route, now, weight
+            )
         sampled = candidate_set.rotated(self.random)
         eligible = eligible_candidates(sampled, route.rank, exclude, now)
         return self._select_cheapest(
-            itertools.islice(eligible, MAX_COMPARED), route, now
+            itertools.islice(eligible, MAX_COMPARED), route, now, weight
         )
 
     def _on_time_in_own_domain(
@@ -216,9 +190,10 @@
         candidates: Iterable[Candidate],
         route: PrefixRoute,
         now: float,
+        weight: float,
     ) -> ListedInstance | None:
         """Return the instance of least expected cost, with random jitter."""
-        work = self.work_of(route.name)
+        work = self.work_of(route.name).weighted(weight)
         cheapest = None
         least_cost = math.inf
         for instance, observed in candidates:
@@ -276,14 +251,9 @@
         now: float,
     ) -> float:
         """Return the expected seconds until an answer reaches its caller."""
-        seconds = work.seconds * observed.current_slowdown(now)
-        if now < instance.cold_until:
-            seconds *= COLD_FACTOR
-        seconds = _with_wait(seconds, instance, observed, route.rank, now)
-        if observed.failure_ratio:
-            seconds *= 1 + FAILURE_FACTOR * observed.current_failure_ratio(now)
-        if observed.owner_delay:
-            seconds += observed.current_owner_delay(now)
+        seconds = seconds_until_answered(
+            instance, observed, work, route.rank, now
+        )
         if not work.is_large:
             return seconds
         # Sending earlier answers overlaps with the work of the instance.
--- a/packages/routing/tanagerbend_routing/tests/test_placement.py
+++ b/packages/routing/tanagerbend_routing/tests/test_placement.py
@@ -486,3 +486,32 @@
     placement.local_report = lambda _rank: LoadReport(6, 6, wait=0.0)
     placement.record_report(NEAR, 0, LoadReport(6, 6, wait=0.7))
     assert share_of_near(placement) > 0.9
+
+
+def test_heavy_request_goes_where_work_is_fast(placement):
+    """Guards against placing heavy requests like light ones.
+
+    A short wait decides for a light request, the speed for a heavy one.
+    """
+    for _ in range(60):
+        placement.record_answer(FAR, 'browse', 0.05, 1.0)
+        placement.record_answer(NEAR, 'browse', 0.1, 1.0)
+    placement.record_report(FAR, 0, LoadReport(6, 6, wait=0.2))
+    placement.record_report(NEAR, 0, LoadReport(6, 6, wait=0.0))
+    light = placement.choose(BOTH, BROWSE, NO_EXCLUSIONS, 0.5)
+    heavy = placement.choose(BOTH, BROWSE, NO_EXCLUSIONS, 8.0)
+    assert (light, heavy) == (NEAR, FAR)
+
+
+def test_own_heavy_request_counts_by_its_cost(placement):
+    """Guards against a light request behind heavy ones of this daemon."""
+    placement.record_report(NEAR, 0, LoadReport(0, 6, wait=0.0))
+    placement.record_report(FAR, 0, LoadReport(0, 6, wait=0.0))
+    load = placement.observed_instance(NEAR).rank_load(0)
+    for _ in range(3):
+        load.begin(7.0)
+    assert share_of_near(placement) == 0
+    for _ in range(3):
+        load.end(7.0)
+    assert load.outstanding_work == 0
+    assert share_of_near(placement) > 0.9
