--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -234,14 +234,18 @@
             self.queue.leave(work, 0.0, is_complete=False)
         return refusal
 
-    def _make_work(self, request: Request, placed: Placed, now: float) -> Work:
-        """Return the resources that a request needs, as estimated now."""
-        features = Features.of_request(
-            placed.route,
+    def features(self, request: Request, route: str) -> Features:
+        """Return what is known of a request before it runs."""
+        return Features.of_request(
+            route,
             request.headers.get(self.names.caller_service, ''),
             request.path,
             len(request.body),
         )
+
+    def _make_work(self, request: Request, placed: Placed, now: float) -> Work:
+        """Return the resources that a request needs, as estimated now."""
+        features = self.features(request, placed.route)
         return Work(
             placed.route,
             placed.rank,
