--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -63,7 +63,11 @@
 DEFAULT_RETRY_SECONDS: Final = 1.0
 # Refusals that say nothing about the capacity of an instance.
 NEUTRAL_CODES: Final = frozenset(
-    (ResultCode.RETRY_BUDGET_SPENT, ResultCode.REQUEST_CRASHES_BACKEND),
+    (
+        ResultCode.RETRY_BUDGET_SPENT,
+        ResultCode.REQUEST_CRASHES_BACKEND,
+        ResultCode.CALLED_SERVICE_FULL,
+    ),
 )
 
 
