--- a/packages/proxy/tanagerbend_proxy/tests/test_calls.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_calls.py
@@ -7,6 +7,7 @@
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.calls import Calls
 from tanagerbend_proxy.messages import Answer, Placed, Request
+from tanagerbend_proxy.outcomes import NEUTRAL_CODES
 from tanagerbend_proxy.request_lines import RequestState
 from tanagerbend_routing import PrefixRoute, Repeat, Run, Runs, WeightedService
 from tanagerbend_timer import ManualTimer
@@ -78,3 +79,8 @@
         calls.record_result(PAGE, 'price', result)
         calls.record_result(None, 'price', FULL)
     assert calls.refuse(PLACED) is None
+
+
+def test_refusal_for_calls_says_nothing_about_the_instance():
+    """Guards against avoiding an instance whose called service is full."""
+    assert ResultCode.CALLED_SERVICE_FULL in NEUTRAL_CODES
--- a/packages/routing/tanagerbend_routing/call_room.py
+++ b/packages/routing/tanagerbend_routing/call_room.py
@@ -26,7 +26,7 @@
 WINDOW_SECONDS: Final = 2.0
 # Runs are admitted for this multiple of the calls that were served, so that
 # more are admitted as soon as the called service has room again.
-HEADROOM: Final = 1.6
+HEADROOM: Final = 1.3
 # Calls in a window below which no run is refused; with fewer, a share says
 # little.
 MIN_CALLS: Final = 8.0
@@ -116,7 +116,7 @@
     >>> for number in range(20):
     ...     room.record_result('price', is_served=number % 2 == 0)
     >>> [room.short_service(2, {'price': 1.0}) for _ in range(20)].count('')
-    19
+    18
 
     Parameters
     ==========
