Spend less on requests without a body

Change: no memory is accounted for a request of a caller that has no body, and input that is parsed at once takes fewer calls.

--- a/packages/daemon/tanagerbend_daemon/bounded_server.py
+++ b/packages/daemon/tanagerbend_daemon/bounded_server.py
@@ -114,17 +114,14 @@
         """Parse a little input at once, and more of it in turns."""
         if self.is_refused:
             return
-        if not data:
-            # The parser resumes with bytes that it kept.
-            self._parse(data)
-            return
-        is_small = data.count(b'\n') <= MAX_LINES_AT_ONCE
-        if is_small and not self.pieces:
+        has_to_wait = self.pieces or data.count(b'\n') > MAX_LINES_AT_ONCE
+        # Without input, the parser resumes with bytes that it kept.
+        if data and has_to_wait:
+            self.pieces.extend(split_input(data))
+            self._pause_transport_reading()
+            self.queue.add(self)
+        else:
             self._parse(data)
-            return
-        self.pieces.extend(split_input(data))
-        self._pause_transport_reading()
-        self.queue.add(self)
 
     def parse_next(self) -> int:
         """Parse a piece of the input; return the number of its lines."""
@@ -151,7 +148,8 @@
             super()._resume_transport_reading()
 
     def _parse(self, received: bytes) -> None:
-        was_in_body = self._is_in_body()
+        payload = self.payload
+        was_in_body = payload is not None and not payload.is_eof()
         requests_before = self._request_count
         # `data_received` of this class splits its input first.
         super().data_received(received)  # noqa: WPS613
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -58,11 +58,13 @@
 
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Answer one request of a caller."""
+        if not http.body_exists:
+            return await self._handle(http, None)
         with self.memory.hold() as held:
             return await self._handle(http, held)
 
     async def _handle(
-        self, http: web.BaseRequest, held: HeldBody
+        self, http: web.BaseRequest, held: HeldBody | None
     ) -> web.StreamResponse:
         begun = self.begin(http)
         request = self._refuse_early(http, begun)
@@ -149,10 +151,13 @@
         self,
         http: web.BaseRequest,
         begun: Request,
-        held: HeldBody,
+        held: HeldBody | None,
     ) -> Request | Refusal:
-        """Return a request with its body, or a refusal."""
-        if not http.body_exists:
+        """Return a request with its body, or a refusal.
+
+        ``held`` is None for a request without a body.
+        """
+        if held is None:
             return begun
         seconds_left = begun.deadline - self.recorder.timer.now()
         body = await read_body(http, held, self._max_body_bytes(), seconds_left)
