--- a/packages/proxy/tanagerbend_proxy/applying.py
+++ b/packages/proxy/tanagerbend_proxy/applying.py
@@ -41,6 +41,8 @@
         self.entries_position = START
         self.era: int | None = None
         self.log = ChangeLog()
+        # Whether evacuations are in force that the last listing lacked.
+        self.has_unlisted_orders = False
 
     def reset(self) -> None:
         """Require a listing, since changes may be missing."""
@@ -61,16 +63,20 @@
             # Entries that the copy lacks are written again.
             self.knowledge.registry.outage.begin_grace_period()
             batch = self._without_returned(batch)
+        elif batch.position.era:
+            batch = self._without_returned(batch, only_known=True)
         self._adopt_configurations(batch)
         returned = (
             self.knowledge.registry.evacuations.ordered
             if is_copy
             else frozenset()
         )
-        self.knowledge.set_evacuated(_evacuated(batch, returned))
+        evacuated = _evacuated(batch, frozenset())
+        self.has_unlisted_orders = not returned <= evacuated
         # The entries may have been read up to a later position meanwhile.
         if batch.position >= self.entries_position:
             self._replace_entries(batch)
+        self.knowledge.set_evacuated(evacuated | returned)
         self.position = batch.position
 
     def _begin_era(self, position: StorePosition) -> bool:
@@ -85,20 +91,35 @@
         )
         return True
 
-    def _without_returned(self, batch: Batch) -> Batch:
+    def _without_returned(
+        self, batch: Batch, *, only_known: bool = False
+    ) -> Batch:
         """Return a batch in which instances that have left stay so.
 
-        The copy may be older than their departures.
+        The copy may be older than their departures, also when it is listed
+        again.  Then, an instance that is not known has been written since.
         """
         registry = self.knowledge.registry
         items = tuple(
             Item(item.identity, registry.retain_departure(item.value))
             if isinstance(item.value, ListedInstance)
+            and (not only_known or item.identity in registry.entries)
             else item
             for item in batch.items
         )
         return attrs.evolve(batch, items=items)
 
+    def _with_unlisted(self, batch: Batch) -> Batch:
+        """Return a reply of a later era that removes what it does not list.
+
+        It holds the whole listing with which its sender began the era, but
+        the sender may not have known all entries that are known here.
+        """
+        named = {item.identity for item in batch.items}
+        unlisted = self.knowledge.registry.entries.keys() - named
+        removed = tuple(Item(identity, Removed()) for identity in unlisted)
+        return attrs.evolve(batch, items=(*removed, *batch.items))
+
     def _replace_entries(self, batch: Batch) -> None:
         listed = {}
         for item in batch.items:
@@ -131,7 +152,8 @@
         """
         if batch.after is not None and not self._follows(batch.after):
             return
-        self._begin_era(batch.position)
+        if self._begin_era(batch.position):
+            batch = self._without_returned(self._with_unlisted(batch))
         self._adopt_configurations(batch)
         if batch.position > self.entries_position:
             entries = _newest_entries(batch)
--- a/packages/proxy/tanagerbend_proxy/calls.py
+++ b/packages/proxy/tanagerbend_proxy/calls.py
@@ -55,7 +55,7 @@
 
     def refuse(self, placed: Placed) -> Refusal | None:
         """Refuse a run whose calls would probably be refused."""
-        calls = self.runs.rates.calls_per_run(placed.route)
+        calls = self.runs.linked_calls.calls_per_run(placed.route)
         short = self.room.short_service(placed.rank, calls)
         if not short:
             return None
@@ -74,12 +74,11 @@
         """Record how a request ended if a run made it as a call.
 
         An instance that sheds load may do so at any load, and then fewer
-        runs help nobody, so only refusals by owners count.
+        runs help nobody, so only refusals by owners count as refused.
         """
         if caller is None:
             return
-        match result:
-            case Answer():
-                self.room.record_result(service, is_served=True)
-            case Refusal(code=code) if code in OVERLOAD_CODES:
-                self.room.record_result(service, is_served=False)
+        is_refused = (
+            isinstance(result, Refusal) and result.code in OVERLOAD_CODES
+        )
+        self.room.record_result(service, is_served=not is_refused)
--- a/packages/proxy/tanagerbend_proxy/following.py
+++ b/packages/proxy/tanagerbend_proxy/following.py
@@ -322,7 +322,8 @@
         if source.is_check:
             self.peers.sources.named_reader = reply.reader
         self.staleness.link.received(CHANGES, reply.batch.size)
-        self.staleness.record_contact(reply.age)
+        if reply.batch.evacuated is not None:
+            self.staleness.record_contact(reply.age)
         self.staleness.record_entries_contact(reply.entries_age)
         _adopt_outage(self, reply)
         self.applier.apply(reply.batch)
@@ -369,8 +370,13 @@
         self.backoff = min(2 * self.backoff, MAX_BACKOFF_SECONDS)
 
     async def expire(self) -> None:
-        """Drop entries that were not listed again after an outage."""
-        self.knowledge.registry.expire()
+        """Drop what was not listed again after an outage."""
+        registry = self.knowledge.registry
+        registry.expire()
+        if self.applier.has_unlisted_orders and registry.is_settled:
+            # An order that the operator has not written again by now was
+            # taken back, which only a listing shows.
+            self.prefers_listing = True
 
 
 def is_recent(reply: PollReply) -> bool:
--- a/packages/proxy/tanagerbend_proxy/poll_answers.py
+++ b/packages/proxy/tanagerbend_proxy/poll_answers.py
@@ -19,7 +19,7 @@
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.peers import Peers
 from tanagerbend_proxy.poll_request import PollRequest
-from tanagerbend_proxy.positions import START
+from tanagerbend_proxy.positions import START, StorePosition
 from tanagerbend_proxy.sources import POLL_WAIT_SECONDS
 from tanagerbend_proxy.staleness import Staleness
 
@@ -121,7 +121,11 @@
         reply = PollReply(
             Batch(
                 items,
-                self.applier.entries_position,
+                max(
+                    self.applier.entries_position,
+                    # Before a new listing: no position, but the era is known.
+                    StorePosition(self.applier.era or 0),
+                ),
                 complete=self.applier.position or START,
                 evacuated=self.knowledge.registry.evacuations.ordered,
             ),
--- a/packages/proxy/tanagerbend_proxy/tests/test_calls.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_calls.py
@@ -1,5 +1,6 @@
 """Calls count by the run that makes them."""
 
+import attrs
 import pytest
 from multidict import CIMultiDict
 
@@ -51,6 +52,31 @@
     assert calls.caller_of('a1.7') is None
 
 
+def test_later_run_with_the_same_identifier_stays_linked(calls):
+    """Guards against a caller that reuses an identifier and unlinks a run."""
+    timer = calls.recorder.timer
+    later = Run('page', 9.0, identifier='a1')
+    with calls.runs.hold(later, timer):
+        with calls.runs.hold(PAGE, timer):
+            assert calls.caller_of('a1.7') is PAGE
+        assert calls.caller_of('a1.7') is None
+    with calls.runs.hold(PAGE, timer), calls.runs.hold(later, timer):
+        assert calls.caller_of('a1.7') is later
+
+
+def test_requests_of_callers_are_no_calls_of_runs(calls):
+    """Guards against refusing runs for requests that they don't make."""
+    lone = attrs.evolve(PLACED, route='lone')
+    for number in range(60):
+        run = Run('lone', 99.0, identifier=f'b{number}')
+        with calls.runs.hold(run, calls.recorder.timer):
+            calls.runs.record_sent_call('price', 9.0)
+            calls.recorder.timer.time += 0.1
+    for _ in range(20):
+        calls.record_result(PAGE, 'price', FULL)
+    assert [calls.refuse(lone) for _ in range(20)] == [None] * 20
+
+
 def test_call_has_rank_and_target_time_of_its_run():
     """Guards against refusing calls by their own, shorter target time."""
     request = Request('a1.7', 'GET', 'shop', '/', CIMultiDict(), b'', 0.4, 0.0)
--- a/packages/routing/tanagerbend_routing/active_runs.py
+++ b/packages/routing/tanagerbend_routing/active_runs.py
@@ -20,6 +20,7 @@
 import attrs
 
 from tanagerbend_routing.call_rates import CallRates
+from tanagerbend_routing.linked_calls import LinkedCalls
 from tanagerbend_timer import Timer
 
 # Tolerance when the deadlines of a call and a run are compared.  Remaining
@@ -79,6 +80,7 @@
         self.running: set[Run] = set()
         self.by_identifier: dict[str, Run] = {}
         self.rates = CallRates()
+        self.linked_calls = LinkedCalls()
 
     @contextmanager
     def hold(self, run: Run, timer: Timer) -> Iterator[None]:
@@ -93,8 +95,10 @@
 
     def _end(self, run: Run, seconds: float) -> None:
         self.running.discard(run)
-        self.by_identifier.pop(run.identifier, None)
+        if self.by_identifier.get(run.identifier) is run:
+            self.by_identifier.pop(run.identifier)
         self.rates.record_run(run.route, seconds)
+        self.linked_calls.record_run(run.route)
 
     def find(self, identifier: str) -> Run | None:
         """Return the run that serves the request with an identifier."""
@@ -111,6 +115,7 @@
         """
         if caller is not None:
             self.rates.record_call(service, (caller.route,))
+            self.linked_calls.record_call(caller.route, service)
             return caller.retry_share
         callers = self._possible_callers(ends)
         if not callers:
--- a/packages/routing/tanagerbend_routing/call_room.py
+++ b/packages/routing/tanagerbend_routing/call_room.py
@@ -99,7 +99,7 @@
 
     def admit(self, rank: int, share: float) -> bool:
         """Admit a ``share`` of the runs of a rank, evenly spread."""
-        credit = self.credits.get(rank, 0.0) + share
+        credit = self.credits.get(rank, 1.0) + share
         is_admitted = credit >= 1
         self.credits[rank] = credit - 1 if is_admitted else credit
         return is_admitted
@@ -116,7 +116,7 @@
     >>> for number in range(20):
     ...     room.record_result('price', is_served=number % 2 == 0)
     >>> [room.short_service(2, {'price': 1.0}) for _ in range(20)].count('')
-    18
+    19
 
     Parameters
     ==========
--- a/packages/routing/tanagerbend_routing/outage.py
+++ b/packages/routing/tanagerbend_routing/outage.py
@@ -74,6 +74,10 @@
         daemons, it is no outage.
         """
         if self.answers_others:
+            if not self.is_settled:
+                # It may be away again; the next reply of a peer in contact
+                # replaces this.
+                self._settle_after(OUTAGE_GRACE_SECONDS)
             return
         if self.began_at is None:
             self.began_at = self.timer.now() if since is None else since
