--- a/packages/proxy/tanagerbend_proxy/tests/test_applying.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_applying.py
@@ -163,3 +163,30 @@
     applier.apply_listing(Batch((version(1),), at(5, era=1)))
     assert applier.log.since(at(10)) == (Item('i-1', Removed()),)
     assert applier.log.since(at(5, era=1)) == ()
+
+
+def test_departure_holds_in_every_listing_of_an_era(applier):
+    """Guards against a copy whose second listing brings an instance back."""
+    applier.apply(Batch((Item('i-1', LEAVING),), at(14), after=at(10)))
+    copy = (version(1), Item('i-1', READY))
+    for revision in (5, 6):
+        applier.apply_listing(Batch(copy, at(revision, era=1)))
+        assert usable(applier) == []
+
+
+def test_entry_that_a_peer_of_a_later_era_lacks_is_not_kept(applier):
+    """Guards against an entry that stays since no peer removes it."""
+    applier.apply(Batch((version(1),), at(8, era=1), after=at(10)))
+    registry = applier.knowledge.registry
+    assert not registry.entries or 'i-1' in registry.missing
+
+
+def test_order_that_a_copy_lacks_is_listed_again(applier):
+    """Guards against an evacuation that was taken back in an outage."""
+    applier.apply(Batch((order('north'),), at(11), after=at(10)))
+    applier.apply_listing(Batch((version(1),), at(5, era=1)))
+    assert evacuated(applier) == {'north'}
+    assert applier.has_unlisted_orders
+    applier.apply_listing(Batch((version(1),), at(6, era=1)))
+    assert evacuated(applier) == frozenset()
+    assert not applier.has_unlisted_orders
