--- a/packages/admission/tanagerbend_admission/__init__.py
+++ b/packages/admission/tanagerbend_admission/__init__.py
@@ -6,14 +6,11 @@
 __getattr__, __dir__, __all__ = lazy_loader.attach(
     __name__,
     submod_attrs={
-        'cost': ('CostEstimate', 'CostModel', 'Features'),
         'departure': ('DepartureTimes', 'Link'),
         'estimate': ('ServiceTimes',),
         'fifo': ('FifoAdmission', 'StrictPriorityAdmission'),
-        'objective': ('ObjectiveQueue', 'WaitingRequest'),
+        'objective': ('ObjectiveQueue',),
         'ranked': ('RankAdmission',),
-        'slots_ahead': ('SlotWait', 'likelihood_within', 'wait_for_slot'),
-        'speed': ('InstanceSpeed',),
         'ticket': ('Admission', 'Outcome', 'Ticket'),
         'work': ('Work',),
     },
--- a/packages/admission/tanagerbend_admission/estimate.py
+++ b/packages/admission/tanagerbend_admission/estimate.py
@@ -114,34 +114,3 @@
             return False
         known.last_update = now
         return True
-
-
-class TrialTimes:
-    """When a request of each kind last ended or tested its estimate.
-
-    Examples
-    ========
-
-    >>> trials = TrialTimes()
-    >>> trials.observed('plates', 7.0)
-    >>> [trials.may_run('plates', now) for now in (8.0, 10.0, 11.0)]
-    [False, True, False]
-    """
-
-    def __init__(self) -> None:
-        self.last: dict[str, float] = {}
-
-    def observed(self, kind: str, now: float) -> None:
-        """Record that a request of a kind ended."""
-        self.last.pop(kind, None)
-        if len(self.last) >= MAX_CLASSES:
-            self.last.pop(next(iter(self.last)))
-        self.last[kind] = now
-
-    def may_run(self, kind: str, now: float) -> bool:
-        """Return whether a request may test an outdated estimate."""
-        last = self.last.get(kind)
-        if last is None or now - last < TRIAL_INTERVAL_SECONDS:
-            return False
-        self.last[kind] = now
-        return True
--- a/packages/admission/tanagerbend_admission/objective.py
+++ b/packages/admission/tanagerbend_admission/objective.py
@@ -14,12 +14,8 @@
 import attrs
 
 from tanagerbend_admission.departure import DepartureTimes
-from tanagerbend_admission.instance_work import InstanceWork
-from tanagerbend_admission.slots_ahead import (
-    SlotWait,
-    wait_for_slot,
-)
-from tanagerbend_admission.window import RankWindow
+from tanagerbend_admission.estimate import ServiceTimes
+from tanagerbend_admission.window import WINDOW_SECONDS, RankWindow
 from tanagerbend_admission.work import Work
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_timer import Timer
@@ -28,6 +24,11 @@
 # flood of an urgent rank does not starve the others.
 FLOOR_INTERVAL: Final = 16
 MAX_WAITING: Final = 200
+# Safety margin for a request behind others of its tier, in mean deviations
+# of the service time of its kind.
+MARGIN_DEVIATIONS: Final = 3.0
+# Grants per window assumed for a tier that got fewer.
+MIN_GRANTS: Final = 1.0
 # Added to the rank of requests that will be late, so that their tiers come
 # after all ranks.
 LATE_TIER_OFFSET: Final = 1_000_000
@@ -38,23 +39,10 @@
     """A request that waits for a slot.
 
     The result of ``grant`` is None if the request got a slot.
-
-    Parameters
-    ==========
-
-    work : Work
-    grant : asyncio.Future
-    expected_at : float
-        Monotonic seconds at which it was expected to get a slot.
     """
 
     work: Work
     grant: asyncio.Future[Refusal | None]
-    expected_at: float
-
-
-def ignore_grant(_waiting: WaitingRequest) -> None:
-    """Do nothing when a request gets a slot."""
 
 
 class ObjectiveQueue:
@@ -69,10 +57,6 @@
     Attributes
     ==========
 
-    instance : InstanceWork
-        Requests that hold a slot, and what requests are likely to cost.
-    on_granted : callable
-        Called with each waiting request that gets a slot.
     departures : DepartureTimes
         Estimates when answers have been sent from the host.
     """
@@ -80,18 +64,13 @@
     def __init__(self, timer: Timer, slots: int) -> None:
         self.timer = timer
         self.slots = slots
+        self.running = 0
         self.waiting: list[WaitingRequest] = []
-        self.instance = InstanceWork(timer)
-        self.on_granted: Callable[[WaitingRequest], None] = ignore_grant
+        self.times = ServiceTimes()
         self.departures = DepartureTimes()
         self.grant_count = 0
         self.recent_grants = RankWindow()
 
-    @property
-    def running(self) -> int:
-        """Number of requests that hold a slot."""
-        return len(self.instance.active)
-
     @property
     def busy(self) -> int:
         """Number of running and waiting requests."""
@@ -112,9 +91,7 @@
             self._count_grant(work)
             return None
         waiting = WaitingRequest(
-            work,
-            asyncio.get_running_loop().create_future(),
-            self.timer.now() + self.wait(work).mean,
+            work, asyncio.get_running_loop().create_future()
         )
         self.waiting.append(waiting)
         self._grant_slots()
@@ -131,41 +108,41 @@
         request, neither at the slots nor at the link.
         """
         now = self.timer.now()
-        wait = self.wait(work)
-        service = self.instance.seconds(work)
+        wait = self.expected_wait(work)
+        mean = self.times.mean(work.kind)
         queued = [waiting.work for waiting in self.waiting]
-        until_sent = self.departures.seconds(wait.mean + service, work, queued)
+        until_sent = self.departures.seconds(wait + mean, work, queued)
         if now + until_sent > work.deadline or len(queued) >= MAX_WAITING:
-            if not wait.mean and self.instance.trials.may_run(work.kind, now):
+            if not wait and self.times.may_run_trial(work.kind, now):
                 # The service time of the instance may have recovered.
                 return None
             return self._refusal(ResultCode.DEADLINE_UNREACHABLE, work)
-        waits_for_link = self.departures.waits_for_link(work, service, queued)
-        if not wait.mean and not waits_for_link:
-            return None
-        left = work.on_time_until - now
-        if until_sent + self.departures.margin(work, queued) > left:
-            return self._refusal(ResultCode.QUEUE_FULL, work)
-        if not self._is_behind_same_tier(work):
+        if not wait and not self.departures.waits_for_link(work, mean, queued):
             return None
-        left -= until_sent - wait.mean - service
-        if not self.instance.is_likely_on_time(work, wait, left):
+        margin = max(
+            self._margin(work),
+            self.departures.margin(work, queued),
+        )
+        if now + until_sent + margin > work.on_time_until:
             return self._refusal(ResultCode.QUEUE_FULL, work)
         return None
 
-    def _is_behind_same_tier(self, work: Work) -> bool:
-        """Return whether other requests of its tier precede a request.
+    def _margin(self, work: Work) -> float:
+        """Return the safety margin of a request in seconds.
 
-        Then the tier alone overloads the slots, and the accepted requests
-        should be on time.
+        If other requests of its tier wait, the tier alone overloads the
+        slots, and the accepted requests should be on time.
         """
         own_key = self._sort_key(work)
         tier = self._tier(work)
-        return any(
+        is_behind_same_tier = any(
             self._tier(waiting.work) == tier
             and self._sort_key(waiting.work) <= own_key
             for waiting in self.waiting
         )
+        if not is_behind_same_tier:
+            return 0.0
+        return MARGIN_DEVIATIONS * self.times.deviation(work.kind)
 
     def _refusal(self, code: ResultCode, work: Work) -> Refusal:
         """Return a refusal whose reason lists the values it is based on."""
@@ -174,8 +151,8 @@
             code,
             f'{self.running} of {self.slots} slots in use,'
             f' {len(self.waiting)} waiting,'
-            f' expected wait {self.wait(work).mean:.3f} s,'
-            f' service time {self.instance.seconds(work):.3f} s,'
+            f' expected wait {self.expected_wait(work):.3f} s,'
+            f' service time {self.times.mean(work.kind):.3f} s,'
             ' link free in'
             f' {self.departures.link_free_in(work.rank, ()):.3f} s,'
             f' answer of {work.size:.0f} bytes,'
@@ -183,33 +160,36 @@
             f' deadline in {work.deadline - now:.3f} s',
         )
 
-    def wait(self, work: Work) -> SlotWait:
-        """Return the time until a new request would get a slot.
+    def expected_wait(self, work: Work) -> float:
+        """Return the seconds until a new request would get a slot.
 
-        This is the longer of two estimates: by the work that runs and is
-        ahead, and by the requests ahead of the same tier divided by the rate
-        of slots recently granted to the tier, because later arrivals of
-        urgent ranks overtake.
+        This is the longer of two estimates: the work ahead divided by the
+        number of slots, and the requests ahead of the same tier divided by
+        the rate of slots recently granted to the tier, because later
+        arrivals of urgent ranks overtake.
         """
         if self.running < self.slots:
-            return SlotWait()
+            return 0.0
         own_key = self._sort_key(work)
         ahead = [
             waiting.work
             for waiting in self.waiting
             if self._sort_key(waiting.work) <= own_key
         ]
-        by_work = wait_for_slot(
-            self.instance.remaining_seconds(),
-            [self.instance.seconds(each) for each in ahead],
-            self.slots,
-        )
+        seconds = sum(self.times.mean(each.kind) for each in ahead)
+        by_slots = (seconds + self.times.mean(work.kind)) / max(self.slots, 1)
         tier = self._tier(work)
         tier_ahead = sum(self._tier(each) == tier for each in ahead)
-        if not tier_ahead:
-            return by_work
-        by_grants = tier_ahead / self.recent_grants.rate(self.timer.now(), tier)
-        return attrs.evolve(by_work, mean=max(by_work.mean, by_grants))
+        return (
+            max(by_slots, tier_ahead / self._grant_rate(tier))
+            if tier_ahead
+            else by_slots
+        )
+
+    def _grant_rate(self, tier: int) -> float:
+        """Return the slots per second recently granted to a tier."""
+        grants = self.recent_grants.total(self.timer.now(), tier)
+        return max(grants, MIN_GRANTS) / WINDOW_SECONDS
 
     def _tier(self, work: Work) -> int:
         is_late, rank, _on_time_until = self._sort_key(work)
@@ -225,10 +205,12 @@
         """Release a slot that was held for ``seconds``.
 
         If the work was aborted before its answer was complete, the time is
-        only a lower bound and is recorded only if it exceeds the estimate.
+        only a lower bound and is recorded only if it exceeds the mean.
         """
-        self.instance.end(work, seconds, is_complete=is_complete)
+        self.running -= 1
         self.departures.release(work)
+        if is_complete or seconds > self.times.mean(work.kind):
+            self.times.observe(work.kind, seconds, self.timer.now())
         self._grant_slots()
 
     def resize(self, slots: int) -> None:
@@ -275,11 +257,10 @@
                 waiting.grant.set_result(self._refusal(code, waiting.work))
                 continue
             self._count_grant(waiting.work)
-            self.on_granted(waiting)
             waiting.grant.set_result(None)
 
     def _count_grant(self, work: Work) -> None:
-        self.instance.begin(work)
+        self.running += 1
         self.departures.reserve(work)
         self.grant_count += 1
         self.recent_grants.add(self.timer.now(), self._tier(work), 1)
@@ -296,7 +277,7 @@
 
     def _min_seconds_until_sent(self, work: Work) -> float:
         """Return the seconds until the answer is sent if granted now."""
-        return self.departures.seconds(self.instance.seconds(work), work)
+        return self.departures.seconds(self.times.mean(work.kind), work)
 
 
 def _least_urgent(waiting: WaitingRequest) -> tuple[int, float]:
--- a/packages/admission/tanagerbend_admission/tests/test_departure.py
+++ b/packages/admission/tanagerbend_admission/tests/test_departure.py
@@ -6,7 +6,7 @@
 import attrs
 import pytest
 
-from tanagerbend_admission import DepartureTimes, Features, ObjectiveQueue, Work
+from tanagerbend_admission import DepartureTimes, ObjectiveQueue, Work
 from tanagerbend_model import ResultCode
 from tanagerbend_timer import ManualTimer
 
@@ -42,9 +42,8 @@
 def queue(departures):
     """Queue of three slots, which produce more than the link transmits."""
     made = ObjectiveQueue(ManualTimer(), 3)
-    made.instance.costs.observe(Features('plate'), SECONDS)
-    made.instance.trials.observed('plate', 0.0)
-    made.instance.costs.observe(Features('call'), SECONDS)
+    made.times.observe('plate', SECONDS, 0.0)
+    made.times.observe('call', SECONDS, 0.0)
     made.departures = departures
     return made
 
--- a/packages/admission/tanagerbend_admission/tests/test_objective.py
+++ b/packages/admission/tanagerbend_admission/tests/test_objective.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tanagerbend_admission import Features, ObjectiveQueue, Work
+from tanagerbend_admission import ObjectiveQueue, Work
 from tanagerbend_admission.objective import FLOOR_INTERVAL
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_timer import ManualTimer
@@ -17,8 +17,7 @@
     """Queue of one slot whose work takes a tenth of a second."""
     made = ObjectiveQueue(ManualTimer(), 1)
     for kind in ('browse', 'order'):
-        made.instance.costs.observe(Features(kind), SECONDS)
-        made.instance.trials.observed(kind, 0.0)
+        made.times.observe(kind, SECONDS, 0.0)
     return made
 
 
@@ -196,7 +195,7 @@
     for _ in range(40):
         assert await queue.enter(work(deadline=99.0, on_time=99.0)) is None
         queue.leave(work(), 0.001, is_complete=False)
-    assert queue.instance.seconds(work()) == SECONDS
+    assert queue.times.mean('browse') == SECONDS
 
 
 async def test_turn_away_refuses_waiting_but_not_running_requests(queue):
--- a/packages/admission/tanagerbend_admission/window.py
+++ b/packages/admission/tanagerbend_admission/window.py
@@ -4,8 +4,6 @@
 
 # Long enough for several calls of a rank with a floor of 5%, short enough
 # that a rank that was idle does not claim many slots at once.
-# Events per window assumed for a rank that had fewer.
-MIN_EVENTS: Final = 1.0
 WINDOW_SECONDS: Final = 2.0
 BUCKETS: Final = 20
 BUCKET_SECONDS: Final = WINDOW_SECONDS / BUCKETS
@@ -35,10 +33,6 @@
         bucket[rank] = bucket.get(rank, 0.0) + amount
         self.totals[rank] = self.totals.get(rank, 0.0) + amount
 
-    def rate(self, now: float, rank: int) -> float:
-        """Return the events of a rank per second, at least one a window."""
-        return max(self.total(now, rank), MIN_EVENTS) / WINDOW_SECONDS
-
     def total(self, now: float, rank: int) -> float:
         """Return the amount of a rank within the window."""
         self._slide(now)
--- a/packages/emulator/tanagerbend_emulator/instance.py
+++ b/packages/emulator/tanagerbend_emulator/instance.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import math
 import random
 from typing import TYPE_CHECKING, Final
 
@@ -32,43 +31,6 @@
 STATUS_TIMEOUT: Final = 504
 BYTES_PER_KILOBYTE: Final = 1024
 MAX_CACHED_BODIES: Final = 64
-PERCENT: Final = 100
-MIN_NOISE_SECONDS: Final = 0.01
-
-
-@attrs.define(eq=False)
-class Noise:
-    """Factor by which the work of an instance takes longer at times.
-
-    It has a generator of its own, so that loads without noise draw the
-    same numbers as before.
-
-    Parameters
-    ==========
-
-    service : ServiceLoad
-    random : random.Random
-    until : float
-        Seconds until which the present factor holds.
-    """
-
-    service: ServiceLoad
-    random: random.Random
-    until: float = math.inf
-    present: float = 1.0
-
-    def __attrs_post_init__(self) -> None:
-        if self.service.noise_share:
-            self.until = 0.0
-
-    def factor(self, now: float) -> float:
-        """Return the present factor."""
-        while now >= self.until:
-            is_noisy = self.random.random() < self.service.noise_share
-            self.present = self.service.noise_factor if is_noisy else 1.0
-            rate = 1 / self.service.noise_seconds
-            self.until += max(self.random.expovariate(rate), MIN_NOISE_SECONDS)
-        return self.present
 
 
 @attrs.define(eq=False)
@@ -102,10 +64,8 @@
     # Set at the next crash.
     crashed: asyncio.Event = attrs.field(factory=asyncio.Event)
     slots: asyncio.Semaphore = attrs.field(init=False)
-    noise: Noise = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.noise = Noise(self.service, random.Random(self.listed.identity))
         self.slots = asyncio.Semaphore(self.service.slots)
 
     async def run(
@@ -188,38 +148,19 @@
         if kind.is_crashing:
             self.entry.fleet.record_crash(kind.name)
             self.crash()
-        factor = kind.draw_factor(self.random) / 2
         try:
-            await self._work(factor * self._draw_seconds(kind))
+            await asyncio.sleep(self._draw_seconds(kind) / 2)
             for name in kind.calls:
                 self.calls += 1
                 call = f'{identifier}.{self.listed.identity}-{self.calls}'
                 self.entry.fleet.arrivals.record_call(call, is_repeat=is_repeat)
                 if not await self._call(name, call, deadline_at):
                     return Answer(STATUS_ERROR, CIMultiDict(), b'')
-            await self._work(factor * self._draw_seconds(kind))
-            headers = self._load_headers()
+            await asyncio.sleep(self._draw_seconds(kind) / 2)
         finally:
             self.slots.release()
         kilobytes = kind.draw_kilobytes(self.random)
-        return Answer(STATUS_OK, headers, make_body(kilobytes))
-
-    async def _work(self, seconds: float) -> None:
-        """Work for some seconds at usual speed."""
-        loop = asyncio.get_running_loop()
-        while seconds > 0:
-            factor = self.noise.factor(loop.time())
-            step = min(seconds * factor, self.noise.until - loop.time())
-            await asyncio.sleep(step)
-            seconds -= step / factor
-
-    def _load_headers(self) -> CIMultiDict[str]:
-        if not self.service.is_telling_load:
-            return CIMultiDict()
-        now = asyncio.get_running_loop().time()
-        figure = round(PERCENT * self.speed * self.noise.factor(now))
-        load = len(self.running), self.waiting, self.service.slots, figure
-        return CIMultiDict({'load': ','.join(map(str, load))})
+        return Answer(STATUS_OK, CIMultiDict(), make_body(kilobytes))
 
     def _draw_seconds(self, kind: KindLoad) -> float:
         now = asyncio.get_running_loop().time()
--- a/packages/emulator/tanagerbend_emulator/loads.py
+++ b/packages/emulator/tanagerbend_emulator/loads.py
@@ -41,12 +41,6 @@
         Number of hosts with ``FAST_LINK_FACTOR`` times the link capacity.
     down : float
         Seconds until an instance that crashed is back.
-    noise_share, noise_factor, noise_seconds : float
-        Others use the machine of an instance at times: for this share of the
-        time its work takes ``noise_factor`` times as long, and that changes
-        after ``noise_seconds`` on average.
-    is_telling_load : bool
-        Whether its answers state its load and present speed.
     """
 
     name: str
@@ -58,10 +52,6 @@
     link: float = math.inf
     fast_hosts: int = 0
     down: float = 1.0
-    noise_share: float = 0.0
-    noise_factor: float = 1.0
-    noise_seconds: float = 0.6
-    is_telling_load: bool = False
 
     def link_rate(self, number: int) -> float:
         """Return the link capacity of a host in bytes per second."""
@@ -98,8 +88,6 @@
         Whether each request differs from the others of its kind.
     is_crashing : bool
         Whether an instance crashes when it begins to run one.
-    tail_share, tail_factor : float
-        This share of the requests takes ``tail_factor`` times as long.
     """
 
     name: str
@@ -121,14 +109,6 @@
     most_kilobytes: float = math.inf
     is_unique: bool = False
     is_crashing: bool = False
-    tail_share: float = 0.0
-    tail_factor: float = 1.0
-
-    def draw_factor(self, rng: random.Random) -> float:
-        """Draw the factor by which one request takes longer."""
-        if self.tail_share and rng.random() < self.tail_share:
-            return self.tail_factor
-        return 1.0
 
     def draw_kilobytes(self, rng: random.Random) -> float:
         """Draw the size of an answer."""
--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -5,9 +5,6 @@
 # Histograms, in seconds, by tenant and effective rank.
 QUEUE_TIME: Final = 'queue'
 BACKEND_TIME: Final = 'backend'
-# Difference of these times from their estimates at the arrival of a request.
-QUEUE_TIME_ERROR: Final = 'queue_estimate_error'
-BACKEND_TIME_ERROR: Final = 'backend_estimate_error'
 # Time that this daemon adds to a call: without queue, backend server and
 # peers, for answers that are neither streamed nor answers to orders.
 ADDED_TIME: Final = 'added'
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -13,10 +13,12 @@
 from tanagerbend_metrics.names import ANSWER_TIME, REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
+from tanagerbend_proxy.calls import OVERLOAD_CODES
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.results import (
     CRASHES_INSTANCES,
     SERVER_ERROR,
+    count_placing,
     final_result,
     why_no_more_owners,
     why_not_retried,
@@ -32,7 +34,6 @@
     Placed,
     Request,
 )
-from tanagerbend_proxy.outcomes import OutcomeRecorder
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.repeats import CERTAIN_SHARE
 from tanagerbend_proxy.suspicions import Suspicions
@@ -44,6 +45,7 @@
     PrefixRoute,
 )
 
+KILOBYTE: Final = 1024
 # Reserved at this daemon, so that it reads the owner's answer before the
 # caller's deadline.
 RETURN_MARGIN_SECONDS: Final = 0.02
@@ -59,6 +61,14 @@
 MIN_WAIT_SHARE: Final = 0.3
 # `Retry-After` if the deadline or the route of the request is unknown.
 DEFAULT_RETRY_SECONDS: Final = 1.0
+# Refusals that say nothing about the capacity of an instance.
+NEUTRAL_CODES: Final = frozenset(
+    (
+        ResultCode.RETRY_BUDGET_SPENT,
+        ResultCode.REQUEST_CRASHES_BACKEND,
+        ResultCode.CALLED_SERVICE_FULL,
+    ),
+)
 
 
 @attrs.define
@@ -79,7 +89,6 @@
     log : DecisionLog
     random : random.Random
     link : LinkUse
-    costs : RequestCosts
     """
 
     settings: DaemonSettings
@@ -92,21 +101,16 @@
     log: DecisionLog
     random: random.Random
     link: LinkUse
-    outcomes: OutcomeRecorder = attrs.field(init=False)
     lines: RequestLines = attrs.field(init=False)
     suspicions: Suspicions = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         timer = self.recorder.timer
         self.suspicions = self.owner.suspicions
-        self.outcomes = OutcomeRecorder(
-            self.placement, self.owner, self.knowledge, self.log
-        )
         self.lines = RequestLines(self.log, self.knowledge, timer)
         self.placement.local_address = self.settings.instance_address
         self.placement.link_delay = self.owner.uplink.seconds_for
         self.placement.local_free_slots = self.owner.free_slots
-        self.placement.local_report = self.owner.report
 
     async def handle(self, request: Request) -> Answer | Refusal:
         """Return the answer to a request, or a refusal with a reason."""
@@ -217,13 +221,11 @@
         self.lines.write(kind, state)
 
     async def _try_instances(self, state: RequestState) -> Answer | Refusal:
-        state.weight = self.outcomes.costs.weight(state)
         while True:
             instance = self.placement.choose(
                 self.knowledge.registry.usable(state.service),
                 state.route,
                 state.tried,
-                state.weight,
             )
             if instance is None:
                 state.stopped_by = 'no other instance accepts work now'
@@ -231,7 +233,7 @@
             state.placed += 1
             state.instance = instance
             outcome = await self._ask_owner(state, instance)
-            self.outcomes.apply(state, instance, outcome)
+            self._apply_outcome(state, instance, outcome)
             state.stopped_by = self._reason_to_stop(state, outcome)
             if state.stopped_by:
                 break
@@ -263,13 +265,13 @@
         load = self.placement.observed_instance(instance).rank_load(
             state.route.rank
         )
-        load.begin(state.weight)
+        load.outstanding += 1
         try:
             if instance.address == self.settings.instance_address:
                 return await self.owner.run(state.request, placed)
             return await self._ask_remote_owner(state, instance, placed)
         finally:
-            load.end(state.weight)
+            load.outstanding -= 1
 
     async def _ask_remote_owner(
         self,
@@ -338,8 +340,84 @@
         self.link.received(PLACED, len(result.body))
         encoded = result.headers.pop(own_headers.OUTCOME, '')
         evidence = result.headers.pop(own_headers.CRASHES, '')
-        work = result.headers.pop(own_headers.WORK, '')
-        return Outcome.decode(encoded, result, evidence, work)
+        return Outcome.decode(encoded, result, evidence)
+
+    def _apply_outcome(
+        self,
+        state: RequestState,
+        instance: ListedInstance,
+        outcome: Outcome,
+    ) -> None:
+        """Update the request state and the known load of an instance."""
+        state.tried |= {instance.identity}
+        count_placing(state, outcome)
+        if outcome.evidence:
+            state.has_crash_evidence = True
+            self.suspicions.merge_evidence(outcome.evidence)
+        if outcome.load is not None:
+            rank = state.route.rank
+            self.placement.record_report(instance, rank, outcome.load)
+            state.served = outcome.load.service_seconds
+        match outcome.result:
+            case Answer(status=status, body=body):
+                state.last = outcome.result
+                self.suspicions.succeeded(state.request)
+                if status >= SERVER_ERROR:
+                    self.placement.record_failure(instance)
+                    return
+                self._log_recovery(instance)
+                self.placement.record_answer(
+                    instance,
+                    state.route.name,
+                    state.served,
+                    len(body) / KILOBYTE,
+                )
+            case Refusal():
+                has_load = outcome.load is not None
+                self._apply_refusal(
+                    state,
+                    instance,
+                    outcome.result,
+                    has_load=has_load,
+                )
+
+    def _apply_refusal(
+        self,
+        state: RequestState,
+        instance: ListedInstance,
+        refusal: Refusal,
+        *,
+        has_load: bool,
+    ) -> None:
+        """Update what is known of an instance whose owner refused.
+
+        ``has_load`` tells whether the owner reported its load as well.
+        """
+        state.has_run |= refusal.ran is not Ran.NO
+        if not isinstance(state.last, Answer):
+            state.last = refusal
+        if refusal.ran is Ran.UNKNOWN or (
+            refusal.code is ResultCode.BACKEND_SHED_LOAD
+        ):
+            self.placement.record_failure(instance)
+        elif refusal.code in NEUTRAL_CODES:
+            return
+        elif refusal.code in OVERLOAD_CODES:
+            # A refusal by this daemon says nothing about the instance.
+            if has_load:
+                work = self.placement.work_of(state.route.name)
+                rank = state.route.rank
+                self.placement.back_off(instance, rank, is_large=work.is_large)
+        else:
+            avoid(self, instance, refusal)
+
+    def _log_recovery(self, instance: ListedInstance) -> None:
+        if self.placement.observed_instance(instance).avoid_seconds:
+            self.log.write(
+                'instance_back',
+                instance=instance.identity,
+                instance_host=instance.host_address,
+            )
 
     def _reason_to_stop(self, state: RequestState, outcome: Outcome) -> str:
         """Return why a request isn't retried, empty if it is."""
@@ -399,3 +477,20 @@
         work = self.placement.work_of(route.name)
         passed = self.recorder.timer.now() - request.arrived
         return max(route.objective - passed - 2 * work.seconds, 0.0)
+
+
+def avoid(entry: Entry, instance: ListedInstance, refusal: Refusal) -> None:
+    """Avoid an instance that an owner found absent or unreachable."""
+    if refusal.code is ResultCode.NO_INSTANCE:
+        absences = entry.knowledge.registry.absences
+        absences.record(instance.identity, instance.address)
+        return
+    entry.placement.record_unreachable(instance)
+    entry.log.write(
+        'instance_avoided',
+        instance=instance.identity,
+        instance_host=instance.host_address,
+        code=refusal.code.name,
+        reason=refusal.reason,
+        seconds=entry.placement.observed_instance(instance).avoid_seconds,
+    )
--- a/packages/proxy/tanagerbend_proxy/front.py
+++ b/packages/proxy/tanagerbend_proxy/front.py
@@ -322,9 +322,6 @@
                 response = web.Response(text=reason)
                 response.headers[self.names.request_id] = identifier
         response.headers[own_headers.OUTCOME] = outcome.encode()
-        work = outcome.encode_work()
-        if work:
-            response.headers[own_headers.WORK] = work
         if outcome.evidence:
             response.headers[own_headers.CRASHES] = outcome.evidence
         return response
--- a/packages/proxy/tanagerbend_proxy/messages.py
+++ b/packages/proxy/tanagerbend_proxy/messages.py
@@ -14,9 +14,6 @@
 MILLISECONDS: Final = 1000.0
 # Longer reasons from other daemons are cut to this length.
 MAX_REASON_BYTES: Final = 200
-# Bounds of what another daemon reports of its instance.
-MAX_WAIT_SECONDS: Final = 60.0
-MAX_SPEED: Final = 100.0
 # Order of the fields in the headers between daemons.
 PLACED_FIELDS: Final = (
     'instance',
@@ -71,29 +68,6 @@
     return found
 
 
-def decode_work(text: str) -> tuple[float | None, float]:
-    """Return the wait in seconds and the relative speed of an instance.
-
-    Examples
-    ========
-
-    >>> decode_work('0.125,2.50'), decode_work('')
-    ((0.125, 2.5), (None, 1.0))
-
-    Raises
-    ======
-
-    ValueError
-        If they are no positive numbers.
-    """
-    if not text:
-        return None, 1.0
-    wait, speed = map(finite_float, text.split(','))
-    if wait < 0 or speed <= 0:
-        raise ValueError('wait or speed out of range')
-    return min(wait, MAX_WAIT_SECONDS), min(speed, MAX_SPEED)
-
-
 @attrs.frozen
 class Request:
     """A request as a caller sent it, without hop-by-hop headers.
@@ -275,25 +249,14 @@
             (*code_and_ran, self.is_offered, load.busy, load.slots, *times),
         )
 
-    def encode_work(self) -> str:
-        """Return the value of `Tanagerbend-Work`, empty if unknown.
-
-        It is a separate header, since daemons of earlier releases refuse an
-        outcome with unknown fields.
-        """
-        if self.load is None or self.load.wait is None:
-            return ''
-        return f'{self.load.wait:.3f},{self.load.speed:.2f}'
-
     @classmethod
     def decode(
         cls,
         text: str,
         answer: Answer,
         evidence: str = '',
-        work: str = '',
     ) -> 'Outcome':
-        """Decode the headers of another daemon and the answer with them."""
+        """Decode the header of another daemon and the answer with it."""
         try:
             fields = dict(zip(OUTCOME_FIELDS, json.loads(text), strict=True))
             result: Answer | Refusal = answer
@@ -310,7 +273,6 @@
                 finite_float(fields['sending']),
                 finite_float(fields['per_kilobyte']),
                 finite_float(fields['behind']),
-                *decode_work(work),
             )
             return cls(result, load, bool(fields['offered']), evidence)
         except DECODING_ERRORS:
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -9,27 +9,15 @@
 import attrs
 from multidict import CIMultiDict
 
-from tanagerbend_admission import (
-    Features,
-    ObjectiveQueue,
-    ServiceTimes,
-    WaitingRequest,
-    Work,
-)
+from tanagerbend_admission import ObjectiveQueue, ServiceTimes, Work
 from tanagerbend_daemon.process_connection import ProcessConnection
 from tanagerbend_metrics import Recorder
-from tanagerbend_metrics.names import (
-    BACKEND_TIME,
-    BACKEND_TIME_ERROR,
-    QUEUE_TIME,
-    QUEUE_TIME_ERROR,
-)
+from tanagerbend_metrics.names import BACKEND_TIME, QUEUE_TIME
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.calls import Calls
 from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.guard import CONNECTION_LOST_CODES, InstanceGuard
 from tanagerbend_proxy.headers import HeaderNames
-from tanagerbend_proxy.instance_load import InstanceLoad
 from tanagerbend_proxy.loop_delay import LoopDelay
 from tanagerbend_proxy.messages import (
     MILLISECONDS,
@@ -38,7 +26,6 @@
     Placed,
     Request,
 )
-from tanagerbend_proxy.owner_checks import DISPLACED_REASON, OwnerChecks
 from tanagerbend_proxy.repeats import Repeats
 from tanagerbend_proxy.suspicions import Suspicions
 from tanagerbend_proxy.uplink import Uplink
@@ -65,6 +52,7 @@
 # refusal reaches the caller in time.
 RETURN_MARGIN_SECONDS: Final = 0.01
 
+DISPLACED_REASON: Final = 'another instance has the address'
 # Refusals of requests that were not sent to the instance.
 NOT_SENT_CODES: Final = frozenset(
     (
@@ -134,7 +122,6 @@
     delay: LoopDelay = attrs.field(init=False)
     repeats: Repeats = attrs.field(init=False)
     calls: Calls = attrs.field(init=False)
-    checks: OwnerChecks = attrs.field(init=False)
     guard: InstanceGuard = attrs.field(init=False)
     cold: ColdLimit = attrs.field(init=False)
     down_check: 'asyncio.Task[None] | None' = None
@@ -144,7 +131,6 @@
         self.delay = LoopDelay(self.recorder.timer)
         self.cold = ColdLimit(self.recorder.timer)
         self.queue.departures.link = self.uplink
-        self.queue.on_granted = self._record_wait
         self.reset_repeats()
 
     def make_process(self) -> InstanceProcess:
@@ -166,15 +152,19 @@
         self.calls = Calls(
             self.repeats.runs, self.recorder, self.names.call_separator
         )
-        self.checks = OwnerChecks(
-            self.registry, self.recorder, self.cold, self.repeats, self.calls
-        )
 
     async def run(self, request: Request, placed: Placed) -> Outcome:
         """Wait for a slot and run the request once."""
         now = self.recorder.timer.now()
         deadline = now + placed.time_left
-        work = self._make_work(request, placed, now)
+        work = Work(
+            placed.route,
+            placed.rank,
+            now + placed.on_time,
+            deadline - RETURN_MARGIN_SECONDS,
+            self.sizes.mean(placed.route),
+            self.sizes.deviation(placed.route),
+        )
         self.suspicions.merge_evidence(placed.evidence)
         refusal = self.suspicions.refuse(request)
         if refusal is not None:
@@ -183,7 +173,6 @@
         if refusal is not None:
             return Outcome(refusal, self.report(placed.rank))
         started = self.recorder.timer.now()
-        expected = self.queue.instance.seconds(work)
         self._record_seconds(QUEUE_TIME, placed, started - now)
         is_whole = False
         run = Run(
@@ -204,7 +193,6 @@
                 )
             self.observe_restart(result)
             result = withhold_promise(result)
-            self._observe_load(result)
             is_whole = (
                 isinstance(result, Answer) and result.status < MISDIRECTED
             )
@@ -212,9 +200,6 @@
             seconds = self.recorder.timer.now() - started
             self.queue.leave(work, seconds, is_complete=is_whole)
         self._record_seconds(BACKEND_TIME, placed, seconds)
-        self._record_seconds(
-            BACKEND_TIME_ERROR, placed, abs(seconds - expected)
-        )
         self._observe_size(placed.route, result)
         is_offered = not (
             isinstance(result, Refusal) and result.code in NOT_SENT_CODES
@@ -224,47 +209,67 @@
 
     async def _admit(self, placed: Placed, work: Work) -> Refusal | None:
         """Wait for a slot; return None once the request holds one."""
-        refusal = self.checks.refuse_on_arrival(
-            placed, len(self.queue.waiting)
-        ) or await self.queue.enter(work)
+        refusal = (
+            self._refuse_absent(placed)
+            or self._refuse_without_room(placed)
+            or await self.queue.enter(work)
+        )
         if refusal is not None:
             return refusal
-        refusal = self.checks.refuse_at_start(placed)
+        refusal = self._refuse_departed(placed)
         if refusal is not None:
             self.queue.leave(work, 0.0, is_complete=False)
         return refusal
 
-    def features(self, request: Request, route: str) -> Features:
-        """Return what is known of a request before it runs."""
-        return Features.of_request(
-            route,
-            request.headers.get(self.names.caller_service, ''),
-            request.path,
-            len(request.body),
+    def _refuse_without_room(self, placed: Placed) -> Refusal | None:
+        """Refuse a request for which a budget or a limit has no room."""
+        return (
+            self.repeats.refuse(placed)
+            or self.calls.refuse(placed)
+            or self._refuse_cold(placed, len(self.queue.waiting))
         )
 
-    def _make_work(self, request: Request, placed: Placed, now: float) -> Work:
-        """Return the resources that a request needs, as estimated now."""
-        features = self.features(request, placed.route)
-        return Work(
-            placed.route,
-            placed.rank,
-            now + placed.on_time,
-            now + placed.time_left - RETURN_MARGIN_SECONDS,
-            self.sizes.mean(placed.route),
-            self.sizes.deviation(placed.route),
-            features,
-            self.queue.instance.costs.estimate(features),
+    def _refuse_absent(self, placed: Placed) -> Refusal | None:
+        """Refuse a request for an instance that may get none at all.
+
+        The instance has lost its address, or its failure domain is evacuated.
+        """
+        if self.registry.is_displaced(placed.instance):
+            return Refusal(ResultCode.NO_INSTANCE, DISPLACED_REASON)
+        if not self.registry.refuses_evacuated(placed.instance):
+            return None
+        self.recorder.count('requests_refused_evacuated')
+        reason = 'the failure domain of the instance is evacuated'
+        return Refusal(ResultCode.DRAINING, reason)
+
+    def _refuse_cold(self, placed: Placed, ahead: int) -> Refusal | None:
+        """Refuse a request that a cold instance doesn't tolerate now.
+
+        ``ahead`` is the number of requests that start before it.
+        """
+        entry = self.registry.entries.get(placed.instance)
+        is_cold = (
+            self.cold.applies_unlisted(placed.instance)
+            if entry is None
+            else self.cold.applies(entry.instance)
+        )
+        if not is_cold or self.cold.has_room(ahead):
+            return None
+        self.recorder.count('requests_refused_cold')
+        reason = (
+            'the instance is cold,'
+            f' {self.cold.available():.1f} requests may start now'
+            f' and {ahead} wait'
         )
+        return Refusal(ResultCode.QUEUE_FULL, reason)
 
-    def _observe_load(self, result: Answer | Refusal) -> None:
-        """Record the load that the instance states with its answer."""
-        match result:
-            case Answer(headers=headers):
-                load = InstanceLoad.parse(headers.get(self.names.load))
-                if load is not None and load.speed is not None:
-                    now = self.recorder.timer.now()
-                    self.queue.instance.speed.report(load.speed, now)
+    def _refuse_departed(self, placed: Placed) -> Refusal | None:
+        """Refuse a request whose instance left while it waited."""
+        absent = self._refuse_absent(placed)
+        if absent is not None or self.registry.takes_work(placed.instance):
+            return absent
+        reason = 'the instance left while the request waited'
+        return Refusal(ResultCode.DRAINING, reason)
 
     def _add_evidence(self, request: Request, outcome: Outcome) -> Outcome:
         """Add the crash evidence on a request that may crash instances."""
@@ -303,14 +308,6 @@
         histograms = self.recorder.histograms
         histograms.record(name, placed.route, placed.rank, seconds)
 
-    def _record_wait(self, waiting: WaitingRequest) -> None:
-        """Record how far the wait of a request differed from its estimate."""
-        error = abs(self.recorder.timer.now() - waiting.expected_at)
-        work = waiting.work
-        self.recorder.histograms.record(
-            QUEUE_TIME_ERROR, work.kind, work.rank, error
-        )
-
     def free_slots(self) -> int:
         """Return the number of slots that no request holds or waits for."""
         return self.queue.slots - self.queue.busy
@@ -328,8 +325,6 @@
             sending,
             per_kilobyte,
             self.delay.request_wait,
-            self.queue.wait(Work('', rank, math.inf, math.inf)).mean,
-            self.queue.instance.speed.relative_at(self.recorder.timer.now()),
         )
 
     async def _send(
@@ -345,7 +340,7 @@
         if not self.has_room():
             reason = 'no memory is left for the answer'
             return Refusal(ResultCode.QUEUE_FULL, reason)
-        refusal = self.checks.refuse_cold(placed, 0)
+        refusal = self._refuse_cold(placed, 0)
         if refusal is not None:
             return refusal
         self.cold.record()
--- a/packages/proxy/tanagerbend_proxy/request_lines.py
+++ b/packages/proxy/tanagerbend_proxy/request_lines.py
@@ -60,8 +60,6 @@
     caller : Run or None
         The run of the instance on this host that made the request as a
         call; None if it isn't known to be one.
-    weight : float
-        Expected cost relative to the mean of the route.
     lines : list of dict
         Log lines that are written when the request ends.
     """
@@ -84,7 +82,6 @@
     caused: float = 0.0
     has_crash_evidence: bool = False
     caller: Run | None = None
-    weight: float = 1.0
     lines: list[dict[str, Any]] = attrs.field(factory=list)
 
     @property
--- a/packages/proxy/tanagerbend_proxy/tests/test_calls.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_calls.py
@@ -7,8 +7,8 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.calls import Calls
+from tanagerbend_proxy.entry import NEUTRAL_CODES
 from tanagerbend_proxy.messages import Answer, Placed, Request
-from tanagerbend_proxy.outcomes import NEUTRAL_CODES
 from tanagerbend_proxy.request_lines import RequestState
 from tanagerbend_routing import PrefixRoute, Repeat, Run, Runs, WeightedService
 from tanagerbend_timer import ManualTimer
--- a/packages/proxy/tanagerbend_proxy/tests/test_messages.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_messages.py
@@ -93,24 +93,3 @@
     """Guards against more attempts than the route allows."""
     stopping = Answer(504, CIMultiDict(), b'{}')
     assert Outcome.decode('', stopping).is_offered
-
-
-def test_work_ahead_is_in_a_header_of_its_own():
-    """Guards against an outcome that daemons of earlier releases refuse."""
-    answer = Answer(200, CIMultiDict(), b'')
-    load = LoadReport(3, 6, 0.5, wait=0.25, speed=2.5)
-    sent = Outcome(answer, load, is_offered=True)
-    without = Outcome(answer, LoadReport(3, 6, 0.5), is_offered=True)
-    assert sent.encode() == without.encode()
-    assert Outcome.decode(sent.encode(), answer, '', sent.encode_work()) == sent
-    assert Outcome.decode(sent.encode(), answer) == without
-    assert without.encode_work() == ''
-
-
-@pytest.mark.parametrize('work', ['soon', '1', '-1,1', '1,0', 'nan,1', '1,2,3'])
-def test_unreadable_work_ahead_is_refused(work):
-    """Guards against figures that no owner reports."""
-    answer = Answer(200, CIMultiDict(), b'')
-    text = Outcome(answer, LoadReport(3, 6)).encode()
-    result = Outcome.decode(text, answer, '', work).result
-    assert result.code is ResultCode.OUTCOME_UNKNOWN
--- a/packages/proxy/tanagerbend_proxy/tests/test_owner.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_owner.py
@@ -11,7 +11,7 @@
 from tanagerbend_model import Ran, ResultCode
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.headers import HeaderNames
-from tanagerbend_proxy.messages import Answer, Placed, Request
+from tanagerbend_proxy.messages import Placed, Request
 from tanagerbend_proxy.owner import Owner
 from tanagerbend_proxy.crash_exchange import make_suspicions
 from tanagerbend_proxy.uplink import Uplink
@@ -143,13 +143,3 @@
     assert late.result.code is ResultCode.QUEUE_FULL
     assert not late.is_offered
     assert owner.queue.running == 0
-
-
-@pytest.mark.parametrize(
-    ('load', 'speed'), [('2,1,3,250', 2.5), ('2,1,3', 1.0), ('much', 1.0)]
-)
-def test_stated_speed_of_the_instance_is_used(owner, load, speed):
-    """Guards against a load header that nobody reads."""
-    owner._observe_load(Answer(200, CIMultiDict({'X': load}), b''))
-    assert owner.report(0).speed == 1.0
-    assert owner.queue.instance.speed.at(0.0) == speed
--- a/packages/routing/tanagerbend_routing/candidates.py
+++ b/packages/routing/tanagerbend_routing/candidates.py
@@ -79,7 +79,7 @@
         instance, observed = self.local
         return (
             now >= instance.cold_until
-            and observed.current_slowdown(now) <= MAX_LOCAL_SLOWDOWN
+            and observed.slowdown <= MAX_LOCAL_SLOWDOWN
             and observed.is_preferred(now)
             and not observed.is_refusing(rank, now)
         )
--- a/packages/routing/tanagerbend_routing/observations.py
+++ b/packages/routing/tanagerbend_routing/observations.py
@@ -8,8 +8,6 @@
 # Half-life of the reported load: about the time of three requests at an
 # instance.
 REPORT_HALF_LIFE_SECONDS: Final = 0.25
-# Half-life of the reported speed, which changes several times a second.
-SPEED_HALF_LIFE_SECONDS: Final = 0.4
 FAILURE_HALF_LIFE_SECONDS: Final = 2.0
 # Failure ratio above which an instance is used only if all are avoided.
 MAX_FAILURE_RATIO: Final = 0.5
@@ -35,11 +33,6 @@
         Seconds that the link needs for a kilobyte; 0 if unknown.
     owner_delay : float
         Seconds that a request waits until the owner daemon handles it.
-    wait : float or None
-        Seconds until a new request of this rank would get a slot, by the
-        work ahead; None if the owner does not report it.
-    speed : float
-        Time of work at this moment, relative to the average of the instance.
     """
 
     busy: int
@@ -48,8 +41,6 @@
     link_busy_seconds: float = 0.0
     link_seconds_per_kilobyte: float = 0.0
     owner_delay: float = 0.0
-    wait: float | None = None
-    speed: float = 1.0
 
 
 @attrs.define
@@ -61,15 +52,11 @@
 
     outstanding : int
         Requests of this daemon at the instance.
-    outstanding_work : float
-        Their expected cost, in that of a typical request.
     reported : float
         Requests that the owner reported as running, or as queued ahead of
         a new one of this rank.
     reported_at : float
         Monotonic seconds of the report.
-    wait : float or None
-        Seconds until a slot, as the owner reported; None if it did not.
     refusing_until : float
         Monotonic seconds until which the owner is expected to refuse
         requests of this rank.
@@ -78,26 +65,11 @@
     """
 
     outstanding: int = 0
-    outstanding_work: float = 0.0
     reported: float = 0.0
     reported_at: float = -math.inf
-    wait: float | None = None
     refusing_until: float = -math.inf
     backoff_seconds: float = 0.0
 
-    def begin(self, weight: float) -> None:
-        """Record that this daemon sends a request."""
-        self.outstanding += 1
-        self.outstanding_work += weight
-
-    def end(self, weight: float) -> None:
-        """Record that a request has ended."""
-        self.outstanding -= 1
-        self.outstanding_work -= weight
-        if not self.outstanding:
-            # Removes what rounding left.
-            self.outstanding_work = 0.0
-
     def decayed_report(self, now: float) -> float:
         """Return the reported load, decayed by the age of the report."""
         if not self.reported:
@@ -105,13 +77,6 @@
         age = now - self.reported_at
         return self.reported * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
 
-    def decayed_wait(self, now: float) -> float | None:
-        """Return the reported wait, decayed by the age of the report."""
-        if not self.wait:
-            return self.wait
-        age = now - self.reported_at
-        return self.wait * 0.5 ** (age / REPORT_HALF_LIFE_SECONDS)
-
 
 @attrs.define(eq=False)
 class ObservedInstance:
@@ -137,9 +102,6 @@
     owner_delay, owner_delay_at : float
         Seconds that a request waits until the owner daemon handles it, and
         the monotonic seconds of that report.
-    speed, speed_at : float
-        Time of work at this moment, relative to the average of the instance,
-        and the monotonic seconds of that report.
     ranks : dict of int to RankLoad
     """
 
@@ -152,8 +114,6 @@
     link_seconds_per_kilobyte: float = 0.0
     owner_delay: float = 0.0
     owner_delay_at: float = 0.0
-    speed: float = 1.0
-    speed_at: float = 0.0
     ranks: dict[int, RankLoad] = attrs.field(factory=dict)
 
     def rank_load(self, rank: int) -> RankLoad:
@@ -176,30 +136,6 @@
             return outstanding_ahead
         return max(load_of_rank.decayed_report(now), outstanding_ahead)
 
-    def own_work_ahead(self, rank: int) -> float:
-        """Return the work of this daemon's requests ahead of a new one.
-
-        The unit is the work of a typical request.
-        """
-        work = 0.0
-        for other, load in self.ranks.items():
-            if other <= rank and load.outstanding:
-                work += load.outstanding_work
-        return work
-
-    def reported_wait(self, rank: int, now: float) -> float | None:
-        """Return the expected wait for a slot by the report of the owner."""
-        load = self.ranks.get(rank)
-        return None if load is None else load.decayed_wait(now)
-
-    def current_slowdown(self, now: float) -> float:
-        """Return the slowdown at this moment, if a report tells it."""
-        if self.speed == 1:
-            return self.slowdown
-        age = now - self.speed_at
-        weight = 0.5 ** (age / SPEED_HALF_LIFE_SECONDS)
-        return self.slowdown * (1 + weight * (self.speed - 1))
-
     def is_refusing(self, rank: int, now: float) -> bool:
         """Return whether the owner is expected to refuse requests of a rank."""
         load = self.ranks.get(rank)
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -27,7 +27,6 @@
     Instances,
     eligible_candidates,
 )
-from tanagerbend_routing.expected_time import seconds_until_answered
 from tanagerbend_routing.observations import LoadReport, ObservedInstance
 from tanagerbend_routing.prefixes import PrefixRoute
 from tanagerbend_routing.registry import ListedInstance
@@ -35,6 +34,13 @@
 
 # Weight of one request in the moving average of failures.
 FAILURE_WEIGHT: Final = 0.15
+# The expected time of an instance is increased by this factor times its failure
+# ratio, and multiplied by ``COLD_FACTOR`` while it is cold.
+FAILURE_FACTOR: Final = 20.0
+COLD_FACTOR: Final = 2.0
+# Requests arrive at random, so the expected waiting time grows before all
+# slots are taken: by this ratio of the work at full load.
+QUEUEING_FACTOR: Final = 0.25
 # Round trip between failure domains, and the cost of each kilobyte between
 # them in seconds; the platform charges for these bytes.
 CROSS_DOMAIN_SECONDS: Final = 0.005
@@ -87,8 +93,6 @@
         left this host.
     local_free_slots : callable
         Returns the number of free slots of the local instance.
-    local_report : callable or None
-        Returns the load of the local instance now, for a rank.
 
     Parameters
     ==========
@@ -113,7 +117,6 @@
         self.local_address = ''
         self.link_delay: Callable[[float], float] = no_delay
         self.local_free_slots: Callable[[], int] = int
-        self.local_report: Callable[[int], LoadReport] | None = None
         # By the ``id`` of each tuple of instances that was chosen from.
         self.cached_candidates: dict[int, Candidates] = {}
 
@@ -122,15 +125,13 @@
         instances: Instances,
         route: PrefixRoute,
         exclude: frozenset[str],
-        weight: float = 1.0,
     ) -> ListedInstance | None:
         """Return the instance that is expected to answer first.
 
-        ``exclude`` holds identities.  ``weight`` is the expected cost of the
-        request relative to the mean of its route.  The local instance is
-        preferred while it has a free slot.  An avoided instance is used only
-        if there is no other.  Large answers cross to another failure domain
-        only if no instance of the own domain is likely to answer on time.
+        ``exclude`` holds identities.  The local instance is preferred while
+        it has a free slot.  An avoided instance is used only if there is no
+        other.  Large answers cross to another failure domain only if no
+        instance of the own domain is likely to answer on time.
         """
         now = self.timer.now()
         candidate_set = self._candidates(instances)
@@ -139,9 +140,6 @@
             route.rank, self.local_free_slots(), now
         ):
             return candidate_set.local[0]
-        if candidate_set.local and self.local_report:
-            report = self.local_report(route.rank)
-            self.record_report(candidate_set.local[0], route.rank, report)
         if is_first and self._is_costly_to_transfer(route):
             eligible = list(
                 eligible_candidates(
@@ -149,13 +147,11 @@
                 )
             )
             on_time = self._on_time_in_own_domain(eligible, route, now)
-            return self._select_cheapest(
-                on_time or eligible, route, now, weight
-            )
+            return self._select_cheapest(on_time or eligible, route, now)
         sampled = candidate_set.rotated(self.random)
         eligible = eligible_candidates(sampled, route.rank, exclude, now)
         return self._select_cheapest(
-            itertools.islice(eligible, MAX_COMPARED), route, now, weight
+            itertools.islice(eligible, MAX_COMPARED), route, now
         )
 
     def _on_time_in_own_domain(
@@ -193,10 +189,9 @@
         candidates: Iterable[Candidate],
         route: PrefixRoute,
         now: float,
-        weight: float,
     ) -> ListedInstance | None:
         """Return the instance of least expected cost, with random jitter."""
-        work = self.work_of(route.name).weighted(weight)
+        work = self.work_of(route.name)
         cheapest = None
         least_cost = math.inf
         for instance, observed in candidates:
@@ -204,7 +199,7 @@
             # The cost is never less than the time of the work itself.
             if (
                 cheapest is not None
-                and work.seconds * observed.current_slowdown(now) >= least_cost
+                and work.seconds * observed.slowdown >= least_cost
             ):
                 continue
             jittered_cost = (
@@ -254,9 +249,17 @@
         now: float,
     ) -> float:
         """Return the expected seconds until an answer reaches its caller."""
-        seconds = seconds_until_answered(
-            instance, observed, work, route.rank, now
-        )
+        seconds = work.seconds * observed.slowdown
+        if now < instance.cold_until:
+            seconds *= COLD_FACTOR
+        busy = observed.requests_ahead(route.rank, now)
+        load = (busy + 1) / max(instance.slots, 1)
+        occupancy = load if load > 1 else 1.0
+        seconds *= occupancy + QUEUEING_FACTOR * load
+        if observed.failure_ratio:
+            seconds *= 1 + FAILURE_FACTOR * observed.current_failure_ratio(now)
+        if observed.owner_delay:
+            seconds += observed.current_owner_delay(now)
         if not work.is_large:
             return seconds
         # Sending earlier answers overlaps with the work of the instance.
@@ -307,9 +310,6 @@
         load = observed.rank_load(rank)
         load.reported = report.busy
         load.reported_at = now
-        load.wait = report.wait
-        observed.speed = report.speed
-        observed.speed_at = now
         if report.service_seconds:
             load.backoff_seconds = 0.0
         observed.link_busy_until = now + report.link_busy_seconds
--- a/packages/routing/tanagerbend_routing/route_work.py
+++ b/packages/routing/tanagerbend_routing/route_work.py
@@ -33,8 +33,6 @@
         Size of an answer.
     is_observed : bool
         Whether an answer has been observed.
-    weight : float
-        Expected cost of one request relative to the mean of the route.
     recent_times_left : deque of int
         Milliseconds that the callers of recent requests had left.
     time_counts : Counter
@@ -44,16 +42,9 @@
     seconds: float = INITIAL_WORK_SECONDS
     kilobytes: float = 1.0
     is_observed: bool = False
-    weight: float = 1.0
     recent_times_left: deque[int] = attrs.field(factory=deque)
     time_counts: Counter[int] = attrs.field(factory=Counter)
 
-    def weighted(self, weight: float) -> 'RouteWork':
-        """Return the work of one request that costs more or less."""
-        if weight == 1:
-            return self
-        return attrs.evolve(self, seconds=weight * self.seconds, weight=weight)
-
     @property
     def is_large(self) -> bool:
         """Whether the time of an answer on the link is considered."""
