--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -48,9 +48,8 @@
 CONFIGURATION_APPLY_SECONDS: Final = 2.0
 # Timeout of a message from or to an unreachable host.
 UNREACHABLE_TIMEOUT_SECONDS: Final = 1.0
-HEADER_NAMES: Final = attrs.evolve(
-    HeaderNames(**{name: name for name in attrs.fields_dict(HeaderNames)}),
-    call_separator='.',
+HEADER_NAMES: Final = HeaderNames(
+    **{name: name for name in attrs.fields_dict(HeaderNames)},
 )
 QueueFactory = Callable[[LoopTimer, int], ObjectiveQueue]
 
--- a/packages/emulator/tanagerbend_emulator/instance.py
+++ b/packages/emulator/tanagerbend_emulator/instance.py
@@ -97,10 +97,7 @@
             async with asyncio.timeout(max_seconds) as timeout:
                 self.running.add(timeout)
                 return await self._process(
-                    kind,
-                    now + max_seconds,
-                    request.identifier,
-                    is_repeat=is_repeat,
+                    kind, now + max_seconds, is_repeat=is_repeat
                 )
         except TimeoutError:
             return self._interrupted_result(timeout)
@@ -135,7 +132,6 @@
         self,
         kind: KindLoad,
         deadline_at: float,
-        identifier: str,
         *,
         is_repeat: bool,
     ) -> Answer:
@@ -151,10 +147,7 @@
         try:
             await asyncio.sleep(self._draw_seconds(kind) / 2)
             for name in kind.calls:
-                self.calls += 1
-                call = f'{identifier}.{self.listed.identity}-{self.calls}'
-                self.entry.fleet.arrivals.record_call(call, is_repeat=is_repeat)
-                if not await self._call(name, call, deadline_at):
+                if not await self._call(name, deadline_at, is_repeat=is_repeat):
                     return Answer(STATUS_ERROR, CIMultiDict(), b'')
             await asyncio.sleep(self._draw_seconds(kind) / 2)
         finally:
@@ -190,10 +183,13 @@
         return is_same_service and number < fault.instances
 
     async def _call(
-        self, name: str, identifier: str, deadline_at: float
+        self, name: str, deadline_at: float, *, is_repeat: bool
     ) -> bool:
         time_left = deadline_at - asyncio.get_running_loop().time()
         time_left = min(time_left, self.load.kind(name).deadline)
+        self.calls += 1
+        identifier = f'{self.listed.identity}.{self.calls}'
+        self.entry.fleet.arrivals.record_call(identifier, is_repeat=is_repeat)
         result = await self.entry.handle(
             make_request(identifier, name, time_left)
         )
--- a/packages/metrics/tanagerbend_metrics/names.py
+++ b/packages/metrics/tanagerbend_metrics/names.py
@@ -59,7 +59,6 @@
     SERVICE_CALLS: 'key',
     'ejections_withheld': 'service',
     REPEATS: 'end',
-    'runs_refused_for_calls': 'service',
     'retries': 'service',
     'retries_beyond_budget': 'service',
     'hosts_refused': 'reason',
--- a/packages/model/tanagerbend_model/advice.py
+++ b/packages/model/tanagerbend_model/advice.py
@@ -174,11 +174,6 @@
         NO_OR_UNKNOWN,
         SEND_LATER,
     ),
-    ResultCode.CALLED_SERVICE_FULL: Advice(
-        'a service that the call would itself call has no room',
-        NO,
-        SEND_LATER,
-    ),
     ResultCode.ORDER_KEY_REQUIRED: Advice(
         'an order came without an order key',
         NO,
--- a/packages/proxy/tanagerbend_proxy/entry.py
+++ b/packages/proxy/tanagerbend_proxy/entry.py
@@ -13,7 +13,6 @@
 from tanagerbend_metrics.names import ANSWER_TIME, REFUSALS
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy import headers as own_headers
-from tanagerbend_proxy.calls import OVERLOAD_CODES
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.results import (
     CRASHES_INSTANCES,
@@ -66,9 +65,15 @@
     (
         ResultCode.RETRY_BUDGET_SPENT,
         ResultCode.REQUEST_CRASHES_BACKEND,
-        ResultCode.CALLED_SERVICE_FULL,
     ),
 )
+OVERLOAD_CODES: Final = frozenset(
+    (
+        ResultCode.QUEUE_FULL,
+        ResultCode.DEADLINE_UNREACHABLE,
+        ResultCode.DEADLINE_PASSED,
+    )
+)
 
 
 @attrs.define
@@ -119,9 +124,7 @@
             case Refusal():
                 return route
         state = self._make_state(request, route)
-        state.caused = self.owner.repeats.requested(
-            state.service, request, state.caller
-        )
+        state.caused = self.owner.repeats.requested(state.service, request)
         try:
             result = self.suspicions.refuse(request)
             if result is not None:
@@ -136,7 +139,6 @@
         finally:
             if state.has_crash_evidence:
                 self.suspicions.spread_case(request)
-        self.owner.calls.record_result(state.caller, state.service, result)
         match result:
             case Refusal():
                 self._record_refusal(state, result)
@@ -148,18 +150,13 @@
         seconds_to_target = self.placement.remaining_objective(
             route, request.time_left
         )
-        state = RequestState(
+        return RequestState(
             request,
             route,
             route.pick_service(self.random),
             min(request.arrived + route.timeout, request.deadline),
             request.arrived + seconds_to_target,
         )
-        caller = self.owner.calls.caller_of(request.identifier)
-        if caller is not None:
-            typical = self.placement.work_of(caller.route).seconds
-            state.count_by_caller(caller, typical)
-        return state
 
     def _record_refusal(self, state: RequestState, refusal: Refusal) -> None:
         self.recorder.count(REFUSALS, refusal.code.name)
--- a/packages/proxy/tanagerbend_proxy/headers.py
+++ b/packages/proxy/tanagerbend_proxy/headers.py
@@ -27,10 +27,6 @@
         Service on the host where the request originated.
     instance : str
         Identity of the instance that answers.
-    call_separator : str
-        Text between the identifier of a request and the part that an
-        instance appends for each call that its run makes; empty if calls
-        have unrelated identifiers.
     """
 
     request_id: str
@@ -41,7 +37,6 @@
     not_run: str
     caller_service: str
     instance: str
-    call_separator: str = ''
 
 
 # Headers between daemons, in addition to those of the platform.
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -14,7 +14,6 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_metrics.names import BACKEND_TIME, QUEUE_TIME
 from tanagerbend_model import Ran, Refusal, ResultCode
-from tanagerbend_proxy.calls import Calls
 from tanagerbend_proxy.exchange import Outgoing, send
 from tanagerbend_proxy.guard import CONNECTION_LOST_CODES, InstanceGuard
 from tanagerbend_proxy.headers import HeaderNames
@@ -121,7 +120,6 @@
     has_room: Callable[[], bool] = has_always_room
     delay: LoopDelay = attrs.field(init=False)
     repeats: Repeats = attrs.field(init=False)
-    calls: Calls = attrs.field(init=False)
     guard: InstanceGuard = attrs.field(init=False)
     cold: ColdLimit = attrs.field(init=False)
     down_check: 'asyncio.Task[None] | None' = None
@@ -149,9 +147,6 @@
         now = self.recorder.timer.now()
         allowance = RetryAllowance(self.budget, now)
         self.repeats = Repeats(allowance, self.registry, self.recorder)
-        self.calls = Calls(
-            self.repeats.runs, self.recorder, self.names.call_separator
-        )
 
     async def run(self, request: Request, placed: Placed) -> Outcome:
         """Wait for a slot and run the request once."""
@@ -175,14 +170,7 @@
         started = self.recorder.timer.now()
         self._record_seconds(QUEUE_TIME, placed, started - now)
         is_whole = False
-        run = Run(
-            placed.route,
-            deadline,
-            placed.repeated,
-            request.identifier,
-            placed.rank,
-            work.on_time_until,
-        )
+        run = Run(placed.route, deadline, placed.repeated)
         try:
             with self.repeats.runs.hold(run, self.recorder.timer):
                 result = await self.guard.run(
@@ -223,10 +211,8 @@
 
     def _refuse_without_room(self, placed: Placed) -> Refusal | None:
         """Refuse a request for which a budget or a limit has no room."""
-        return (
-            self.repeats.refuse(placed)
-            or self.calls.refuse(placed)
-            or self._refuse_cold(placed, len(self.queue.waiting))
+        return self.repeats.refuse(placed) or self._refuse_cold(
+            placed, len(self.queue.waiting)
         )
 
     def _refuse_absent(self, placed: Placed) -> Refusal | None:
--- a/packages/proxy/tanagerbend_proxy/repeats.py
+++ b/packages/proxy/tanagerbend_proxy/repeats.py
@@ -13,7 +13,7 @@
 from tanagerbend_metrics.names import CALLS_OF_REPEATED_RUNS, REPEATS
 from tanagerbend_model import Refusal, ResultCode
 from tanagerbend_proxy.messages import Answer, Placed, Request
-from tanagerbend_routing import InstanceRegistry, RetryAllowance, Run, Runs
+from tanagerbend_routing import InstanceRegistry, RetryAllowance, Runs
 
 # A run with fewer expected calls counts as making none: requests of callers
 # are now and then mistaken for its calls.
@@ -51,16 +51,13 @@
         """Number of daemons in the deployment, one beside each instance."""
         return max(self.registry.occupancy.address_count, 1)
 
-    def requested(
-        self, service: str, request: Request, caller: Run | None = None
-    ) -> float:
+    def requested(self, service: str, request: Request) -> float:
         """Count a request that begins on this host.
 
-        ``caller`` is the run that made it, if that is known.  Returns the
-        estimated share of it that a repeated run made.
+        Returns the estimated share of it that a repeated run made.
         """
         self.allowance.record_request(service, request.arrived)
-        share = self.runs.record_sent_call(service, request.deadline, caller)
+        share = self.runs.record_sent_call(service, request.deadline)
         if share:
             self.allowance.charge(service, share, request.arrived)
             self._count_caused(share)
--- a/packages/proxy/tanagerbend_proxy/request_lines.py
+++ b/packages/proxy/tanagerbend_proxy/request_lines.py
@@ -8,16 +8,10 @@
 from tanagerbend_proxy.decisions import DecisionLog
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.messages import MILLISECONDS, Answer, Request
-from tanagerbend_routing import ListedInstance, PrefixRoute, Run
+from tanagerbend_routing import ListedInstance, PrefixRoute
 from tanagerbend_timer import Timer
 
 NO_INSTANCES: Final[frozenset[str]] = frozenset()
-# A refusal by an owner costs one round trip and no work of an instance.
-MAX_OWNERS_ASKED: Final = 3
-# A refused call wastes the run that made it.
-MAX_OWNERS_ASKED_FOR_CALL: Final = 6
-# Share of the typical work of a caller that is assumed to follow a call.
-WORK_AFTER_CALL: Final = 0.5
 
 
 @attrs.define
@@ -57,9 +51,6 @@
     has_crash_evidence : bool
         Whether an owner returned evidence that the request crashes
         instances.
-    caller : Run or None
-        The run of the instance on this host that made the request as a
-        call; None if it isn't known to be one.
     lines : list of dict
         Log lines that are written when the request ends.
     """
@@ -81,28 +72,8 @@
     stopped_by: str = ''
     caused: float = 0.0
     has_crash_evidence: bool = False
-    caller: Run | None = None
     lines: list[dict[str, Any]] = attrs.field(factory=list)
 
-    @property
-    def max_owners_asked(self) -> int:
-        """Maximum number of owners to ask."""
-        if self.caller is None:
-            return MAX_OWNERS_ASKED
-        return MAX_OWNERS_ASKED_FOR_CALL
-
-    def count_by_caller(self, caller: Run, caller_seconds: float) -> None:
-        """Give a call the rank and the target time of the run that made it.
-
-        ``caller_seconds`` is the typical work of that run, a part of which
-        follows the call.
-        """
-        self.caller = caller
-        if caller.rank < self.route.rank:
-            self.route = attrs.evolve(self.route, rank=caller.rank)
-        useful_until = caller.on_time_until - WORK_AFTER_CALL * caller_seconds
-        self.on_time_until = max(self.on_time_until, useful_until)
-
 
 @attrs.frozen
 class RequestLines:
--- a/packages/proxy/tanagerbend_proxy/results.py
+++ b/packages/proxy/tanagerbend_proxy/results.py
@@ -11,6 +11,8 @@
 from tanagerbend_routing import InstanceRegistry, PrefixRoute, Repeat
 
 SERVER_ERROR: Final = 500
+# A refusal by an owner costs one round trip and no work of an instance.
+MAX_OWNERS_ASKED: Final = 3
 # Owners that may be asked beyond the others because their instance isn't at its
 # address.  It costs one round trip, once for all requests of the daemon.
 MAX_MISPLACED: Final = 5
@@ -69,7 +71,7 @@
     if state.misplaced > MAX_MISPLACED:
         return f'{state.misplaced} instances were not at their addresses'
     asked = state.placed - state.misplaced
-    if asked >= state.max_owners_asked:
+    if asked >= MAX_OWNERS_ASKED:
         return f'{asked} owners were asked'
     return ''
 
@@ -89,8 +91,6 @@
     match result:
         case Refusal(code=ResultCode.REQUEST_CRASHES_BACKEND):
             return CRASHES_INSTANCES
-        case Refusal(code=ResultCode.CALLED_SERVICE_FULL):
-            return 'a service that it calls has no room'
         case Answer(status=status) if status < SERVER_ERROR:
             return 'answered'
         case Answer() if repeat is not Repeat.FREELY:
--- a/packages/proxy/tanagerbend_proxy/tests/test_results.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_results.py
@@ -5,9 +5,10 @@
 
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.messages import Outcome, Request
-from tanagerbend_proxy.request_lines import MAX_OWNERS_ASKED, RequestState
+from tanagerbend_proxy.request_lines import RequestState
 from tanagerbend_proxy.results import (
     MAX_MISPLACED,
+    MAX_OWNERS_ASKED,
     count_placing,
     why_no_more_owners,
 )
--- a/packages/routing/tanagerbend_routing/__init__.py
+++ b/packages/routing/tanagerbend_routing/__init__.py
@@ -22,7 +22,6 @@
         ),
         'registry': ('InstanceRegistry', 'ListedInstance'),
         'active_runs': ('Run', 'Runs'),
-        'call_room': ('CallRoom',),
         'observations': ('LoadReport',),
         'stats': ('InstanceStats', 'Result'),
         'table': ('Route', 'RouteTable', 'plain_path'),
--- a/packages/routing/tanagerbend_routing/active_runs.py
+++ b/packages/routing/tanagerbend_routing/active_runs.py
@@ -20,7 +20,6 @@
 import attrs
 
 from tanagerbend_routing.call_rates import CallRates
-from tanagerbend_routing.linked_calls import LinkedCalls
 from tanagerbend_timer import Timer
 
 # Tolerance when the deadlines of a call and a run are compared.  Remaining
@@ -41,20 +40,11 @@
         Monotonic seconds of its deadline at the instance.
     retry_share : float
         Share of it that is a retry of earlier work, from 0 to 1.
-    identifier : str
-        Identifier of the request; empty if unknown.
-    rank : int
-        Rank of the request; 0 is the most urgent.
-    on_time_until : float
-        Monotonic seconds after which its answer is late.
     """
 
     route: str
     deadline: float
     retry_share: float = 0.0
-    identifier: str = ''
-    rank: int = 0
-    on_time_until: float = -math.inf
 
 
 class Runs:
@@ -78,45 +68,25 @@
 
     def __init__(self) -> None:
         self.running: set[Run] = set()
-        self.by_identifier: dict[str, Run] = {}
         self.rates = CallRates()
-        self.linked_calls = LinkedCalls()
 
     @contextmanager
     def hold(self, run: Run, timer: Timer) -> Iterator[None]:
         """Track a run while the instance serves it."""
         started = timer.now()
         self.running.add(run)
-        self.by_identifier[run.identifier] = run
         try:
             yield
         finally:
-            self._end(run, timer.now() - started)
-
-    def _end(self, run: Run, seconds: float) -> None:
-        self.running.discard(run)
-        if self.by_identifier.get(run.identifier) is run:
-            self.by_identifier.pop(run.identifier)
-        self.rates.record_run(run.route, seconds)
-        self.linked_calls.record_run(run.route)
-
-    def find(self, identifier: str) -> Run | None:
-        """Return the run that serves the request with an identifier."""
-        return self.by_identifier.get(identifier) if identifier else None
-
-    def record_sent_call(
-        self, service: str, ends: float, caller: Run | None = None
-    ) -> float:
+            self.running.discard(run)
+            self.rates.record_run(run.route, timer.now() - started)
+
+    def record_sent_call(self, service: str, ends: float) -> float:
         """Return the share of a request from this host that is a retry.
 
         The request is sent to ``service`` and its sender waits until
-        ``ends``.  ``caller`` is the run that made it, if that is known.  The
-        share is 0 if no active run can have sent it.
+        ``ends``.  The share is 0 if no active run can have sent it.
         """
-        if caller is not None:
-            self.rates.record_call(service, (caller.route,))
-            self.linked_calls.record_call(caller.route, service)
-            return caller.retry_share
         callers = self._possible_callers(ends)
         if not callers:
             return 0.0
