Serve a single body that is larger than the budget for bodies

Cause: the configuration allows bodies of 67 MB, the budget of a host with 200 MB is 60 MB, and each byte counts twice. Such a body was taken when it was alone, but then its own memory kept the request from being sent to the instance, so it was refused each time (found by reading). Change: the largest body held doesn't count where it is decided whether further answers have room. Result: the new test fails before (has_room is False), and passes now.

--- a/packages/proxy/tanagerbend_proxy/body_memory.py
+++ b/packages/proxy/tanagerbend_proxy/body_memory.py
@@ -142,8 +142,13 @@
     )
 
     def has_room(self) -> bool:
-        """Whether requests are taken whose answers are not known yet."""
-        return self.used <= self.capacity
+        """Whether requests are taken whose answers are not known yet.
+
+        The largest body doesn't count, since a single one may be larger than
+        the capacity.
+        """
+        largest = max((each.size for each in self.bodies), default=0)
+        return self.used - COPIES * largest <= self.capacity
 
     @contextmanager
     def hold(self) -> Iterator[HeldBody]:
--- a/packages/proxy/tanagerbend_proxy/tests/test_body_memory.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_body_memory.py
@@ -130,3 +130,13 @@
         await memory.timer.advance(2 * memory.idle_seconds)
         answers.check()
     assert not resets
+
+
+def test_single_body_beyond_the_capacity_is_served(memory):
+    """Guards against refusing a legal body that is larger than the budget."""
+    _, _, fits = begin(memory, CAPACITY)
+    assert fits
+    assert memory.used > memory.capacity
+    assert memory.has_room()
+    memory.used += memory.capacity + 1
+    assert not memory.has_room()
