--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -710,8 +710,12 @@
     deadline=3.0,
     body=b'',
     connection=None,
+    rate=0,
 ):
-    """Send one request of a client and return its reply."""
+    """Send one request of a client and return its reply.
+
+    ``rate`` is in bytes per second, 0 for no limit.
+    """
     name = name or os.urandom(8).hex()
     record = system.record
     began = time.monotonic()
@@ -734,6 +738,8 @@
             for start in range(0, len(body), 262144):
                 writer.write(body[start : start + 262144])
                 await writer.drain()
+                due = began + (start + 262144) / rate if rate else 0
+                await asyncio.sleep(max(due - time.monotonic(), 0))
             first, fields = await read_head(reader)
             answer = await read_body(reader, fields)
             status = int(first.split(' ')[1])
