--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -128,16 +128,19 @@
             self._add(event, json.dumps(event))
 
     def _add(self, event, text):
-        now = time.monotonic()
         self.log.append((event['revision'], event['key'], text))
         self.revisions.append(event['revision'])
-        self.times.append(now)
-        while self.history_s and now - self.times[0] > self.history_s:
+        self.times.append(time.monotonic())
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _forget(self):
+        """Drop the history that is older than the store keeps it."""
+        oldest = time.monotonic() - self.history_s
+        while self.history_s and self.times and self.times[0] < oldest:
             self.times.pop(0)
             self.revisions.pop(0)
             self.lost = self.log.pop(0)[0]
-        self.changed.set()
-        self.changed = asyncio.Event()
 
     async def _serve(self, reader, writer):
         try:
@@ -195,6 +198,7 @@
         after = int(asked['after'])
         ends = time.monotonic() + int(asked['waitMs']) / 1000
         while True:
+            self._forget()
             if after < self.lost:
                 return 410, b'{}'
             begin = bisect.bisect_right(self.revisions, after)
