Order the entries of an instance by when it wrote them

Cause: `sequence` was not read, and `InstanceRegistry.put` forgot a departure at each entry with `ready`. Revisions order arrivals, so they can't tell.

Change: `routing.entry_order` decides by (`born`, `sequence`) and by the starts seen before whether an entry is outdated; `put` and `replace`, through which all entries come, ignore such entries and log them (`entry_outdated`). The order outlives a removed entry. Batches are reduced to the entry written last and not to the last in the batch, relays pass on only what is in force, and replies between daemons carry the sequences in a field that earlier releases ignore. An entry without a whole sequence names no instance.

Related paths, each with a test that failed before: an old departure of an earlier start, a removed entry written again, a new listing, relays, batches.

--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -182,12 +182,15 @@
     retained here; ``now`` is in monotonic seconds.
     """
     instances = []
+    # Daemons of earlier releases refuse unknown fields of an instance.
+    sequences = {}
     removed = []
     routes = None
     for item in reply.batch.items:
         match item.value:
             case ListedInstance(cold_until=cold_until):
                 fields = attrs.asdict(item.value)
+                sequences[item.identity] = fields.pop('sequence')
                 fields['cold_until'] = max(cold_until - now, 0)
                 instances.append(fields)
             case RoutingConfiguration():
@@ -205,6 +208,7 @@
         'settled_ms': round(reply.settled_after * MILLISECONDS),
         'lost_ms': to_milliseconds(reply.lost_seconds),
         'instances': instances,
+        'sequences': sequences,
         'gone': removed,
         'routes': routes,
     }
@@ -273,9 +277,12 @@
     size: int,
 ) -> PollReply:
     items = [Item(name, Removed()) for name in document['gone']]
+    # Earlier releases do not send them.
+    sequences = document.get('sequences', {})
     for fields in document['instances']:
         fields['cold_until'] += now
-        instance = ListedInstance(**fields)
+        sequence = sequences.get(fields['identity'])
+        instance = ListedInstance(**fields, sequence=sequence)
         fault = invalid_field(instance, now)
         if fault:
             raise ValueError(f'{fault} of {instance.identity!r}')
--- a/packages/proxy/tanagerbend_proxy/knowledge.py
+++ b/packages/proxy/tanagerbend_proxy/knowledge.py
@@ -128,7 +128,7 @@
         return True
 
     def log_instance_change(
-        self, event: str, instance: ListedInstance, **fields: str
+        self, event: str, instance: ListedInstance, **fields: Any
     ) -> None:
         """Log a change of an instance."""
         self.log.write(
--- a/packages/proxy/tanagerbend_proxy/ranges.py
+++ b/packages/proxy/tanagerbend_proxy/ranges.py
@@ -90,6 +90,7 @@
         'slots': is_whole(instance.slots, 1, MAX_SLOTS),
         'cold': instance.cold_until - now <= MAX_COLD_SECONDS,
         'born': is_whole(instance.born, 0, MAX_UNIX_MILLISECONDS),
+        'sequence': instance.sequence is None or is_whole(instance.sequence),
     }
     return next((name for name, is_valid in checks.items() if not is_valid), '')
 
--- a/packages/proxy/tanagerbend_proxy/tests/test_applying.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_applying.py
@@ -72,6 +72,56 @@
     assert applier.knowledge.registry.departed_at == departed_at
 
 
+ORDERED = attrs.evolve(READY, born=900, sequence=4)
+SAID_LEAVING = attrs.evolve(ORDERED, is_leaving=True, sequence=7)
+HELD_UP = attrs.evolve(ORDERED, sequence=6)
+
+
+@pytest.mark.parametrize(
+    'entries',
+    [
+        [SAID_LEAVING, HELD_UP],
+        [SAID_LEAVING, Removed(), HELD_UP],
+        [SAID_LEAVING, attrs.evolve(HELD_UP, born=800)],
+    ],
+)
+@pytest.mark.parametrize('batches', [1, 2])
+def test_late_entry_hides_no_departure(applier, entries, batches):
+    """Guards against an old entry that is taken for the newest change.
+
+    It may arrive with the departure or after it, and this daemon may answer
+    a poll for both at once.
+    """
+    items = [Item('i-1', each) for each in entries]
+    split = len(items) if batches == 1 else 1
+    applier.apply(Batch((Item('i-1', ORDERED),), at(11), after=at(10)))
+    applier.apply(Batch(tuple(items[:split]), at(14), after=at(11)))
+    applier.apply(Batch(tuple(items[split:]), at(16), after=at(14)))
+    assert usable(applier) == []
+    last_in_force = items[-2:-1]
+    assert applier.log.since(at(11)) == tuple(last_in_force)
+
+
+def test_late_entry_of_a_listing_is_not_relayed(applier):
+    """Guards against peers that learn of an old entry by a listing."""
+    applier.apply(Batch((Item('i-1', ORDERED),), at(11), after=at(10)))
+    applier.apply(Batch((Item('i-1', SAID_LEAVING),), at(14), after=at(11)))
+    applier.reset()
+    applier.apply_listing(Batch((version(1), Item('i-1', HELD_UP)), at(20)))
+    assert usable(applier) == []
+    assert applier.log.since(at(11)) == (Item('i-1', SAID_LEAVING),)
+
+
+def test_start_after_a_removal_in_one_answer_is_used(applier):
+    """Guards against a removal that hides the start after it."""
+    applier.apply(Batch((Item('i-1', SAID_LEAVING),), at(11), after=at(10)))
+    started = Item('i-1', attrs.evolve(ORDERED, born=950, sequence=1))
+    again = (Item('i-1', Removed()), started)
+    applier.apply(Batch(again, at(14), after=at(11)))
+    assert usable(applier) == ['i-1']
+    assert applier.log.since(at(11)) == (started,)
+
+
 def test_changes_after_a_gap_are_not_applied(applier):
     """Guards against a change that is missing for good."""
     applier.apply(Batch((Item('i-1', LEAVING),), at(20), after=at(15)))
--- a/packages/proxy/tanagerbend_proxy/tests/test_changes.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_changes.py
@@ -95,6 +95,36 @@
     }
 
 
+@pytest.mark.parametrize('sequence', [None, 0, 41])
+def test_order_of_entries_arrives(sequence):
+    """Guards against a relayed entry that cannot be told from a later one."""
+    known = attrs.evolve(INSTANCE, born=900, sequence=sequence)
+    found, _ = relayed(reply_with(Item('i-1', known)), OLD, OLD)
+    (item,) = found.batch.items
+    assert (item.value.born, item.value.sequence) == (900, sequence)
+
+
+def test_instances_of_an_earlier_release_have_no_sequence():
+    """Guards against two releases that can't follow each other."""
+    known = attrs.evolve(INSTANCE, born=900, sequence=41)
+    raw = encode_reply(reply_with(Item('i-1', known)), OLD, 10.0)
+    document = json.loads(zlib.decompress(raw))
+    document.pop('sequences')
+    # An earlier release refuses unknown fields of an instance.
+    assert 'sequence' not in document['instances'][0]
+    earlier = zlib.compress(json.dumps(document).encode())
+    (item,) = decode_reply(earlier, OLD, 50.0).batch.items
+    assert item.value == attrs.evolve(known, sequence=None, cold_until=50.0)
+
+
+@pytest.mark.parametrize('sequence', [-1, 'x', True, 2**70])
+def test_invalid_sequence_is_refused(sequence):
+    """Guards against an entry that no later one can follow."""
+    known = attrs.evolve(INSTANCE, born=900, sequence=sequence)
+    found, _ = relayed(reply_with(Item('i-1', known)), OLD, OLD)
+    assert found.code is ResultCode.FRAME_MALFORMED
+
+
 @pytest.mark.parametrize('seconds', [None, 0.0, 4.5])
 def test_outage_arrives_with_its_duration(seconds):
     """Guards against a daemon that begins the outage of a peer anew."""
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -8,12 +8,13 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
-from typing import Final
+from typing import Any, Final
 
 import attrs
 
 from tanagerbend_metrics import Recorder
 from tanagerbend_routing.absences import Absences
+from tanagerbend_routing.entry_order import StartHistories
 from tanagerbend_routing.occupancy import NOTHING_DISPLACED, Occupancy
 from tanagerbend_routing.evacuation import Evacuations
 from tanagerbend_routing.outage import Outage
@@ -47,6 +48,9 @@
         Monotonic seconds until which the instance is slow after its start.
     born : int
         Unix time of its start in milliseconds; 0 if unknown.
+    sequence : int or None
+        Number of entries that this start has written, which the platform
+        may not show all; None if unknown.
     """
 
     identity: str
@@ -57,6 +61,7 @@
     is_leaving: bool = False
     cold_until: float = 0.0
     born: int = 0
+    sequence: int | None = None
 
     @property
     def host_address(self) -> str:
@@ -68,7 +73,7 @@
 
 
 def ignore_change(
-    _event: str, _instance: ListedInstance, **_fields: str
+    _event: str, _instance: ListedInstance, **_fields: Any
 ) -> None:
     """Ignore a change."""
 
@@ -124,17 +129,26 @@
             self.evacuations, lambda: by_service(self._not_displaced())
         )
         self.departed_at: dict[str, float] = {}
+        # Also of instances whose entry was removed, while their departure is
+        # remembered.
+        self.histories = StartHistories(recorder.timer)
 
     @property
     def is_settled(self) -> bool:
         """Whether a missing entry means that its instance is gone."""
         return self.outage.is_settled
 
-    def put(self, instance: ListedInstance) -> None:
-        """Add or update an entry that was written."""
+    def put(self, instance: ListedInstance) -> bool:
+        """Add or update an entry that was written.
+
+        Returns whether it is in force; an outdated one changes nothing.
+        """
+        if ignore_outdated(self, instance):
+            return False
         self.arrivals += 1
         if self._store(instance):
             self._clear_caches()
+        return True
 
     def _store(
         self,
@@ -143,6 +157,7 @@
         is_notified: bool = True,
     ) -> bool:
         """Store an entry; return whether it differs from the known one."""
+        self.histories.record(instance)
         known = self.entries.get(instance.identity)
         is_rewritten = known is None or is_changed(known.instance, instance)
         self.entries[instance.identity] = RegistryEntry(
@@ -179,18 +194,26 @@
             self.notify('instance_kept', entry.instance)
         self._clear_caches()
 
-    def replace(self, listed: Mapping[str, ListedInstance]) -> None:
+    def replace(self, listed: Mapping[str, ListedInstance]) -> frozenset[str]:
         """Replace all entries by a listing.
 
+        Returns the identities of its outdated entries, which change nothing.
         Added and changed entries of the first listing are not notified.
         """
         is_first = not self.entries
         self.arrivals += 1
         for identity in self.entries.keys() - listed.keys():
             self.remove(identity)
-        for instance in listed.values():
-            self._store(instance, is_notified=not is_first)
+        outdated = frozenset(
+            identity
+            for identity, instance in listed.items()
+            if ignore_outdated(self, instance)
+        )
+        for identity, instance in listed.items():
+            if identity not in outdated:
+                self._store(instance, is_notified=not is_first)
         self._clear_caches()
+        return outdated
 
     def expire(self) -> None:
         """Remove missing entries after their grace period."""
@@ -208,6 +231,7 @@
                 for identity, since in self.departed_at.items()
                 if now - since < DEPARTURE_MEMORY_SECONDS
             }
+        self.histories.retain(self.entries.keys() | self.departed_at.keys())
 
     def retain_departure(self, instance: ListedInstance) -> ListedInstance:
         """Return a listed instance as leaving if it has left before.
@@ -330,7 +354,37 @@
 
     The time until which an instance is cold is computed at each reading.
     """
-    return known != attrs.evolve(instance, cold_until=known.cold_until)
+    return known != attrs.evolve(
+        instance, cold_until=known.cold_until, sequence=known.sequence
+    )
+
+
+def ignore_outdated(
+    registry: InstanceRegistry, instance: ListedInstance
+) -> bool:
+    """Return whether an entry is outdated; count and notify it."""
+    if not registry.histories.is_outdated(instance):
+        return False
+    registry.recorder.count('entries_outdated')
+    kept = registry.missing.pop(instance.identity, None)
+    if kept is not None:
+        # The platform lists it again, however old the entry is.
+        kept.missing_since = None
+    known = registry.histories.known[instance.identity].newest
+    is_same_start = known.born == instance.born
+    # After a return from a copy, most of its entries are outdated but say the
+    # same.
+    if not is_same_start or known.is_leaving != instance.is_leaving:
+        registry.notify(
+            'entry_outdated',
+            instance,
+            is_leaving=instance.is_leaving,
+            born=instance.born,
+            sequence=instance.sequence,
+            known_born=known.born,
+            known_sequence=known.sequence,
+        )
+    return True
 
 
 def notify_displaced(
--- a/packages/standins/tanagerbend_standins/instance.py
+++ b/packages/standins/tanagerbend_standins/instance.py
@@ -217,7 +217,7 @@
             },
             'status': {
                 'state': changes.get('state', 'ready'),
-                'sequence': 1,
+                'sequence': changes.get('sequence', 1),
                 'coldRemainingS': 0,
             },
         }
