Let a wait at the gate end while another request leaves

Cause: a cancelled wait marks its entry first and runs later. If another request left the gate in between, `_admit_waiting` had dropped the entry already, and removing it again raised ValueError in place of the cancellation: a caller that went away, or a deadline, ended in an unexpected error.

Change: only an entry that still waits is removed.

Measured: the test fails for all three isolations before (ValueError), passes now.

--- a/packages/quarantine/tanagerbend_quarantine/gate.py
+++ b/packages/quarantine/tanagerbend_quarantine/gate.py
@@ -78,7 +78,8 @@
         except asyncio.CancelledError:
             if request.admitted.done() and not request.admitted.cancelled():
                 self.leave(isolation)
-            else:
+            elif request in self.waiting:
+                # Another request may have left since the cancellation.
                 self.waiting.remove(request)
                 self._admit_waiting()
             raise
--- a/packages/quarantine/tanagerbend_quarantine/tests/test_quarantine.py
+++ b/packages/quarantine/tanagerbend_quarantine/tests/test_quarantine.py
@@ -113,6 +113,21 @@
     assert gate.running == 2
 
 
+@pytest.mark.parametrize('isolation', list(Isolation))
+async def test_wait_that_ends_while_another_request_leaves(isolation):
+    """Guards against an error in place of the end of a wait."""
+    gate = IsolationGate()
+    await gate.enter(Isolation.EXCLUSIVE)
+    waiting = asyncio.create_task(gate.enter(isolation))
+    await asyncio.sleep(0)
+    waiting.cancel()
+    gate.leave(Isolation.EXCLUSIVE)
+    with pytest.raises(asyncio.CancelledError):
+        await waiting
+    assert not gate.running
+    assert not gate.waiting
+
+
 def crash(number, **changes):
     """Return a crash of an instance that is unique to its number."""
     return Crash(f'i-{number}', float(number), **changes)
