Ask before the send whether a request may start; end hopeless waits

Cause: the owner asked whether the instance takes work when the request got its slot, and nothing asked it again after the waits at the gate and for a connection. A request in the queue learned of it when its turn came.

Change: `StartQuestion` is asked by the connector directly before anything is written, for all reasons at once: left, displaced, evacuated. `StartWaits` ends waits for a slot and at the gate within 0.1 s once their request is refused, so that its entry daemon asks another instance while there is time. Refused requests count as no attempt and change no service time. The reasons move from `Owner` into `start_rules`.

Both tests of real daemons fail on the code before, at the departure that the waiting request outlasts, and pass now.

--- a/packages/daemon/tanagerbend_daemon/connections.py
+++ b/packages/daemon/tanagerbend_daemon/connections.py
@@ -1,6 +1,7 @@
 """Pooled HTTP connections to other servers, and limits of their use."""
 
 import asyncio
+from collections.abc import Callable
 from contextvars import ContextVar
 from http import HTTPStatus
 from typing import Any, Final
@@ -11,6 +12,7 @@
 from aiohttp.connector import Connection
 
 from tanagerbend_daemon.send_state import mark_sent
+from tanagerbend_model import Refusal
 
 CONNECT_SECONDS: Final = 1.0
 KEEPALIVE_SECONDS: Final = 30
@@ -62,6 +64,18 @@
     return is_in_range and status != SWITCHING_PROTOCOLS
 
 
+class StartRefusedError(aiohttp.ClientError):
+    """A request was refused when it could have been written."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
+def start_always() -> None:
+    """Refuse no request."""
+
+
 @attrs.define
 class Attempt:
     """State of one attempt to send a request.
@@ -80,6 +94,8 @@
         Whether the attempt has a connection.  Nothing is written before.
     is_new : bool
         Whether the connection was opened for this request.
+    refuse_start : callable
+        Returns why the request must not be written any more, else None.
     """
 
     limit: asyncio.Timeout
@@ -87,6 +103,7 @@
     send_before: float = float('inf')
     is_connected: bool = False
     is_new: bool = False
+    refuse_start: Callable[[], Refusal | None] = start_always
 
     def is_too_late(self) -> bool:
         """Return whether the request must no longer be written."""
@@ -121,6 +138,10 @@
             if attempt.is_too_late():
                 connection.release()
                 raise TimeoutError('connected too late')
+            refusal = attempt.refuse_start()
+            if refusal is not None:
+                connection.release()
+                raise StartRefusedError(refusal)
             attempt.note_connected()
         return connection
 
--- a/packages/emulator/tanagerbend_emulator/fleet.py
+++ b/packages/emulator/tanagerbend_emulator/fleet.py
@@ -25,6 +25,7 @@
     HeaderNames,
     ListenAddresses,
     StopSettings,
+    StartQuestion,
 )
 from tanagerbend_proxy.crash_exchange import CrashCaseExchange, make_suspicions
 from tanagerbend_proxy.entry import Entry
@@ -81,7 +82,7 @@
     async def _send(
         self,
         request: Request,
-        placed: Placed,
+        _question: StartQuestion,
         time_left: float,
     ) -> Answer | Refusal:
         if time_left <= 0:
--- a/packages/proxy/tanagerbend_proxy/__init__.py
+++ b/packages/proxy/tanagerbend_proxy/__init__.py
@@ -17,6 +17,7 @@
 from tanagerbend_proxy.headers import HeaderNames
 from tanagerbend_proxy.positions import StorePosition
 from tanagerbend_proxy.service import ProxyService
+from tanagerbend_proxy.start_rules import StartQuestion
 
 __all__ = (
     'Batch',
@@ -29,6 +30,7 @@
     'ListenAddresses',
     'ProxyService',
     'Removed',
+    'StartQuestion',
     'StopSettings',
     'StorePosition',
     'Unreadable',
--- a/packages/proxy/tanagerbend_proxy/exchange.py
+++ b/packages/proxy/tanagerbend_proxy/exchange.py
@@ -21,7 +21,9 @@
     NOT_SENT_ERRORS,
     Attempt,
     Connector,
+    StartRefusedError,
     is_answer_status,
+    start_always,
 )
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.answer_body import limited_parts, skip_body
@@ -314,6 +316,9 @@
         Seconds within which the connection must open.
     on_headers : callable
         Called when the headers of the answer have arrived.
+    refuse_start : callable
+        Called directly before the request is written; returns a refusal in
+        place of the exchange, or None.
     """
 
     address: str
@@ -328,6 +333,7 @@
     body_limit: float = 0.0
     connect_limit: float = CONNECT_SECONDS
     on_headers: Callable[[], None] = ignore_headers
+    refuse_start: Callable[[], Refusal | None] = start_always
 
 
 async def send(
@@ -344,11 +350,14 @@
         identifier=outgoing.identifier,
         after_mismatch=outgoing.after_mismatch,
         started=asyncio.get_running_loop().time(),
+        refuse_start=outgoing.refuse_start,
     )
     token = CURRENT_ATTEMPT.set(attempt)
     try:
         async with attempt.limit:
             return await _exchange(session, outgoing, attempt)
+    except StartRefusedError as error:
+        return error.refusal
     except (aiohttp.ClientError, OSError, ValueError) as error:
         return _refusal_of(outgoing.address, error, attempt)
     finally:
--- a/packages/proxy/tanagerbend_proxy/guard.py
+++ b/packages/proxy/tanagerbend_proxy/guard.py
@@ -12,8 +12,10 @@
 
 import attrs
 
+from tanagerbend_daemon.connections import start_always
 from tanagerbend_model import Ran, Refusal, ResultCode
 from tanagerbend_proxy.messages import Answer, Placed, Request
+from tanagerbend_proxy.start_waits import Question, StartWaits
 from tanagerbend_proxy.suspicions import Suspicions, conviction_refusal
 from tanagerbend_quarantine import (
     AbandonedWatch,
@@ -45,6 +47,8 @@
 
     suspicions : Suspicions
     process : InstanceProcess
+    waits : StartWaits
+        Requests that wait at the gate, and others that wait to start.
 
     Attributes
     ==========
@@ -61,6 +65,7 @@
 
     suspicions: Suspicions
     process: InstanceProcess
+    waits: StartWaits = attrs.field(factory=StartWaits)
     gate: IsolationGate = attrs.field(factory=IsolationGate)
     flights: InFlightRequests = attrs.field(init=False)
     watch: AbandonedWatch = attrs.field(init=False)
@@ -84,21 +89,28 @@
         placed: Placed,
         deadline: float,
         send: Callable[[float], Awaitable[End]],
+        refuse_wait: Question = start_always,
     ) -> End:
         """Run a request once no excluded request runs beside it.
 
         ``deadline`` is in monotonic seconds; ``send`` takes the seconds
-        that are left.
+        that are left; ``refuse_wait`` returns why the request may not wait
+        for others any more, else None.
         """
         cases = self.suspicions.cases
         fingerprint = self.suspicions.request_fingerprint(request)
         isolation = cases.isolation(fingerprint)
-        if not await self._enter(isolation, deadline - cases.timer.now()):
-            reason = 'deadline passed while waiting for other requests to end'
-            return Refusal(ResultCode.DEADLINE_PASSED, reason)
+        refusal = await self._enter(
+            isolation,
+            deadline - cases.timer.now(),
+            lambda: self._refuse_convicted(fingerprint) or refuse_wait(),
+        )
+        if refusal is not None:
+            return refusal
         try:
-            if cases.verdict(fingerprint) is Verdict.CONVICTED:
-                return conviction_refusal(fingerprint, cases.case(fingerprint))
+            refusal = self._refuse_convicted(fingerprint)
+            if refusal is not None:
+                return refusal
             in_flight = InFlightRequest(
                 fingerprint, deadline, self._is_alone(isolation)
             )
@@ -118,16 +130,29 @@
             for in_flight in self.flights.at_risk()
         )
 
-    async def _enter(self, isolation: Isolation, seconds: float) -> bool:
-        """Wait at the gate; return whether the request was admitted."""
+    def _refuse_convicted(self, fingerprint: bytes) -> Refusal | None:
+        cases = self.suspicions.cases
+        if cases.verdict(fingerprint) is not Verdict.CONVICTED:
+            return None
+        return conviction_refusal(fingerprint, cases.case(fingerprint))
+
+    async def _enter(
+        self, isolation: Isolation, seconds: float, refuse: Question
+    ) -> Refusal | None:
+        """Wait at the gate; return None once the request was admitted."""
         if self.gate.try_enter(isolation):
-            return True
+            return None
+        refusal = refuse()
+        if refusal is not None:
+            return refusal
         try:
             async with asyncio.timeout(seconds):
-                await self.gate.enter(isolation)
+                return await self.waits.enter(
+                    self.gate.enter(isolation), refuse
+                )
         except TimeoutError:
-            return False
-        return True
+            reason = 'deadline passed while waiting for other requests to end'
+            return Refusal(ResultCode.DEADLINE_PASSED, reason)
 
     async def _run_tracked(
         self,
--- a/packages/proxy/tanagerbend_proxy/owner.py
+++ b/packages/proxy/tanagerbend_proxy/owner.py
@@ -26,6 +26,11 @@
     Request,
 )
 from tanagerbend_proxy.repeats import Repeats
+from tanagerbend_proxy.start_rules import (
+    DISPLACED_REASON,
+    StartQuestion,
+    StartRules,
+)
 from tanagerbend_proxy.suspicions import Suspicions
 from tanagerbend_proxy.uplink import Uplink
 from tanagerbend_quarantine import InstanceProcess
@@ -51,7 +56,6 @@
 # refusal reaches the caller in time.
 RETURN_MARGIN_SECONDS: Final = 0.01
 
-DISPLACED_REASON: Final = 'another instance has the address'
 # Refusals of requests that were not sent to the instance.
 NOT_SENT_CODES: Final = frozenset(
     (
@@ -102,6 +106,8 @@
         Delay of the event loop of this daemon.
     cold : ColdLimit
         Limits the requests to the instance while it is cold.
+    rules : StartRules
+        Decide whether a request may start.
     down_check : asyncio.Task or None
         The check whether the instance is down that is running.
     """
@@ -122,12 +128,14 @@
     repeats: Repeats = attrs.field(init=False)
     guard: InstanceGuard = attrs.field(init=False)
     cold: ColdLimit = attrs.field(init=False)
+    rules: StartRules = attrs.field(init=False)
     down_check: 'asyncio.Task[None] | None' = None
 
     def __attrs_post_init__(self) -> None:
         self.guard = InstanceGuard(self.suspicions, self.make_process())
         self.delay = LoopDelay(self.recorder.timer)
         self.cold = ColdLimit(self.recorder.timer)
+        self.rules = StartRules(self.registry, self.recorder, self.cold)
         self.queue.departures.link = self.uplink
         self.reset_repeats()
 
@@ -164,7 +172,8 @@
         refusal = self.suspicions.refuse(request)
         if refusal is not None:
             return self._add_evidence(request, Outcome(refusal))
-        refusal = await self._admit(placed, work)
+        question = StartQuestion(self.rules, placed)
+        refusal = await self._admit(question, work)
         if refusal is not None:
             return Outcome(refusal, self.report(placed.rank))
         started = self.recorder.timer.now()
@@ -177,7 +186,8 @@
                     request,
                     placed,
                     deadline,
-                    lambda left: self._send(request, placed, left),
+                    lambda left: self._send(request, question, left),
+                    question.ask_waiting,
                 )
             self.observe_restart(result)
             result = withhold_promise(result)
@@ -186,77 +196,44 @@
             )
         finally:
             seconds = self.recorder.timer.now() - started
-            self.queue.leave(work, seconds, is_complete=is_whole)
+            self.queue.leave(
+                work,
+                seconds if question.refusal is None else 0.0,
+                is_complete=is_whole,
+            )
         self._record_seconds(BACKEND_TIME, placed, seconds)
         self._observe_size(placed.route, result)
-        is_offered = not (
+        is_offered = question.refusal is None and not (
             isinstance(result, Refusal) and result.code in NOT_SENT_CODES
         )
         report = self.report(placed.rank, seconds)
         return self._add_evidence(request, Outcome(result, report, is_offered))
 
-    async def _admit(self, placed: Placed, work: Work) -> Refusal | None:
+    async def _admit(
+        self, question: StartQuestion, work: Work
+    ) -> Refusal | None:
         """Wait for a slot; return None once the request holds one."""
+        placed = question.placed
         refusal = (
-            self._refuse_absent(placed)
+            self.rules.refuse_absent(placed)
             or self._refuse_without_room(placed)
-            or await self.queue.enter(work)
+            or await self.guard.waits.enter(
+                self.queue.enter(work), question.ask
+            )
         )
         if refusal is not None:
             return refusal
-        refusal = self._refuse_departed(placed)
+        refusal = question.ask()
         if refusal is not None:
             self.queue.leave(work, 0.0, is_complete=False)
         return refusal
 
     def _refuse_without_room(self, placed: Placed) -> Refusal | None:
         """Refuse a request for which a budget or a limit has no room."""
-        return self.repeats.refuse(placed) or self._refuse_cold(
+        return self.repeats.refuse(placed) or self.rules.refuse_cold(
             placed, len(self.queue.waiting)
         )
 
-    def _refuse_absent(self, placed: Placed) -> Refusal | None:
-        """Refuse a request for an instance that may get none at all.
-
-        The instance has lost its address, or its failure domain is evacuated.
-        """
-        if self.registry.is_displaced(placed.instance):
-            return Refusal(ResultCode.NO_INSTANCE, DISPLACED_REASON)
-        if not self.registry.refuses_evacuated(placed.instance):
-            return None
-        self.recorder.count('requests_refused_evacuated')
-        reason = 'the failure domain of the instance is evacuated'
-        return Refusal(ResultCode.DRAINING, reason)
-
-    def _refuse_cold(self, placed: Placed, ahead: int) -> Refusal | None:
-        """Refuse a request that a cold instance doesn't tolerate now.
-
-        ``ahead`` is the number of requests that start before it.
-        """
-        entry = self.registry.entries.get(placed.instance)
-        is_cold = (
-            self.cold.applies_unlisted(placed.instance)
-            if entry is None
-            else self.cold.applies(entry.instance)
-        )
-        if not is_cold or self.cold.has_room(ahead):
-            return None
-        self.recorder.count('requests_refused_cold')
-        reason = (
-            'the instance is cold,'
-            f' {self.cold.available():.1f} requests may start now'
-            f' and {ahead} wait'
-        )
-        return Refusal(ResultCode.QUEUE_FULL, reason)
-
-    def _refuse_departed(self, placed: Placed) -> Refusal | None:
-        """Refuse a request whose instance left while it waited."""
-        absent = self._refuse_absent(placed)
-        if absent is not None or self.registry.takes_work(placed.instance):
-            return absent
-        reason = 'the instance left while the request waited'
-        return Refusal(ResultCode.DRAINING, reason)
-
     def _add_evidence(self, request: Request, outcome: Outcome) -> Outcome:
         """Add the crash evidence on a request that may crash instances."""
         match outcome.result:
@@ -316,9 +293,10 @@
     async def _send(
         self,
         request: Request,
-        placed: Placed,
+        question: StartQuestion,
         time_left: float,
     ) -> Answer | Refusal:
+        placed = question.placed
         limit = time_left - RETURN_MARGIN_SECONDS
         if limit <= 0:
             reason = 'no time is left for the instance'
@@ -326,7 +304,7 @@
         if not self.has_room():
             reason = 'no memory is left for the answer'
             return Refusal(ResultCode.QUEUE_FULL, reason)
-        refusal = self._refuse_cold(placed, 0)
+        refusal = self.rules.refuse_cold(placed, 0)
         if refusal is not None:
             return refusal
         self.cold.record()
@@ -345,6 +323,7 @@
                 self.names.request_id,
                 request.identifier,
                 limit / 2 if placed.repeat is Repeat.FREELY else math.inf,
+                refuse_start=question.ask,
             ),
         )
         match result:
--- a/packages/proxy/tanagerbend_proxy/service.py
+++ b/packages/proxy/tanagerbend_proxy/service.py
@@ -78,6 +78,7 @@
             combine_callbacks(
                 self.check_delay,
                 components.follower.expire,
+                components.owner.guard.waits.check,
                 components.follower.staleness.check,
                 self.refresh_own_instance,
                 self.refresh_limits,
