Refuse a call at the gate of the backend server at its deadline

Cause: in the call path of `daemon`, a suspect waited for the end of other calls without a limit, and a call behind it too; its deadline was looked at only after the gate had opened.

Change: the wait ends at the deadline, as "not run".

Measured: the test waits 5 s and fails before, passes now.

--- a/packages/daemon/tanagerbend_daemon/containment.py
+++ b/packages/daemon/tanagerbend_daemon/containment.py
@@ -1,5 +1,6 @@
 """Isolation of requests that crash the backend server."""
 
+import asyncio
 import enum
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -94,10 +95,19 @@
         request: BackendRequest,
         deadline: float,
     ) -> BackendResponse | Refusal:
-        """Send a request once its isolation from other requests allows it."""
+        """Send a request once its isolation from other requests allows it.
+
+        It is refused at ``deadline``, in monotonic seconds, if it still waits.
+        """
         name = self._fingerprint(request)
         isolation = self.quarantine.isolation(name)
-        await self.gate.enter(isolation)
+        left = deadline - self.quarantine.timer.now()
+        try:
+            async with asyncio.timeout(left):
+                await self.gate.enter(isolation)
+        except TimeoutError:
+            reason = 'deadline passed while waiting for other requests to end'
+            return Refusal(ResultCode.DEADLINE_PASSED, reason)
         if self.quarantine.verdict(name) is Verdict.CONVICTED:
             self.gate.leave(isolation)
             return convicted_refusal()
--- a/packages/daemon/tanagerbend_daemon/tests/test_containment.py
+++ b/packages/daemon/tanagerbend_daemon/tests/test_containment.py
@@ -101,10 +101,10 @@
     return make_guarded_backend(server, server.close_idle_connections)
 
 
-async def send(guarded, path):
+async def send(guarded, path, seconds=60.0):
     """Send a request; return the result code."""
     request = BackendRequest('GET', path, (), b'', 'id-1')
-    deadline = guarded.quarantine.timer.now() + 60
+    deadline = guarded.quarantine.timer.now() + seconds
     outcome = await guarded.exchange(request, deadline)
     match outcome:
         case Refusal(code=code):
@@ -242,6 +242,21 @@
     assert verdicts == {Verdict.SUSPECT}
 
 
+async def test_suspect_that_waits_too_long_has_not_run(crashing):
+    """Guards against a call that waits for others beyond its deadline."""
+    crashing.quarantine.record_crash([fingerprint_of('/plate')])
+    running = asyncio.create_task(send(crashing, '/other'))
+    while not crashing.backend.read:
+        await asyncio.sleep(0)
+    async with asyncio.timeout(5):
+        refused = await send(crashing, '/plate', 0.05)
+    assert refused is ResultCode.DEADLINE_PASSED
+    assert crashing.backend.read == ['/other']
+    assert not crashing.gate.waiting
+    crashing.backend.ended.set()
+    await running
+
+
 async def test_suspect_beside_a_cancelled_request_is_not_convicted(
     crashing,
 ):
