Conclude nothing lasting from a clock about the order of entries

Change: entries are ordered by (`born`, `sequence`) alone. One of an earlier start is kept aside and believed if it still stands after 10 s with the store in reach: a live instance would have replaced it, a silent one would have lapsed. Daemons relay outdated entries too, so that their followers can wait likewise; what they answer to a poll is reduced to the entry of each start that was written last, in place of the last one that arrived.

--- a/packages/proxy/tanagerbend_proxy/applying.py
+++ b/packages/proxy/tanagerbend_proxy/applying.py
@@ -5,6 +5,7 @@
 import attrs
 
 from tanagerbend_proxy.changes import Batch, Item, Removed, Unreadable
+from tanagerbend_proxy.item_order import without_superseded
 from tanagerbend_proxy.knowledge import DeploymentState
 from tanagerbend_proxy.positions import START, StorePosition
 from tanagerbend_proxy.relaying import ChangeLog
@@ -13,7 +14,6 @@
     ListedInstance,
     RoutingConfiguration,
 )
-from tanagerbend_routing.entry_order import is_written_before
 
 
 class Applier:
@@ -133,7 +133,7 @@
                     self.knowledge.unreadable(item.identity, reason)
         registry = self.knowledge.registry
         unlisted = registry.entries.keys() - listed.keys()
-        outdated = registry.replace(listed)
+        registry.replace(listed)
         self.knowledge.log.write(
             'service_listed',
             instances=len(listed),
@@ -141,12 +141,7 @@
             revision=batch.position.revision,
         )
         removed = tuple(Item(identity, Removed()) for identity in unlisted)
-        in_force = tuple(
-            item
-            for item in _newest(batch.items)
-            if item.identity not in outdated
-        )
-        complete = Batch((*removed, *in_force), batch.position)
+        complete = Batch((*removed, *_newest(batch.items)), batch.position)
         # The first listing does not cover changes before its position.
         previous = self.log.batches[-1].position if self.log.batches else None
         self.log.add(batch.position if previous is None else previous, complete)
@@ -164,16 +159,12 @@
             batch = self._without_returned(self._with_unlisted(batch))
         self._adopt_configurations(batch)
         if batch.position > self.entries_position:
-            # Peers that have not seen the newest entry could not tell that
-            # another one is outdated.
-            in_force = _newest(
-                item
-                for item in without_superseded(batch.items)
-                if self._apply_entry(item)
-            )
-            if in_force:
+            entries = without_superseded(batch.items)
+            for item in entries:
+                self._apply_entry(item)
+            if entries:
                 self.log.add(
-                    self.entries_position, Batch(in_force, batch.position)
+                    self.entries_position, Batch(entries, batch.position)
                 )
             self.entries_position = batch.position
         complete = batch.position
@@ -187,18 +178,16 @@
         """Return whether all changes up to a position have been applied."""
         return self.position is not None and after <= self.entries_position
 
-    def _apply_entry(self, item: Item) -> bool:
-        """Apply the entry of an instance; return whether it is in force."""
+    def _apply_entry(self, item: Item) -> None:
         registry = self.knowledge.registry
         match item.value:
             case ListedInstance():
-                return registry.put(item.value)
+                registry.put(item.value)
             case Removed():
                 registry.remove(item.identity)
             case Unreadable(reason=reason):
                 self.knowledge.unreadable(item.identity, reason)
                 registry.remove(item.identity)
-        return True
 
     def _apply_evacuations(self, batch: Batch) -> None:
         ordered = self.knowledge.registry.evacuations.ordered
@@ -226,43 +215,6 @@
     return tuple(entries.values())
 
 
-def without_superseded(items: Iterable[Item]) -> tuple[Item, ...]:
-    """Return the items of instances without their superseded entries.
-
-    Of the successive entries of one start, the one that was written last is
-    left, and the one that arrived last if that is unknown.  Entries before
-    and after a removal and those of other starts are left in their order.
-
-    Examples
-    ========
-
-    >>> ready = ListedInstance('i-1', '10.0.0.1:80', 'shop', 'north', 6,
-    ...                        born=900, sequence=6)
-    >>> leaving = attrs.evolve(ready, is_leaving=True, sequence=7)
-    >>> found = without_superseded([Item('i-1', leaving), Item('i-1', ready)])
-    >>> [item.value.sequence for item in found]
-    [7]
-    """
-    kept: dict[str, list[Item]] = {}
-    for item in items:
-        if not item.identity:
-            continue
-        own = kept.setdefault(item.identity, [])
-        if own and _is_same_start(own[-1], item):
-            if is_written_before(item.value, own[-1].value):
-                continue
-            own.pop()
-        own.append(item)
-    return tuple(item for own in kept.values() for item in own)
-
-
-def _is_same_start(item: Item, other: Item) -> bool:
-    match item.value, other.value:
-        case ListedInstance(born=born), ListedInstance(born=other_born):
-            return born == other_born
-    return False
-
-
 def _evacuated(batch: Batch, ordered: frozenset[str]) -> frozenset[str]:
     """Return the evacuated failure domains after the changes of a batch."""
     if batch.evacuated is not None:
--- a/packages/proxy/tanagerbend_proxy/relaying.py
+++ b/packages/proxy/tanagerbend_proxy/relaying.py
@@ -16,6 +16,10 @@
     decode_reply,
 )
 from tanagerbend_proxy.exchange import Outgoing, send
+from tanagerbend_proxy.item_order import (
+    without_removed,
+    without_superseded,
+)
 from tanagerbend_proxy.messages import Answer
 from tanagerbend_proxy.poll_request import PollRequest
 from tanagerbend_proxy.positions import StorePosition
@@ -70,14 +74,19 @@
         self.changed = asyncio.Event()
 
     def since(self, position: StorePosition) -> tuple[Item, ...] | None:
-        """Return the newest entries after a position, None if not retained."""
+        """Return the changes after a position, None if not retained.
+
+        Of each instance, only what a receiver may need for its newest entry.
+        """
         if self.complete_after is None or position < self.complete_after:
             return None
-        newest = {}
-        for batch in self.batches:
-            if batch.position > position:
-                newest.update({item.identity: item for item in batch.items})
-        return tuple(newest.values())
+        changes = (
+            item
+            for batch in self.batches
+            if batch.position > position
+            for item in batch.items
+        )
+        return without_removed(without_superseded(changes))
 
 
 async def poll_peer(
--- a/packages/routing/tanagerbend_routing/entry_order.py
+++ b/packages/routing/tanagerbend_routing/entry_order.py
@@ -12,135 +12,118 @@
 
 from tanagerbend_timer import Timer
 
-# Longest time that an entry is assumed to need on its way.  A sender that is
-# cut off sends again with growing pauses, the longest about as long as the cut.
-MAX_ENTRY_DELAY_SECONDS: Final = 30.0
-# Earlier starts that are remembered of an instance that starts again and again.
-MAX_EARLIER_STARTS: Final = 16
+# Time after which an entry that seemed to be of an earlier start is believed if
+# it still stands.  A live instance writes about every 1.5 s, so it would have
+# replaced an old entry, and platforms remove an entry after three intervals
+# without a write.
+STANDING_SECONDS: Final = 10.0
 
 
 class Entry(Protocol):
     """Entry in which an instance describes itself."""
 
     identity: str
-    is_leaving: bool
     born: int
     sequence: int | None
 
 
-@attrs.frozen
-class StartHistory:
-    """Latest start of an instance as far as this daemon has seen it.
-
-    Parameters
-    ==========
-
-    newest : Entry
-        Newest entry of the start.
-    first_seen : float
-        Monotonic seconds at which its first entry was seen.
-    earlier : tuple of int
-        Times of birth of the starts that were seen before it.
-    """
-
-    newest: Entry
-    first_seen: float
-    earlier: tuple[int, ...] = ()
-
-    def is_outdated(self, entry: Entry, now: float) -> bool:
-        """Return whether an entry was written before the newest one.
-
-        Explanation
-        ===========
-
-        Entries of one start are ordered by their sequence, and a start that
-        another one followed here is over.  Times of birth, which are of wall
-        clocks, decide on other starts, except that a lower one may also be of
-        a later start after its clock was set back.  It is taken for that if
-        no departure depends on it, or if the known start was seen so long ago
-        that no earlier entry can still be on its way.
-
-        Examples
-        ========
-
-        >>> from tanagerbend_routing import ListedInstance
-        >>> leaving = ListedInstance('i-1', '10.0.0.1:80', 'shop', 'north', 6,
-        ...                          is_leaving=True, born=900, sequence=7)
-        >>> history = StartHistory(leaving, first_seen=50.0)
-        >>> ready = attrs.evolve(leaving, is_leaving=False, sequence=6)
-        >>> history.is_outdated(ready, now=60.0)
-        True
-        >>> next_start = attrs.evolve(ready, born=950, sequence=1)
-        >>> history.is_outdated(next_start, now=60.0)
-        False
-        """
-        known = self.newest
-        if entry.born in self.earlier:
-            return True
-        if is_written_before(entry, known):
-            return True
-        if not entry.born or entry.born >= known.born:
-            return False
-        has_departure = entry.is_leaving or known.is_leaving
-        return has_departure and now - self.first_seen < MAX_ENTRY_DELAY_SECONDS
-
-    def followed_by(self, entry: Entry, now: float) -> 'StartHistory':
-        """Return the history after an entry that is not outdated."""
-        if entry.born == self.newest.born:
-            return attrs.evolve(self, newest=entry)
-        earlier = self.earlier
-        if entry.born and self.newest.born:
-            earlier = (*earlier, self.newest.born)[-MAX_EARLIER_STARTS:]
-        return StartHistory(entry, now, earlier)
+def is_written_before(entry: Entry, other: Entry) -> bool:
+    """Return whether an entry was written before another one.
 
+    It is not if a start is unknown, or the sequence within the same start.
 
-def is_written_before(entry: Entry, other: Entry) -> bool:
-    """Return whether an entry precedes another one of the same start.
+    Examples
+    ========
 
-    It is not known to if their start or a sequence is unknown.
+    >>> from tanagerbend_routing import ListedInstance
+    >>> seventh = ListedInstance('i-1', '10.0.0.1:80', 'shop', 'north', 6,
+    ...                          born=900, sequence=7)
+    >>> sixth = attrs.evolve(seventh, sequence=6)
+    >>> is_written_before(sixth, seventh), is_written_before(seventh, sixth)
+    (True, False)
+    >>> is_written_before(seventh, attrs.evolve(sixth, born=950))
+    True
     """
-    if not entry.born or entry.born != other.born:
+    if not entry.born or not other.born:
         return False
+    if entry.born != other.born:
+        return entry.born < other.born
     if entry.sequence is None or other.sequence is None:
         return False
     return entry.sequence < other.sequence
 
 
+@attrs.frozen
+class OutdatedEntry:
+    """Entry of an earlier start by its time of birth.
+
+    ``since`` is in monotonic seconds.
+    """
+
+    entry: Entry
+    since: float
+
+
 @attrs.define
-class StartHistories:
-    """Histories of instances, by their identities.
+class EntryOrder:
+    """Newest entries of instances, and later arrivals that seem outdated.
+
+    Explanation
+    ===========
+
+    Times of birth are of wall clocks, which may be set back between two
+    starts.  An entry of a start that was born earlier is therefore believed
+    if it stands for so long that its instance must have written it last.
 
     Parameters
     ==========
 
     timer : Timer
-    known : dict of str to StartHistory
+    newest : dict of str to Entry
+        By the identities of the instances.
+    outdated : dict of str to OutdatedEntry
+        Of earlier starts; they stand in the platform as far as is known.
     """
 
     timer: Timer
-    known: dict[str, StartHistory] = attrs.field(factory=dict)
-
-    def is_outdated(self, entry: Entry) -> bool:
-        """Return whether an entry was written before the newest one known."""
-        history = self.known.get(entry.identity)
-        return history is not None and history.is_outdated(
-            entry, self.timer.now()
-        )
-
-    def record(self, entry: Entry) -> None:
-        """Record an entry that is not outdated."""
-        now = self.timer.now()
-        history = self.known.get(entry.identity)
-        self.known[entry.identity] = (
-            StartHistory(entry, now)
-            if history is None
-            else history.followed_by(entry, now)
-        )
+    newest: dict[str, Entry] = attrs.field(factory=dict)
+    outdated: dict[str, OutdatedEntry] = attrs.field(factory=dict)
+
+    def accept(self, entry: Entry) -> bool:
+        """Record an entry; return whether it is the newest one."""
+        known = self.newest.get(entry.identity)
+        if known is None or not is_written_before(entry, known):
+            self.believe(entry)
+            return True
+        # The entry that arrived last is the one that stands.
+        standing = self.outdated.pop(entry.identity, None)
+        if entry.born < known.born:
+            since = self.timer.now() if standing is None else standing.since
+            self.outdated[entry.identity] = OutdatedEntry(entry, since)
+        return False
+
+    def believe(self, entry: Entry) -> None:
+        """Record an entry as the newest one."""
+        self.newest[entry.identity] = entry
+        self.outdated.pop(entry.identity, None)
+
+    def standing(self) -> list[Entry]:
+        """Return the seemingly outdated entries that must be the newest."""
+        oldest = self.timer.now() - STANDING_SECONDS
+        return [
+            found.entry
+            for found in self.outdated.values()
+            if found.since <= oldest
+        ]
+
+    def remove(self, identity: str) -> None:
+        """Record that the platform has no entry of an instance any more."""
+        self.outdated.pop(identity, None)
 
     def retain(self, identities: Container[str]) -> None:
-        """Forget all other instances."""
-        self.known = {
-            identity: history
-            for identity, history in self.known.items()
-            if identity in identities
+        """Forget all other instances, except those with a standing entry."""
+        self.newest = {
+            identity: entry
+            for identity, entry in self.newest.items()
+            if identity in identities or identity in self.outdated
         }
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -14,7 +14,7 @@
 
 from tanagerbend_metrics import Recorder
 from tanagerbend_routing.absences import Absences
-from tanagerbend_routing.entry_order import StartHistories
+from tanagerbend_routing.entry_order import EntryOrder
 from tanagerbend_routing.occupancy import NOTHING_DISPLACED, Occupancy
 from tanagerbend_routing.evacuation import Evacuations
 from tanagerbend_routing.outage import Outage
@@ -131,24 +131,19 @@
         self.departed_at: dict[str, float] = {}
         # Also of instances whose entry was removed, while their departure is
         # remembered.
-        self.histories = StartHistories(recorder.timer)
+        self.order = EntryOrder(recorder.timer)
 
     @property
     def is_settled(self) -> bool:
         """Whether a missing entry means that its instance is gone."""
         return self.outage.is_settled
 
-    def put(self, instance: ListedInstance) -> bool:
-        """Add or update an entry that was written.
-
-        Returns whether it is in force; an outdated one changes nothing.
-        """
-        if ignore_outdated(self, instance):
-            return False
-        self.arrivals += 1
-        if self._store(instance):
-            self._clear_caches()
-        return True
+    def put(self, instance: ListedInstance) -> None:
+        """Add or update an entry that arrived; ignore an outdated one."""
+        if is_newest(self, instance):
+            self.arrivals += 1
+            if self._store(instance):
+                self._clear_caches()
 
     def _store(
         self,
@@ -157,7 +152,6 @@
         is_notified: bool = True,
     ) -> bool:
         """Store an entry; return whether it differs from the known one."""
-        self.histories.record(instance)
         known = self.entries.get(instance.identity)
         is_rewritten = known is None or is_changed(known.instance, instance)
         self.entries[instance.identity] = RegistryEntry(
@@ -181,6 +175,7 @@
 
     def remove(self, identity: str) -> None:
         """Remove an entry, or keep it for the grace period after an outage."""
+        self.order.remove(identity)
         entry = self.entries.get(identity)
         if entry is None:
             return
@@ -194,29 +189,26 @@
             self.notify('instance_kept', entry.instance)
         self._clear_caches()
 
-    def replace(self, listed: Mapping[str, ListedInstance]) -> frozenset[str]:
-        """Replace all entries by a listing.
+    def replace(self, listed: Mapping[str, ListedInstance]) -> None:
+        """Replace all entries by a listing; ignore its outdated ones.
 
-        Returns the identities of its outdated entries, which change nothing.
         Added and changed entries of the first listing are not notified.
         """
         is_first = not self.entries
         self.arrivals += 1
-        for identity in self.entries.keys() - listed.keys():
+        known = self.entries.keys() | self.order.outdated.keys()
+        for identity in known - listed.keys():
             self.remove(identity)
-        outdated = frozenset(
-            identity
-            for identity, instance in listed.items()
-            if ignore_outdated(self, instance)
-        )
-        for identity, instance in listed.items():
-            if identity not in outdated:
+        for instance in listed.values():
+            if is_newest(self, instance):
                 self._store(instance, is_notified=not is_first)
         self._clear_caches()
-        return outdated
 
     def expire(self) -> None:
-        """Remove missing entries after their grace period."""
+        """Remove missing entries after their grace period.
+
+        Believes entries that seemed outdated and stand for long enough.
+        """
         expired = tuple(self.missing) if self.is_settled else ()
         for identity in expired:
             self._drop(identity)
@@ -231,7 +223,11 @@
                 for identity, since in self.departed_at.items()
                 if now - since < DEPARTURE_MEMORY_SECONDS
             }
-        self.histories.retain(self.entries.keys() | self.departed_at.keys())
+        for entry in self.order.standing() if self.is_settled else ():
+            self.order.believe(entry)
+            self.recorder.count('outdated_entries_believed')
+            self.put(entry)
+        self.order.retain(self.entries.keys() | self.departed_at.keys())
 
     def retain_departure(self, instance: ListedInstance) -> ListedInstance:
         """Return a listed instance as leaving if it has left before.
@@ -359,18 +355,16 @@
     )
 
 
-def ignore_outdated(
-    registry: InstanceRegistry, instance: ListedInstance
-) -> bool:
-    """Return whether an entry is outdated; count and notify it."""
-    if not registry.histories.is_outdated(instance):
-        return False
+def is_newest(registry: InstanceRegistry, instance: ListedInstance) -> bool:
+    """Return whether an entry is the newest; count and notify if it isn't."""
+    if registry.order.accept(instance):
+        return True
     registry.recorder.count('entries_outdated')
     kept = registry.missing.pop(instance.identity, None)
     if kept is not None:
         # The platform lists it again, however old the entry is.
         kept.missing_since = None
-    known = registry.histories.known[instance.identity].newest
+    known = registry.order.newest[instance.identity]
     is_same_start = known.born == instance.born
     # After a return from a copy, most of its entries are outdated but say the
     # same.
@@ -384,7 +378,7 @@
             known_born=known.born,
             known_sequence=known.sequence,
         )
-    return True
+    return False
 
 
 def notify_displaced(
