Keep the order of an instance's changes when they are relayed

Their sequences were keyed by the instance, so that the last one counted for all, and a reply gave removals before entries: a follower that got a departure, the removal and a late entry at once kept the late one.

Change: sequences are listed beside the entries, and each removal says how many entries of its instance precede it. Earlier releases ignore both fields.

--- a/packages/proxy/tanagerbend_proxy/changes.py
+++ b/packages/proxy/tanagerbend_proxy/changes.py
@@ -2,6 +2,7 @@
 
 import json
 import zlib
+from collections import Counter
 from typing import Any, Final
 
 import attrs
@@ -182,21 +183,27 @@
     retained here; ``now`` is in monotonic seconds.
     """
     instances = []
-    # Daemons of earlier releases refuse unknown fields of an instance.
-    sequences = {}
+    # In the order of the instances, of which daemons of earlier releases refuse
+    # unknown fields.
+    sequences = []
     removed = []
+    # For each removal, the number of entries of its instance before it.
+    removed_after = []
+    entry_counts: Counter[str] = Counter()
     routes = None
     for item in reply.batch.items:
         match item.value:
             case ListedInstance(cold_until=cold_until):
                 fields = attrs.asdict(item.value)
-                sequences[item.identity] = fields.pop('sequence')
+                sequences.append(fields.pop('sequence'))
                 fields['cold_until'] = max(cold_until - now, 0)
                 instances.append(fields)
+                entry_counts[item.identity] += 1
             case RoutingConfiguration():
                 routes = _encode_difference(item.value.difference_from(base))
             case _:
                 removed.append(item.identity)
+                removed_after.append(entry_counts[item.identity])
     document = {
         'era': reply.batch.position.era,
         'revision': reply.batch.position.revision,
@@ -210,6 +217,7 @@
         'instances': instances,
         'sequences': sequences,
         'gone': removed,
+        'gone_after': removed_after,
         'routes': routes,
     }
     return zlib.compress(json.dumps(document).encode(), 1)
@@ -276,17 +284,7 @@
     now: float,
     size: int,
 ) -> PollReply:
-    items = [Item(name, Removed()) for name in document['gone']]
-    # Earlier releases do not send them.
-    sequences = document.get('sequences', {})
-    for fields in document['instances']:
-        fields['cold_until'] += now
-        sequence = sequences.get(fields['identity'])
-        instance = ListedInstance(**fields, sequence=sequence)
-        fault = invalid_field(instance, now)
-        if fault:
-            raise ValueError(f'{fault} of {instance.identity!r}')
-        items.append(Item(instance.identity, instance))
+    items = _decode_entries(document, now)
     if document['routes'] is not None:
         difference = _decode_difference(document['routes'])
         version = 0 if current is None else current.version
@@ -317,6 +315,29 @@
     )
 
 
+def _decode_entries(document: dict[str, Any], now: float) -> list[Item]:
+    """Return entries and removals, those of each instance in their order."""
+    instances, removed = document['instances'], document['gone']
+    # Earlier releases do not send these fields.
+    sequences = document.get('sequences', [None] * len(instances))
+    removed_after = document.get('gone_after', [0] * len(removed))
+    removals = set(zip(removed, removed_after, strict=True))
+    items = [Item(name, Removed()) for name in removed if (name, 0) in removals]
+    entry_counts: Counter[str] = Counter()
+    for fields, sequence in zip(instances, sequences, strict=True):
+        fields['cold_until'] += now
+        instance = ListedInstance(**fields, sequence=sequence)
+        fault = invalid_field(instance, now)
+        if fault:
+            raise ValueError(f'{fault} of {instance.identity!r}')
+        name = instance.identity
+        items.append(Item(name, instance))
+        entry_counts[name] += 1
+        if (name, entry_counts[name]) in removals:
+            items.append(Item(name, Removed()))
+    return items
+
+
 def _decode_complete(
     document: dict[str, Any], position: StorePosition
 ) -> StorePosition | None:
--- a/packages/proxy/tanagerbend_proxy/item_order.py
+++ b/packages/proxy/tanagerbend_proxy/item_order.py
@@ -39,18 +39,6 @@
     return tuple(item for own in kept.values() for item in own)
 
 
-def without_removed(items: Iterable[Item]) -> tuple[Item, ...]:
-    """Return the items of instances without the entries before a removal."""
-    kept: dict[str, list[Item]] = {}
-    for item in items:
-        match item.value:
-            case ListedInstance():
-                kept.setdefault(item.identity, []).append(item)
-            case _:
-                kept[item.identity] = [item]
-    return tuple(item for own in kept.values() for item in own)
-
-
 def _is_same_start(item: Item, other: Item) -> bool:
     match item.value, other.value:
         case ListedInstance(born=born), ListedInstance(born=other_born):
--- a/packages/proxy/tanagerbend_proxy/relaying.py
+++ b/packages/proxy/tanagerbend_proxy/relaying.py
@@ -16,10 +16,7 @@
     decode_reply,
 )
 from tanagerbend_proxy.exchange import Outgoing, send
-from tanagerbend_proxy.item_order import (
-    without_removed,
-    without_superseded,
-)
+from tanagerbend_proxy.item_order import without_superseded
 from tanagerbend_proxy.messages import Answer
 from tanagerbend_proxy.poll_request import PollRequest
 from tanagerbend_proxy.positions import StorePosition
@@ -86,7 +83,7 @@
             if batch.position > position
             for item in batch.items
         )
-        return without_removed(without_superseded(changes))
+        return without_superseded(changes)
 
 
 async def poll_peer(
--- a/packages/proxy/tanagerbend_proxy/tests/test_applying.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_applying.py
@@ -122,13 +122,16 @@
     assert usable(applier) == usable(follower) == []
 
 
-@pytest.mark.parametrize('born', [900, 800])
-def test_late_entry_hides_no_departure_in_one_answer(applier, follower, born):
+@pytest.mark.parametrize(
+    'later',
+    [[HELD_UP], [attrs.evolve(HELD_UP, born=800)], [Removed(), HELD_UP]],
+    ids=['same start', 'earlier start', 'after its removal'],
+)
+def test_late_entry_hides_no_departure_in_one_answer(applier, follower, later):
     """Guards against an answer of which only the last entry is taken."""
     applier.apply(Batch((Item('i-1', ORDERED),), at(11), after=at(10)))
     follow(follower, applier)
-    late = attrs.evolve(HELD_UP, born=born)
-    items = (Item('i-1', SAID_LEAVING), Item('i-1', late))
+    items = tuple(Item('i-1', each) for each in (SAID_LEAVING, *later))
     applier.apply(Batch(items, at(14), after=at(11)))
     follow(follower, applier)
     assert usable(applier) == usable(follower) == []
--- a/packages/proxy/tanagerbend_proxy/tests/test_changes.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_changes.py
@@ -104,12 +104,53 @@
     assert (item.value.born, item.value.sequence) == (900, sequence)
 
 
+def test_entries_of_two_starts_keep_their_sequences():
+    """Guards against a departure that is relayed with another's sequence."""
+    leaving = attrs.evolve(INSTANCE, is_leaving=True, born=900, sequence=41)
+    earlier = attrs.evolve(INSTANCE, born=800, sequence=6)
+    items = [Item('i-1', leaving), Item('i-1', earlier)]
+    found, _ = relayed(reply_with(*items), OLD, OLD)
+    values = [item.value for item in found.batch.items]
+    assert [each.sequence for each in values] == [41, 6]
+    assert [each.is_leaving for each in values] == [True, False]
+
+
+@pytest.mark.parametrize('removed_at', [0, 1, 2])
+def test_removal_keeps_its_place(removed_at):
+    """Guards against a follower that misses the departure before a removal.
+
+    An entry that arrives after the removal could not be told from a new one.
+    """
+    leaving = attrs.evolve(INSTANCE, is_leaving=True, born=900, sequence=41)
+    late = attrs.evolve(INSTANCE, born=900, sequence=6)
+    items = [Item('i-1', leaving), Item('i-1', late)]
+    items.insert(removed_at, Item('i-1', Removed()))
+    found, _ = relayed(reply_with(Item('i-2', Removed()), *items), OLD, OLD)
+    arrived = [item for item in found.batch.items if item.identity == 'i-1']
+    kinds = [type(item.value) for item in items]
+    assert [type(item.value) for item in arrived] == kinds
+
+
+@pytest.mark.parametrize('field', ['sequences', 'gone_after'])
+@pytest.mark.parametrize('numbers', [[], [1, 2], {}, 5, [[]]])
+def test_reply_with_other_numbers_is_refused(field, numbers):
+    """Guards against sequences and removals of other instances."""
+    items = Item('i-1', INSTANCE), Item('i-2', Removed())
+    raw = encode_reply(reply_with(*items), OLD, 10.0)
+    document = json.loads(zlib.decompress(raw))
+    document[field] = numbers
+    changed = zlib.compress(json.dumps(document).encode())
+    found = decode_reply(changed, OLD, 50.0)
+    assert found.code is ResultCode.FRAME_MALFORMED
+
+
 def test_instances_of_an_earlier_release_have_no_sequence():
     """Guards against two releases that can't follow each other."""
     known = attrs.evolve(INSTANCE, born=900, sequence=41)
     raw = encode_reply(reply_with(Item('i-1', known)), OLD, 10.0)
     document = json.loads(zlib.decompress(raw))
     document.pop('sequences')
+    document.pop('gone_after')
     # An earlier release refuses unknown fields of an instance.
     assert 'sequence' not in document['instances'][0]
     earlier = zlib.compress(json.dumps(document).encode())
