Give entries a module of their own; forget their order with the departure

Change: `ListedInstance` moves to `listed_instance`; the order of an instance is forgotten where its departure is.

--- a/packages/routing/tanagerbend_routing/__init__.py
+++ b/packages/routing/tanagerbend_routing/__init__.py
@@ -11,6 +11,7 @@
         'budget': ('RetryBudget',),
         'cold_limit': ('ColdLimit', 'ColdRate', 'ColdTolerance'),
         'evacuation': ('EvacuationOrder', 'Evacuations'),
+        'listed_instance': ('ListedInstance',),
         'placement': ('Placement',),
         'prefixes': (
             'CallerLimits',
@@ -20,7 +21,7 @@
             'RouteDifference',
             'RoutingConfiguration',
         ),
-        'registry': ('InstanceRegistry', 'ListedInstance'),
+        'registry': ('InstanceRegistry',),
         'active_runs': ('Run', 'Runs'),
         'observations': ('LoadReport',),
         'stats': ('InstanceStats', 'Result'),
--- a/packages/routing/tanagerbend_routing/candidates.py
+++ b/packages/routing/tanagerbend_routing/candidates.py
@@ -13,7 +13,7 @@
 
 from tanagerbend_interfaces import Randomness
 from tanagerbend_routing.observations import ObservedInstance
-from tanagerbend_routing.registry import ListedInstance
+from tanagerbend_routing.listed_instance import ListedInstance
 
 # Instances that are compared for one request.  The best of a random sample is
 # nearly as good as the best of all.
--- a/packages/routing/tanagerbend_routing/cold_limit.py
+++ b/packages/routing/tanagerbend_routing/cold_limit.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from tanagerbend_routing.registry import ListedInstance
+from tanagerbend_routing.listed_instance import ListedInstance
 from tanagerbend_timer import Timer
 
 # Rate and time that are assumed where the tolerance is known but not the rate
--- a/packages/routing/tanagerbend_routing/entry_order.py
+++ b/packages/routing/tanagerbend_routing/entry_order.py
@@ -5,7 +5,6 @@
 first one of a later start.
 """
 
-from collections.abc import Container
 from typing import Final, Protocol
 
 import attrs
@@ -120,10 +119,6 @@
         """Record that the platform has no entry of an instance any more."""
         self.outdated.pop(identity, None)
 
-    def retain(self, identities: Container[str]) -> None:
-        """Forget all other instances, except those with a standing entry."""
-        self.newest = {
-            identity: entry
-            for identity, entry in self.newest.items()
-            if identity in identities or identity in self.outdated
-        }
+    def forget(self, identity: str) -> None:
+        """Forget an instance that the platform has removed."""
+        self.newest.pop(identity, None)
--- a/packages/routing/tanagerbend_routing/placement.py
+++ b/packages/routing/tanagerbend_routing/placement.py
@@ -29,7 +29,7 @@
 )
 from tanagerbend_routing.observations import LoadReport, ObservedInstance
 from tanagerbend_routing.prefixes import PrefixRoute
-from tanagerbend_routing.registry import ListedInstance
+from tanagerbend_routing.listed_instance import ListedInstance
 from tanagerbend_routing.route_work import SMOOTHING_WEIGHT, RouteWork
 
 # Weight of one request in the moving average of failures.
--- a/packages/routing/tanagerbend_routing/registry.py
+++ b/packages/routing/tanagerbend_routing/registry.py
@@ -15,6 +15,7 @@
 from tanagerbend_metrics import Recorder
 from tanagerbend_routing.absences import Absences
 from tanagerbend_routing.entry_order import EntryOrder
+from tanagerbend_routing.listed_instance import ListedInstance
 from tanagerbend_routing.occupancy import NOTHING_DISPLACED, Occupancy
 from tanagerbend_routing.evacuation import Evacuations
 from tanagerbend_routing.outage import Outage
@@ -30,45 +31,6 @@
 DEPARTURE_MEMORY_SECONDS: Final = 30.0
 
 
-@attrs.frozen
-class ListedInstance:
-    """Entry of one instance in the listing of the platform.
-
-    Parameters
-    ==========
-
-    identity : str
-        Identity of the instance, which most restarts change.
-    address : str
-        ``address:port`` where the instance listens for its own host.
-    service, failure_domain : str
-    slots : int
-    is_leaving : bool
-    cold_until : float
-        Monotonic seconds until which the instance is slow after its start.
-    born : int
-        Unix time of its start in milliseconds; 0 if unknown.
-    sequence : int or None
-        Number of entries that this start has written, which the platform
-        may not show all; None if unknown.
-    """
-
-    identity: str
-    address: str
-    service: str
-    failure_domain: str
-    slots: int
-    is_leaving: bool = False
-    cold_until: float = 0.0
-    born: int = 0
-    sequence: int | None = None
-
-    @property
-    def host_address(self) -> str:
-        """Address of the host without the port."""
-        return self.address.rpartition(':')[0]
-
-
 Instances = tuple[ListedInstance, ...]
 
 
@@ -216,18 +178,11 @@
         if expired:
             self._clear_caches()
         self.absences.expire()
-        if self.departed_at:
-            now = self.timer.now()
-            self.departed_at = {
-                identity: since
-                for identity, since in self.departed_at.items()
-                if now - since < DEPARTURE_MEMORY_SECONDS
-            }
         for entry in self.order.standing() if self.is_settled else ():
             self.order.believe(entry)
             self.recorder.count('outdated_entries_believed')
             self.put(entry)
-        self.order.retain(self.entries.keys() | self.departed_at.keys())
+        forget_departures(self)
 
     def retain_departure(self, instance: ListedInstance) -> ListedInstance:
         """Return a listed instance as leaving if it has left before.
@@ -355,6 +310,20 @@
     )
 
 
+def forget_departures(registry: InstanceRegistry) -> None:
+    """Forget instances that departed long ago."""
+    oldest = registry.timer.now() - DEPARTURE_MEMORY_SECONDS
+    forgotten = [
+        identity
+        for identity, since in registry.departed_at.items()
+        if since <= oldest
+    ]
+    for identity in forgotten:
+        registry.departed_at.pop(identity)
+        if identity not in registry.entries:
+            registry.order.forget(identity)
+
+
 def is_newest(registry: InstanceRegistry, instance: ListedInstance) -> bool:
     """Return whether an entry is the newest; count and notify if it isn't."""
     if registry.order.accept(instance):
