--- a/packages/proxy/tanagerbend_proxy/tests/test_start_rules.py
+++ b/packages/proxy/tanagerbend_proxy/tests/test_start_rules.py
@@ -95,14 +95,24 @@
     )
 
 
-async def begin(owner, request):
-    """Start a request; return its task once it runs or waits."""
-    identified = attrs.evolve(
-        request, headers=CIMultiDict({NAMES.request_id: request.identifier})
-    )
-    task = asyncio.create_task(owner.run(identified, PLACED))
-    await asyncio.sleep(0.02)
-    return task
+@pytest.fixture
+async def begin(owner, instance):
+    """Return a function that starts a request.
+
+    It returns its task once the request runs or waits.
+    """
+    tasks = []
+
+    async def start(request):
+        headers = CIMultiDict({NAMES.request_id: request.identifier})
+        identified = attrs.evolve(request, headers=headers)
+        tasks.append(asyncio.create_task(owner.run(identified, PLACED)))
+        await asyncio.sleep(0.02)
+        return tasks[-1]
+
+    yield start
+    instance.ends.set()
+    await asyncio.gather(*tasks)
 
 
 def suspect(owner, crashes):
@@ -158,14 +168,16 @@
 
 
 @pytest.mark.parametrize('news', NEWS)
-async def test_news_ends_the_wait_for_other_requests(owner, instance, news):
+async def test_news_ends_the_wait_for_other_requests(
+    owner, instance, begin, news
+):
     """Guards against a request that waits for an instance that it can't use.
 
     It learned of that when the others had ended, at its deadline.
     """
     suspect(owner, 2)
-    running = await begin(owner, OTHER)
-    waiting = await begin(owner, SUSPECT)
+    running = await begin(OTHER)
+    waiting = await begin(SUSPECT)
     assert owner.guard.gate.waiting[0].isolation is Isolation.EXCLUSIVE
     await news(owner, instance)
     await owner.guard.waits.check()
@@ -179,11 +191,11 @@
     assert not owner.queue.running
 
 
-async def test_departure_ends_the_wait_behind_a_suspect(owner, instance):
+async def test_departure_ends_the_wait_behind_a_suspect(owner, instance, begin):
     """Guards against requests that wait behind one that is refused."""
     suspect(owner, 2)
-    await begin(owner, OTHER)
-    waiting = [await begin(owner, each) for each in (SUSPECT, OTHER)]
+    await begin(OTHER)
+    waiting = [await begin(each) for each in (SUSPECT, OTHER)]
     await leave(owner, instance)
     await owner.guard.waits.check()
     outcomes = [await end_of(task) for task in waiting]
@@ -192,13 +204,15 @@
     assert len(instance.paths) == 1
 
 
-async def test_conviction_lets_those_behind_a_suspect_run(owner, instance):
+async def test_conviction_lets_those_behind_a_suspect_run(
+    owner, instance, begin
+):
     """Guards against a gate that stays closed for requests that may run."""
     suspect(owner, 2)
     instance.ends.set()
     await owner.guard.gate.enter(Isolation.NONE)
-    waiting = await begin(owner, SUSPECT)
-    behind = await begin(owner, OTHER)
+    waiting = await begin(SUSPECT)
+    behind = await begin(OTHER)
     await convict(owner, instance)
     await owner.guard.waits.check()
     assert not isinstance((await end_of(waiting)).result, Answer)
@@ -206,22 +220,22 @@
 
 
 async def test_request_at_a_leaving_instance_waits_for_no_other(
-    owner, instance
+    owner, instance, begin
 ):
     """Guards against a wait that begins after the news of a departure."""
     suspect(owner, 2)
-    await begin(owner, OTHER)
+    await begin(OTHER)
     await leave(owner, instance)
-    outcome = await end_of(await begin(owner, SUSPECT))
+    outcome = await end_of(await begin(SUSPECT))
     assert outcome.result.code is ResultCode.DRAINING
 
 
-async def test_departure_ends_the_wait_for_a_slot(owner, instance):
+async def test_departure_ends_the_wait_for_a_slot(owner, instance, begin):
     """Guards against a request that waits for a slot it may not use."""
     work = Work('browse', 0, 30.0, 30.0)
     for _ in range(SLOTS):
         assert await owner.queue.enter(work) is None
-    waiting = await begin(owner, OTHER)
+    waiting = await begin(OTHER)
     await leave(owner, instance)
     await owner.guard.waits.check()
     await asyncio.sleep(0)
@@ -237,11 +251,11 @@
 
 @pytest.mark.parametrize('news', [leave, displace, evacuate])
 async def test_request_is_refused_when_it_gets_its_connection(
-    owner, instance, news
+    owner, instance, begin, news
 ):
     """Guards against a send after the last wait, which is for a connection."""
-    running = await begin(owner, OTHER)
-    waiting = await begin(owner, SUSPECT)
+    running = await begin(OTHER)
+    waiting = await begin(SUSPECT)
     await news(owner, instance)
     await owner.recorder.timer.advance(DEPARTURE_GRACE_SECONDS)
     instance.ends.set()
@@ -253,25 +267,27 @@
     assert not owner.guard.flights.active
 
 
-async def test_refused_request_leaves_its_connection_usable(owner, instance):
+async def test_refused_request_leaves_its_connection_usable(
+    owner, instance, begin
+):
     """Guards against connections that refusals before the send use up."""
-    running = await begin(owner, OTHER)
-    waiting = await begin(owner, SUSPECT)
+    running = await begin(OTHER)
+    waiting = await begin(SUSPECT)
     await displace(owner, instance)
     instance.ends.set()
     await running
     assert (await end_of(waiting)).result.code is ResultCode.NO_INSTANCE
     owner.registry.remove('i-2')
-    again = await end_of(await begin(owner, SUSPECT))
+    again = await end_of(await begin(SUSPECT))
     assert isinstance(again.result, Answer)
     assert not again.result.is_first
 
 
-async def test_refused_request_changes_no_service_time(owner, instance):
+async def test_refused_request_changes_no_service_time(owner, instance, begin):
     """Guards against waits that count as slow work of the instance."""
     suspect(owner, 2)
-    await begin(owner, OTHER)
-    waiting = await begin(owner, SUSPECT)
+    await begin(OTHER)
+    waiting = await begin(SUSPECT)
     await owner.recorder.timer.advance(5.0)
     await leave(owner, instance)
     await owner.guard.waits.check()
