Believe a late entry of a lapsed start too if it stands

Change: any entry that seems outdated is believed once it has stood for 10 s with the store in reach, not only one of an earlier start.

--- a/packages/routing/tanagerbend_routing/entry_order.py
+++ b/packages/routing/tanagerbend_routing/entry_order.py
@@ -11,10 +11,10 @@
 
 from tanagerbend_timer import Timer
 
-# Time after which an entry that seemed to be of an earlier start is believed if
-# it still stands.  A live instance writes about every 1.5 s, so it would have
-# replaced an old entry, and platforms remove an entry after three intervals
-# without a write.
+# Time after which an entry that seemed outdated is believed if it still stands.
+# A live instance writes about every 1.5 s, so it would have replaced an entry
+# that says otherwise, and platforms remove one after three intervals without
+# a write.
 STANDING_SECONDS: Final = 10.0
 
 
@@ -54,7 +54,7 @@
 
 @attrs.frozen
 class OutdatedEntry:
-    """Entry of an earlier start by its time of birth.
+    """Entry that seems outdated.
 
     ``since`` is in monotonic seconds.
     """
@@ -71,8 +71,10 @@
     ===========
 
     Times of birth are of wall clocks, which may be set back between two
-    starts.  An entry of a start that was born earlier is therefore believed
-    if it stands for so long that its instance must have written it last.
+    starts.  Platforms do not show that an instance has written the same again,
+    so a late entry may be the last that they show of a live one.  A seemingly
+    outdated entry is therefore believed if it stands for so long that its
+    instance must have written it, or the same, since.
 
     Parameters
     ==========
@@ -81,7 +83,7 @@
     newest : dict of str to Entry
         By the identities of the instances.
     outdated : dict of str to OutdatedEntry
-        Of earlier starts; they stand in the platform as far as is known.
+        They stand in the platform as far as is known.
     """
 
     timer: Timer
@@ -95,10 +97,9 @@
             self.believe(entry)
             return True
         # The entry that arrived last is the one that stands.
-        standing = self.outdated.pop(entry.identity, None)
-        if entry.born < known.born:
-            since = self.timer.now() if standing is None else standing.since
-            self.outdated[entry.identity] = OutdatedEntry(entry, since)
+        standing = self.outdated.get(entry.identity)
+        since = self.timer.now() if standing is None else standing.since
+        self.outdated[entry.identity] = OutdatedEntry(entry, since)
         return False
 
     def believe(self, entry: Entry) -> None:
--- a/packages/routing/tanagerbend_routing/tests/test_entry_order.py
+++ b/packages/routing/tanagerbend_routing/tests/test_entry_order.py
@@ -111,6 +111,19 @@
     assert is_used(registry)
 
 
+@arrivals
+def test_late_entry_after_a_lapse_is_believed_if_it_stands(registry, arrive):
+    """Guards against a live instance whose next entries are not shown.
+
+    They say the same as the late one, so the platform shows no change.
+    """
+    registry.remove('i-1')
+    arrive(registry, attrs.evolve(READY, sequence=3))
+    assert not is_used(registry)
+    advance_time(registry, STANDING_SECONDS)
+    assert is_used(registry)
+
+
 def test_sequence_that_was_not_shown_holds_nothing_up(registry):
     """Guards against heartbeats that must all be seen."""
     registry.put(attrs.evolve(READY, slots=7, sequence=40))
