Relay of the changes before a removal only a departure

Cause: since a reply held all changes of an instance around a removal.

Change: entries before a removal are dropped, except one that says that its instance leaves, which a follower needs to tell a late entry; of several removals one is left.

--- a/packages/proxy/tanagerbend_proxy/item_order.py
+++ b/packages/proxy/tanagerbend_proxy/item_order.py
@@ -11,9 +11,10 @@
     """Return the items of instances without their superseded entries.
 
     Of the successive entries of one start, the one that was written last is
-    left, and the one that arrived last if that is unknown.  Entries before
-    and after a removal and those of other starts are left in their order,
-    since a receiver may know what decides between them.
+    left, and the one that arrived last if that is unknown.  Before a removal,
+    only a departure is left.  Entries after a removal and those of other
+    starts are left in their order, since a receiver may know what decides
+    between them.
 
     Examples
     ========
@@ -31,16 +32,30 @@
         if not item.identity:
             continue
         own = kept.setdefault(item.identity, [])
-        if own and _is_same_start(own[-1], item):
-            if is_written_before(item.value, own[-1].value):
-                continue
+        if own and _is_late(item, own[-1]):
+            continue
+        while own and _is_superseded(own[-1], item):
             own.pop()
         own.append(item)
     return tuple(item for own in kept.values() for item in own)
 
 
-def _is_same_start(item: Item, other: Item) -> bool:
+def _is_late(item: Item, other: Item) -> bool:
+    """Return whether an entry was written before another of its start."""
     match item.value, other.value:
-        case ListedInstance(born=born), ListedInstance(born=other_born):
-            return born == other_born
+        case ListedInstance() as entry, ListedInstance() as known:
+            is_same_start = entry.born == known.born
+            return is_same_start and is_written_before(entry, known)
     return False
+
+
+def _is_superseded(item: Item, later: Item) -> bool:
+    """Return whether an item doesn't matter any more after a later one."""
+    match item.value, later.value:
+        case ListedInstance(born=born), ListedInstance(born=later_born):
+            return born == later_born
+        case ListedInstance(is_leaving=is_leaving), _:
+            return not is_leaving
+        case _, ListedInstance():
+            return False
+    return True
