Limit the wait at the gate of the backend server only for calls that wait

Each call of `daemon` started a timer though the gate is free for nearly all; `InstanceGuard` asks that first.

Measured: 644 tests of `proxy`, `quarantine`, `routing` and the calls of `daemon` pass; the test of the limit is among them.

--- a/packages/daemon/tanagerbend_daemon/containment.py
+++ b/packages/daemon/tanagerbend_daemon/containment.py
@@ -101,11 +101,7 @@
         """
         name = self._fingerprint(request)
         isolation = self.quarantine.isolation(name)
-        left = deadline - self.quarantine.timer.now()
-        try:
-            async with asyncio.timeout(left):
-                await self.gate.enter(isolation)
-        except TimeoutError:
+        if not await self._enter(isolation, deadline):
             reason = 'deadline passed while waiting for other requests to end'
             return Refusal(ResultCode.DEADLINE_PASSED, reason)
         if self.quarantine.verdict(name) is Verdict.CONVICTED:
@@ -138,6 +134,17 @@
                 self._record_end(in_flight, RequestEnd.ABANDONED, isolation)
         return response
 
+    async def _enter(self, isolation: Isolation, deadline: float) -> bool:
+        """Wait at the gate; return whether the request was admitted."""
+        if self.gate.try_enter(isolation):
+            return True
+        try:
+            async with asyncio.timeout(deadline - self.quarantine.timer.now()):
+                await self.gate.enter(isolation)
+        except TimeoutError:
+            return False
+        return True
+
     def _fingerprint(self, request: BackendRequest) -> bytes:
         return fingerprint(
             self.service,
--- a/packages/proxy/tanagerbend_proxy/applying.py
+++ b/packages/proxy/tanagerbend_proxy/applying.py
@@ -1,7 +1,5 @@
 """Applies changes of the service to the state of a daemon."""
 
-from collections.abc import Iterable
-
 import attrs
 
 from tanagerbend_proxy.changes import Batch, Item, Removed, Unreadable
@@ -141,7 +139,7 @@
             revision=batch.position.revision,
         )
         removed = tuple(Item(identity, Removed()) for identity in unlisted)
-        complete = Batch((*removed, *_newest(batch.items)), batch.position)
+        complete = Batch((*removed, *_newest_entries(batch)), batch.position)
         # The first listing does not cover changes before its position.
         previous = self.log.batches[-1].position if self.log.batches else None
         self.log.add(batch.position if previous is None else previous, complete)
@@ -209,9 +207,9 @@
             self.log.add_version(self.knowledge.configuration)
 
 
-def _newest(items: Iterable[Item]) -> tuple[Item, ...]:
-    """Return the last item of each instance."""
-    entries = {item.identity: item for item in items if item.identity}
+def _newest_entries(batch: Batch) -> tuple[Item, ...]:
+    """Return the newest item of each instance."""
+    entries = {item.identity: item for item in batch.items if item.identity}
     return tuple(entries.values())
 
 
--- a/packages/proxy/tanagerbend_proxy/start_rules.py
+++ b/packages/proxy/tanagerbend_proxy/start_rules.py
@@ -56,7 +56,7 @@
     def refuse_wait(self, placed: Placed) -> Refusal | None:
         """Refuse a request that has to wait for the end of other requests.
 
-        No other request of an instance that leaves is worth the wait.
+        The wait may outlast the grace period, so there is none for it.
         """
         absent = self.refuse_absent(placed)
         if absent is not None or not self._has_left(placed.instance):
